Lease: Keep one holder a scope by leases and compare-and-swap

Placement needs one host at a time to decide on a failure domain or region, on nothing but the platform's key-value service. One service lease per host carries all its scopes; an acquisition is one commit over the scope's lease record and its fencing record; validity is counted from before the grant or renewal was sent, less what the clocks may run apart.

Tried: announcing an acquisition found by re-reading; dropped, as taking a new number by a second commit needs one path less.

--- /dev/null
+++ b/src/lease/LeaseKeeper.cpp
@@ -0,0 +1,231 @@
+#include "lease/LeaseKeeper.h"
+
+#include "support/Hash.h"
+
+#include <utility>
+
+namespace Carawaymill {
+
+/// The driver answers within the call's own timeout; after so much more its answer is taken as lost.
+static constexpr Duration answerGrace = 250ms;
+
+Result<LeaseKeeper, InvalidLeaseOptions> LeaseKeeper::create(const LeaseKeeperOptions &options)
+{
+    if (options.host.value().empty()) {
+        return InvalidLeaseOptions{.option = "host"};
+    }
+    if (options.clockDriftRatio < 0 || options.clockDriftRatio >= 1) {
+        return InvalidLeaseOptions{.option = "clockDriftRatio"};
+    }
+    if (options.renewalRatio <= 0 || options.renewalRatio > 0.5) {
+        return InvalidLeaseOptions{.option = "renewalRatio"};
+    }
+    if (options.callTimeout <= 0us) {
+        return InvalidLeaseOptions{.option = "callTimeout"};
+    }
+    // A renewal that is lost must leave time for another one.
+    if (options.timeToLive < 4 * (options.callTimeout + answerGrace)) {
+        return InvalidLeaseOptions{.option = "timeToLive"};
+    }
+    return LeaseKeeper(options);
+}
+
+LeaseKeeper::LeaseKeeper(const LeaseKeeperOptions &options)
+    : m_options(options)
+    , m_session(options)
+    , m_watcher(options)
+{
+}
+
+std::vector<LeaseAction> LeaseKeeper::handle(const LeaseEvent &event, TimePoint now)
+{
+    m_now = now;
+    // What has run out must be known before anything else, as this host may have been paused.
+    noticeEndedLease();
+    std::visit(Overloaded{
+                   [](const Tick &) {},
+                   [this](const KeyValueReply &reply) { handleReply(reply); },
+                   [this](const WantScope &wanted) { want(wanted.scope); },
+                   [this](const ReleaseScope &released) { release(released.scope); },
+               },
+               event);
+    dropOverdueCalls();
+    noticeEndedLease();
+    evaluateScopes();
+    makeCalls();
+    return std::exchange(m_actions, {});
+}
+
+bool LeaseKeeper::holds(const LeaseScopeId &scope, TimePoint now) const
+{
+    return fencingNumber(scope, now).has_value();
+}
+
+std::optional<FencingNumber> LeaseKeeper::fencingNumber(const LeaseScopeId &scope, TimePoint now) const
+{
+    if (const auto found = m_scopes.find(scope); found != m_scopes.end() && m_session.isValid(now)) {
+        return found->second.heldNumber();
+    }
+    return std::nullopt;
+}
+
+void LeaseKeeper::handleReply(const KeyValueReply &reply)
+{
+    const auto found = m_calls.find(reply.id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    switch (call.caller) {
+    case Caller::Session:
+        m_session.handleAnswer(reply.result, m_now);
+        break;
+    case Caller::Watcher:
+        m_watcher.handleAnswer(reply.result, m_records, m_now);
+        break;
+    case Caller::Scope:
+        handleScopeAnswer(call, reply.result);
+        break;
+    }
+}
+
+void LeaseKeeper::handleScopeAnswer(const Call &call, const KeyValueResult &result)
+{
+    const Commit &commit = std::get<Commit>(call.request);
+    if (const auto *committed = std::get_if<Committed>(&result)) {
+        m_records.takeCommitted(commit, committed->revision);
+    } else if (const auto *conflict = std::get_if<CommitConflict>(&result)) {
+        m_records.takeConflict(*conflict, call.scope);
+    } else if (std::holds_alternative<LeaseNotFound>(result)) {
+        m_session.forgetLease();
+        noticeEndedLease();
+    }
+    const auto found = m_scopes.find(call.scope);
+    if (found == m_scopes.end() || !found->second.awaitsAnswer()) {
+        return;
+    }
+    LeaseScope &scope = found->second;
+    const LeaseScopeSituation situation = situationOf(call.scope);
+    if (std::holds_alternative<Committed>(result)) {
+        collect(call.scope, scope.handleCommitted(situation));
+    } else if (std::holds_alternative<CommitConflict>(result)) {
+        collect(call.scope, scope.handleRefused(situation));
+    } else if (std::holds_alternative<OutcomeUnknown>(result)) {
+        collect(call.scope, scope.handleUnanswered(situation));
+    } else {
+        collect(call.scope, scope.handleUnavailable(situation));
+    }
+}
+
+void LeaseKeeper::want(const LeaseScopeId &id)
+{
+    const auto [found, isNew] =
+        m_scopes.try_emplace(id,
+                             LeaseScopeOptions{.scope = id,
+                                               .host = m_options.host,
+                                               .seed = m_options.seed ^ stableHash(id.value()),
+                                               .contentionSpread = m_options.contentionSpread,
+                                               .maximumRetryDelay = m_options.maximumRetryDelay});
+    found->second.setWanted(true);
+}
+
+void LeaseKeeper::release(const LeaseScopeId &id)
+{
+    if (const auto found = m_scopes.find(id); found != m_scopes.end()) {
+        found->second.setWanted(false);
+    }
+}
+
+void LeaseKeeper::dropOverdueCalls()
+{
+    std::vector<CallId> overdue;
+    for (const auto &[id, call] : m_calls) {
+        if (call.deadline <= m_now) {
+            overdue.push_back(id);
+        }
+    }
+    for (const CallId id : overdue) {
+        handleReply(KeyValueReply{.id = id, .result = OutcomeUnknown{}});
+    }
+}
+
+void LeaseKeeper::noticeEndedLease()
+{
+    const auto validLease = m_session.isValid(m_now) ? m_session.lease() : std::nullopt;
+    if (validLease == m_announcedLease) {
+        return;
+    }
+    const bool hasEnded = m_announcedLease.has_value();
+    m_announcedLease = validLease;
+    if (!hasEnded) {
+        return;
+    }
+    for (auto &[id, scope] : m_scopes) {
+        collect(id, scope.handleLeaseEnded(situationOf(id)));
+    }
+    // Answers to commits of the ended lease no longer matter to the scopes.
+    std::erase_if(m_calls, [this](const auto &entry) {
+        return entry.second.caller == Caller::Scope && !m_scopes.at(entry.second.scope).awaitsAnswer();
+    });
+}
+
+void LeaseKeeper::evaluateScopes()
+{
+    for (auto &[id, scope] : m_scopes) {
+        collect(id, scope.evaluate(situationOf(id)));
+    }
+    std::erase_if(m_scopes, [](const auto &entry) { return entry.second.isIdle(); });
+}
+
+void LeaseKeeper::makeCalls()
+{
+    bool leaseNeeded = false;
+    bool recordsNeeded = false;
+    for (const auto &[id, scope] : m_scopes) {
+        leaseNeeded = leaseNeeded || scope.needsLease(situationOf(id));
+        recordsNeeded = recordsNeeded || scope.waits();
+    }
+    if (auto request = m_session.nextRequest(leaseNeeded, m_now)) {
+        startCall(Caller::Session, LeaseScopeId(), std::move(*request), 0s);
+    }
+    if (auto request = m_watcher.nextRequest(recordsNeeded, m_now)) {
+        const bool isWatch = std::holds_alternative<WatchRange>(*request);
+        startCall(Caller::Watcher, LeaseScopeId(), std::move(*request), isWatch ? m_options.watchWait : 0s);
+    }
+}
+
+void LeaseKeeper::startCall(Caller caller, const LeaseScopeId &scope, KeyValueRequest request, Duration wait)
+{
+    m_lastCall = m_lastCall.next();
+    m_calls.emplace(m_lastCall,
+                    Call{.caller = caller,
+                         .scope = scope,
+                         .request = request,
+                         .deadline = m_now + wait + m_options.callTimeout + answerGrace});
+    m_actions.emplace_back(
+        KeyValueCall{.id = m_lastCall, .request = std::move(request), .timeout = m_options.callTimeout});
+}
+
+void LeaseKeeper::collect(const LeaseScopeId &scope, std::vector<LeaseScopeOutput> outputs)
+{
+    for (LeaseScopeOutput &output : outputs) {
+        std::visit(Overloaded{
+                       [&](Commit &commit) { startCall(Caller::Scope, scope, std::move(commit), 0s); },
+                       [&](auto &announcement) { m_actions.emplace_back(std::move(announcement)); },
+                   },
+                   output);
+    }
+}
+
+LeaseScopeSituation LeaseKeeper::situationOf(const LeaseScopeId &scope) const
+{
+    return LeaseScopeSituation{.now = m_now,
+                               .records = m_records.of(scope),
+                               .recordsKnown = m_watcher.hasRead(),
+                               .lease = m_session.lease(),
+                               .leaseValid = m_session.isValid(m_now),
+                               .validUntil = m_session.validUntil()};
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/lease/LeaseWatcher.cpp
@@ -0,0 +1,69 @@
+#include "lease/LeaseWatcher.h"
+
+namespace Carawaymill {
+
+/// Watches that are answered in quick succession must not add up to many reads.
+static constexpr Duration shortestWatchInterval = 200ms;
+
+/// The watcher's random numbers must differ from those of the session, which has the same seed.
+static constexpr std::uint64_t watcherSeed = 0x77617463;
+
+LeaseWatcher::LeaseWatcher(const LeaseKeeperOptions &options)
+    : m_options(options)
+    , m_random(options.seed ^ watcherSeed)
+    , m_backoff({.initial = 500ms, .maximum = options.maximumRetryDelay})
+{
+}
+
+std::optional<KeyValueRequest> LeaseWatcher::nextRequest(bool needed, TimePoint now)
+{
+    if (m_inFlight || !needed || now < m_nextAt) {
+        return std::nullopt;
+    }
+    if (!m_fencingRead) {
+        m_inFlight = ReadRange{.prefix = fencingPrefix};
+    } else if (!m_leasesReadAt || now >= *m_leasesReadAt + m_options.rereadInterval) {
+        m_inFlight = ReadRange{.prefix = leasePrefix};
+    } else {
+        m_inFlight = WatchRange{.prefix = leasePrefix, .after = m_watchAfter, .wait = m_options.watchWait};
+    }
+    return m_inFlight;
+}
+
+void LeaseWatcher::handleAnswer(const KeyValueResult &result, LeaseRecords &records, TimePoint now)
+{
+    if (!m_inFlight) {
+        return;
+    }
+    if (const auto *reading = std::get_if<RangeRead>(&result)) {
+        takeReading(*reading, records, now);
+    } else if (const auto *changes = std::get_if<RangeChanged>(&result)) {
+        records.takeChanges(*changes);
+        m_watchAfter = changes->storeRevision;
+        m_backoff.reset();
+        m_nextAt = now + shortestWatchInterval;
+    } else if (std::holds_alternative<WatchCompacted>(result)) {
+        m_leasesReadAt.reset();
+        m_nextAt = now + m_backoff.next(m_random);
+    } else {
+        m_nextAt = now + m_backoff.next(m_random);
+    }
+    m_inFlight.reset();
+}
+
+void LeaseWatcher::takeReading(const RangeRead &reading, LeaseRecords &records, TimePoint now)
+{
+    const std::string &prefix = std::get<ReadRange>(*m_inFlight).prefix;
+    records.takeReading(reading, prefix);
+    m_backoff.reset();
+    m_nextAt = now;
+    if (prefix == fencingPrefix) {
+        m_fencingRead = true;
+        return;
+    }
+    // An old reading only makes the next watch report more.
+    m_watchAfter = reading.storeRevision;
+    m_leasesReadAt = now;
+}
+
+} // namespace Carawaymill
