--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,114 @@
+#include "http/HttpServer.h"
+
+#include "http/HttpSession.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace Carawaymill {
+
+using boost::asio::ip::tcp;
+
+/// Accepts connections and keeps what all sessions share.
+class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
+        : m_acceptor(context)
+        , m_shared(std::make_shared<HttpSessionShared>())
+    {
+        m_shared->options = std::move(options);
+        m_shared->handler = std::move(handler);
+    }
+
+    [[nodiscard]] boost::system::error_code listen()
+    {
+        boost::system::error_code error;
+        const auto address = boost::asio::ip::make_address(m_shared->options.address, error);
+        if (error) {
+            return error;
+        }
+        const tcp::endpoint endpoint(address, m_shared->options.port);
+        if (m_acceptor.open(endpoint.protocol(), error)) {
+            return error;
+        }
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (m_acceptor.bind(endpoint, error)) {
+            return error;
+        }
+        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
+        return error;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error && self->m_shared->sessions.size() < self->m_shared->options.connectionLimit) {
+                boost::system::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                HttpSession::start(std::move(socket), self->m_shared);
+            }
+            self->accept();
+        });
+    }
+
+    void drain()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_shared->draining = true;
+        const auto sessions = m_shared->sessions;
+        for (HttpSession *session : sessions) {
+            session->closeIfIdle();
+        }
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    [[nodiscard]] std::size_t requestsInProgress() const { return m_shared->requestsInProgress; }
+
+private:
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<HttpSessionShared> m_shared;
+};
+
+HttpServer::HttpServer(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_implementation->drain();
+}
+
+Result<std::unique_ptr<HttpServer>, ListenFailure>
+HttpServer::create(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
+{
+    auto implementation = std::make_shared<Implementation>(context, std::move(options), std::move(handler));
+    if (const auto error = implementation->listen()) {
+        return ListenFailure{.reason = error.message()};
+    }
+    implementation->accept();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_implementation->port();
+}
+
+std::size_t HttpServer::requestsInProgress() const
+{
+    return m_implementation->requestsInProgress();
+}
+
+void HttpServer::drain()
+{
+    m_implementation->drain();
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/http/HttpSession.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "http/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace Carawaymill {
+
+class HttpSession;
+
+/// What all sessions of one server share.
+struct HttpSessionShared
+{
+    HttpServerOptions options;
+    HttpHandler handler;
+    std::set<HttpSession *> sessions;
+    std::size_t requestsInProgress = 0;
+    bool draining = false;
+};
+
+/// One connection of a caller: reads a request, hands it over, writes the answer, and begins anew.
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    static void start(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpSessionShared> shared);
+    HttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpSessionShared> shared);
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+    ~HttpSession();
+
+    /// Closes the connection unless a request is in progress on it.
+    void closeIfIdle();
+
+    /// The four steps of an answer, called by the session's responder.
+    void sendWhole(const HttpResponse &response);
+    void startStream(const HttpResponse &head);
+    void writeChunk(const std::string &chunk);
+    void finishStream();
+    /// The responder was dropped without an answer.
+    void abandon();
+    void onCallerGone(std::function<void()> callback);
+
+private:
+    void readRequest();
+    void handOver();
+    void refuse(unsigned status, const std::string &type, const std::string &detail);
+    void watchCaller();
+    void enqueue(std::string bytes);
+    void writeNext();
+    void finishRequest();
+    void fail();
+    void close();
+    [[nodiscard]] std::string head(const HttpResponse &response, const std::string &framing) const;
+
+    boost::beast::tcp_stream m_stream;
+    std::shared_ptr<HttpSessionShared> m_shared;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::deque<std::string> m_outgoing;
+    std::function<void()> m_callerGone;
+    bool m_writing = false;
+    bool m_inProgress = false;
+    bool m_answerComplete = false;
+    bool m_keepAlive = true;
+    bool m_watching = false;
+    bool m_closed = false;
+};
+
+} // namespace Carawaymill
