Routing: Choose chains over overlapping layer ranges

Cause: the pipeline needs a chain of targets that covers every layer once. Change: ChainRouter draws a few holders for each run of layers in proportion to their speed, and finds the cheapest chain among them by dynamic programming over the ends of held ranges. A lost stage is replaced within its own layers. Seen failing with a guard removed: hosts that see the same report herd (all holders weighed instead of a drawn few); leaving, dead, excluded or suspect targets are chosen (availability filter, suspect cost, exclusion filter removed); a repair runs layers its target doesn't hold (containment check eased). The spread of streams still passed with the count of open layers removed, since open streams also count on the link.

--- /dev/null
+++ b/src/routing/tests/ChainRouterTest.cpp
@@ -0,0 +1,173 @@
+#include "routing/ChainRouter.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Carawaymill;
+
+static LayerRange range(std::uint32_t first, std::uint32_t end)
+{
+    return {LayerIndex(first), LayerIndex(end)};
+}
+
+static TargetSpeed speed(double layerTokensPerSecond)
+{
+    return {.layerTokensPerSecond = layerTokensPerSecond, .linkBytesPerSecond = 1e9, .linkDelay = 200us};
+}
+
+static void add(ChainRouter &router, const std::string &id, LayerRange layers, double layerTokensPerSecond = 1000)
+{
+    const TargetId target(id);
+    router.updateTarget(target, speed(layerTokensPerSecond), {{target, ModelId("glider"), "1", "", layers}});
+}
+
+static RouteRequest request(std::uint32_t layers)
+{
+    return {.job = JobId("job-1"),
+            .model = ModelId("glider"),
+            .version = "1",
+            .layers = layers,
+            .promptTokens = TokenCount(50),
+            .activationBytes = ByteCount(8192)};
+}
+
+static RoutedChain routed(ChainRouter &router, const RouteRequest &wish)
+{
+    auto result = router.route(wish, TimePoint());
+    REQUIRE(std::holds_alternative<RoutedChain>(result));
+    return std::get<RoutedChain>(result);
+}
+
+TEST_CASE("ranges that overlap and do not line up are cut to a chain without gap or overlap")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "a", range(0, 7));
+    add(router, "b", range(3, 9));
+    add(router, "c", range(8, 12));
+    CHECK(covers(routed(router, request(12)).chain, 12));
+}
+
+TEST_CASE("every chain over random holdings covers the model, or names the first layer that nobody holds")
+{
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        Random random(seed);
+        ChainRouter router({.seed = seed, .candidatesPerSegment = 2});
+        const auto layers = static_cast<std::uint32_t>(1 + random.below(20));
+        std::vector<bool> held(layers, false);
+        const std::uint64_t targets = 1 + random.below(15);
+        for (std::uint64_t i = 0; i < targets; ++i) {
+            const auto first = static_cast<std::uint32_t>(random.below(layers));
+            const auto end = static_cast<std::uint32_t>(first + 1 + random.below(layers - first));
+            add(router, "t" + std::to_string(i), range(first, end), 1.0 + static_cast<double>(random.below(1000)));
+            std::fill(held.begin() + first, held.begin() + end, true);
+        }
+        const auto gap = std::find(held.begin(), held.end(), false);
+        auto result = router.route(request(layers), TimePoint());
+        CAPTURE(seed);
+        if (gap == held.end()) {
+            REQUIRE(std::holds_alternative<RoutedChain>(result));
+            CHECK(covers(std::get<RoutedChain>(result).chain, layers));
+        } else {
+            REQUIRE(std::holds_alternative<NoChainForModel>(result));
+            CHECK(std::get<NoChainForModel>(result).firstUncoveredLayer.value() == gap - held.begin());
+        }
+    }
+}
+
+TEST_CASE("a target that is leaving, dead, removed or excluded gets no new work")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "fast", range(0, 4), 1e6);
+    add(router, "slow", range(0, 4), 1e3);
+    RouteRequest wish = request(4);
+    SUBCASE("leaving")
+    {
+        router.setAvailable(TargetId("fast"), TargetAvailability::Leaving);
+    }
+    SUBCASE("dead")
+    {
+        router.setAvailable(TargetId("fast"), TargetAvailability::Dead);
+    }
+    SUBCASE("removed")
+    {
+        router.removeTarget(TargetId("fast"));
+    }
+    SUBCASE("excluded")
+    {
+        wish.excludedTargets = {TargetId("fast")};
+    }
+    SUBCASE("suspect while another holds the layers")
+    {
+        router.setAvailable(TargetId("fast"), TargetAvailability::Suspect);
+    }
+    CHECK(routed(router, wish).chain.stages.front().target == TargetId("slow"));
+}
+
+TEST_CASE("a suspect target is used for layers that nobody else holds")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "a", range(0, 4));
+    router.setAvailable(TargetId("a"), TargetAvailability::Suspect);
+    CHECK(covers(routed(router, request(4)).chain, 4));
+}
+
+TEST_CASE("a lost stage is replaced by several targets within its own layers")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "dead", range(4, 8));
+    add(router, "b", range(2, 6));
+    add(router, "c", range(5, 9));
+    RouteRequest wish = request(12);
+    wish.excludedTargets = {TargetId("dead")};
+    auto result = router.replaceStage(wish, range(4, 8), TimePoint());
+    REQUIRE(std::holds_alternative<RoutedStages>(result));
+    const auto &stages = std::get<RoutedStages>(result).stages;
+    REQUIRE(stages.size() == 2);
+    CHECK(stages.front().layers.first == LayerIndex(4));
+    CHECK(stages.front().layers.end == stages.back().layers.first);
+    CHECK(stages.back().layers.end == LayerIndex(8));
+}
+
+TEST_CASE("streams spread over equal targets while no report comes")
+{
+    ChainRouter router({.seed = 1});
+    for (int i = 0; i < 10; ++i) {
+        add(router, "t" + std::to_string(i), range(0, 4));
+    }
+    std::map<TargetId, int> streams;
+    for (int i = 0; i < 100; ++i) {
+        const ChainStage stage = routed(router, request(4)).chain.stages.front();
+        router.stepStarted(stage);
+        ++streams[stage.target];
+    }
+    for (const auto &[target, count] : streams) {
+        CHECK(count <= 13);
+    }
+    CHECK(streams.size() == 10);
+}
+
+TEST_CASE("hosts that see the same lagging report do not all choose the same target")
+{
+    std::map<TargetId, int> chosen;
+    for (std::uint64_t host = 0; host < 40; ++host) {
+        ChainRouter router({.seed = host});
+        for (int i = 0; i < 10; ++i) {
+            add(router, "t" + std::to_string(i), range(0, 4));
+            const auto running = static_cast<std::uint32_t>(i == 0 ? 0 : 5);
+            router.loadReported(TargetId("t" + std::to_string(i)), {.runningSteps = running}, TimePoint());
+        }
+        ++chosen[routed(router, request(4)).chain.stages.front().target];
+    }
+    CHECK(chosen[TargetId("t0")] < 20);
+}
+
+TEST_CASE("a decision is described with its alternatives")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "a", range(0, 4), 2000);
+    add(router, "b", range(0, 4), 1000);
+    const std::string line = describe(routed(router, request(4)).decision);
+    CHECK(line.starts_with("Routing: job job-1 model glider chain a[0,4)"));
+    CHECK(line.find("(not b ") != std::string::npos);
+}
