Placement: Define orders to engines and their JSON

Cause: the engine stand-in and the placement holder need one wire form. Change: EngineOrder (with fencing number and validity), EngineOrderReply and EngineState, with JSON. Orders are idempotent; drops go before loads.

--- /dev/null
+++ b/src/placement/EngineOrders.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "support/Codec.h"
+#include "support/Identifiers.h"
+#include "support/Time.h"
+#include "support/Units.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/// What a placement holder and an engine say to each other, and its JSON.
+namespace Carawaymill {
+
+/// The part of placement that one holder decides on: the targets of one region, for one model.
+using PlacementScope = StrongType<struct PlacementScopeTag, std::string>;
+
+/// Numbers the orders of one holder under one fencing number; the first is 1.
+using OrderNumber = StrongCount<struct OrderNumberTag, std::uint64_t>;
+
+/// Layers of one model, version and adapter. JSON: `{"model", "version", "adapter", "layers": [first, end]}`.
+struct ModelLayers
+{
+    ModelId model;
+    std::string version;
+    /// Empty: the base model.
+    std::string adapter;
+    LayerRange layers;
+
+    friend auto operator<=>(const ModelLayers &, const ModelLayers &) = default;
+};
+
+/// Tells an engine which layers to load and which to drop. Orders are idempotent: to load what is held, or to drop what
+/// is not, changes nothing. Drops are done before loads.
+struct EngineOrder
+{
+    TargetId target;
+    PlacementScope scope;
+    /// An engine that checks it refuses the order when it has seen a higher one for the same scope.
+    FencingNumber fencingNumber;
+    OrderNumber number;
+    std::vector<ModelLayers> loads;
+    std::vector<ModelLayers> unloads;
+    /// The order must have reached the engine within this time of being handed to the driver: the driver gives the call
+    /// this time limit and never sends the order later. JSON: `validForMilliseconds`.
+    Duration validFor{};
+
+    friend bool operator==(const EngineOrder &, const EngineOrder &) = default;
+};
+
+/// What an engine did with an order.
+enum class EngineOrderOutcome {
+    Accepted,
+    /// A higher fencing number was seen for the scope. Nothing was done.
+    OldFencingNumber,
+    /// The layers don't fit. Drops have been done, loads have not.
+    InsufficientMemory,
+    /// The engine can't read the order. Nothing was done.
+    Malformed,
+};
+
+/// Reply of an engine to an order.
+struct EngineOrderReply
+{
+    OrderNumber number;
+    EngineOrderOutcome outcome = EngineOrderOutcome::Accepted;
+    /// The highest that the engine has seen for the scope; 0 from an engine that doesn't check.
+    FencingNumber highestFencingNumber;
+
+    friend bool operator==(const EngineOrderReply &, const EngineOrderReply &) = default;
+};
+
+/// What an engine really holds: the answer to reading it back.
+struct EngineState
+{
+    TargetId target;
+    /// Changes with each start of the engine process.
+    IncarnationNumber incarnation;
+    /// Loaded and ready to run.
+    std::vector<ModelLayers> held;
+    /// Being fetched from the weight store.
+    std::vector<ModelLayers> loading;
+    /// Memory not taken by layers that are held or loading.
+    ByteCount freeMemory;
+
+    friend bool operator==(const EngineState &, const EngineState &) = default;
+};
+
+void to_json(nlohmann::json &json, const ModelLayers &layers);
+void from_json(const nlohmann::json &json, ModelLayers &layers);
+void to_json(nlohmann::json &json, const EngineOrder &order);
+void from_json(const nlohmann::json &json, EngineOrder &order);
+void to_json(nlohmann::json &json, const EngineOrderReply &reply);
+void from_json(const nlohmann::json &json, EngineOrderReply &reply);
+void to_json(nlohmann::json &json, const EngineState &state);
+void from_json(const nlohmann::json &json, EngineState &state);
+
+} // namespace Carawaymill
