--- /dev/null
+++ b/src/catalogue/CatalogueServiceReader.cpp
@@ -0,0 +1,186 @@
+#include "catalogue/CatalogueServiceReader.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Carawaymill {
+
+/// Ids of this class are even, those of the editor odd, so that a driver may offer a reply to both.
+static constexpr CallId callIdStep{2};
+/// The driver's own time limit should strike first.
+static constexpr Duration giveUpMargin = 500ms;
+/// Between two full reads while the service shows an older state than before.
+static constexpr Duration olderStateRetryInterval = 10s;
+
+static std::vector<CatalogueVersion> versionsOf(const std::vector<KeyValueRecord> &records)
+{
+    std::vector<CatalogueVersion> versions;
+    versions.reserve(records.size());
+    std::ranges::transform(records, std::back_inserter(versions), [](const KeyValueRecord &record) {
+        return CatalogueVersion{.key = record.key, .revision = record.revision, .value = record.value};
+    });
+    return versions;
+}
+
+static bool isAnswer(const KeyValueResult &result)
+{
+    return !std::holds_alternative<ServiceUnavailable>(result) && !std::holds_alternative<OutcomeUnknown>(result);
+}
+
+CatalogueServiceReader::Step CatalogueServiceReader::tick(bool watches, std::size_t bytes, TimePoint now)
+{
+    giveUpExpiredCalls(now);
+    Step step;
+    if (m_loaded && watches && m_lastRead) {
+        const auto byBytes = std::chrono::seconds(bytes / std::max<std::size_t>(m_times.rereadBytesPerSecond, 1));
+        m_rereadNeeded = m_rereadNeeded || now - *m_lastRead >= std::max<Duration>(m_times.rereadInterval, byBytes);
+    }
+    if (m_rereadNeeded && !m_read && now >= m_nextRead) {
+        step.calls.push_back(call(m_read, ReadRange{.prefix = cataloguePrefix}, Duration::zero(), now));
+    }
+    if (!m_loaded) {
+        return step;
+    }
+    m_nextPoll = std::min(m_nextPoll, now + (watches ? m_times.pollInterval : m_times.idlePollInterval));
+    if (!m_poll && now >= m_nextPoll) {
+        m_nextPoll = now + jittered(watches ? m_times.pollInterval : m_times.idlePollInterval);
+        const WatchRange poll{.prefix = cataloguePrefix, .after = m_pollRevision, .wait = Duration::zero()};
+        step.calls.push_back(call(m_poll, poll, Duration::zero(), now));
+    }
+    if (watches && !m_watch && now >= m_nextWatch) {
+        const WatchRange watch{.prefix = cataloguePrefix, .after = m_watchRevision, .wait = m_times.watchWait};
+        step.calls.push_back(call(m_watch, watch, m_times.watchWait, now));
+    }
+    return step;
+}
+
+CatalogueServiceReader::Step
+CatalogueServiceReader::handle(const KeyValueReply &reply, CatalogueProgress &progress, TimePoint now)
+{
+    const auto take = [&](std::optional<Pending> &pending) -> std::optional<Pending> {
+        return pending && pending->id == reply.id ? std::exchange(pending, std::nullopt) : std::nullopt;
+    };
+    const auto noteAnswer = [&](const Pending &answered) {
+        if (isAnswer(reply.result)) {
+            progress.serviceAnsweredAt =
+                std::max(progress.serviceAnsweredAt.value_or(answered.sentAt), answered.sentAt);
+        }
+    };
+    if (const auto read = take(m_read)) {
+        noteAnswer(*read);
+        return handleRead(reply.result, *read, progress, now);
+    }
+    if (const auto poll = take(m_poll)) {
+        noteAnswer(*poll);
+        return handlePoll(reply.result, *poll, progress, now);
+    }
+    if (const auto watch = take(m_watch)) {
+        noteAnswer(*watch);
+        return handleWatch(reply.result, *watch, progress, now);
+    }
+    return {};
+}
+
+CatalogueServiceReader::Step CatalogueServiceReader::handleRead(const KeyValueResult &result,
+                                                                const Pending &call,
+                                                                CatalogueProgress &progress,
+                                                                TimePoint now)
+{
+    m_nextRead = now + jittered(m_times.callTimeout);
+    const auto *read = std::get_if<RangeRead>(&result);
+    if (read == nullptr) {
+        return {};
+    }
+    Step step{.versions = versionsOf(read->records)};
+    if (read->storeRevision < m_pollRevision || read->storeRevision < progress.revision) {
+        step.wasOlderState = true;
+        m_nextRead = now + jittered(olderStateRetryInterval);
+        return step;
+    }
+    m_loaded = true;
+    m_rereadNeeded = false;
+    m_lastRead = now;
+    m_pollRevision = read->storeRevision;
+    m_watchRevision = std::max(m_watchRevision, read->storeRevision);
+    progress.advance(read->storeRevision, call.sentAt);
+    return step;
+}
+
+CatalogueServiceReader::Step CatalogueServiceReader::handlePoll(const KeyValueResult &result,
+                                                                const Pending &call,
+                                                                CatalogueProgress &progress,
+                                                                TimePoint now)
+{
+    if (std::holds_alternative<WatchCompacted>(result)) {
+        m_rereadNeeded = true;
+        return {};
+    }
+    const auto *changed = std::get_if<RangeChanged>(&result);
+    if (changed == nullptr) {
+        // A lost answer has already cost its time limit; a refusal came at once and is not met with a quick retry.
+        const bool wasLost = std::holds_alternative<OutcomeUnknown>(result);
+        m_nextPoll = now + jittered(wasLost ? m_times.callTimeout / 2 : m_times.pollInterval);
+        return {};
+    }
+    Step step{.versions = versionsOf(changed->written), .deletedKeys = changed->deletedKeys};
+    if (changed->storeRevision < m_pollRevision) {
+        step.wasOlderState = true;
+        return step;
+    }
+    m_pollRevision = changed->storeRevision;
+    if (changed->storeRevision >= progress.revision) {
+        progress.advance(changed->storeRevision, call.sentAt);
+    }
+    return step;
+}
+
+CatalogueServiceReader::Step CatalogueServiceReader::handleWatch(const KeyValueResult &result,
+                                                                 const Pending &call,
+                                                                 CatalogueProgress &progress,
+                                                                 TimePoint now)
+{
+    (void)progress; // A watch may skip changes, so that it says nothing about completeness.
+    if (const auto *compacted = std::get_if<WatchCompacted>(&result)) {
+        m_watchRevision = std::max(m_watchRevision, compacted->storeRevision);
+        m_nextPoll = now;
+        return {};
+    }
+    const auto *changed = std::get_if<RangeChanged>(&result);
+    if (changed == nullptr) {
+        m_nextWatch = now + jittered(m_times.callTimeout);
+        return {};
+    }
+    Step step{.versions = versionsOf(changed->written)};
+    const bool hasNews = changed->storeRevision > m_watchRevision;
+    m_watchRevision = std::max(m_watchRevision, changed->storeRevision);
+    if (!hasNews && now - call.sentAt < m_times.watchWait / 2) {
+        // A service that answers empty-handed before its time must not be asked in a tight loop.
+        m_nextWatch = now + jittered(m_times.callTimeout);
+    }
+    return step;
+}
+
+KeyValueCall
+CatalogueServiceReader::call(std::optional<Pending> &pending, KeyValueRequest request, Duration wait, TimePoint now)
+{
+    m_lastCall += callIdStep;
+    pending = Pending{.id = m_lastCall, .sentAt = now, .expiresAt = now + wait + m_times.callTimeout + giveUpMargin};
+    return KeyValueCall{.id = m_lastCall, .request = std::move(request), .timeout = m_times.callTimeout};
+}
+
+Duration CatalogueServiceReader::jittered(Duration duration)
+{
+    const auto half = duration / 2;
+    return half + Duration(static_cast<Duration::rep>(m_random.fraction() * static_cast<double>(half.count())));
+}
+
+void CatalogueServiceReader::giveUpExpiredCalls(TimePoint now)
+{
+    for (std::optional<Pending> *pending : {&m_read, &m_poll, &m_watch}) {
+        if (*pending && now >= (*pending)->expiresAt) {
+            pending->reset();
+        }
+    }
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/catalogue/CatalogueServiceReader.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "catalogue/CatalogueProgress.h"
+#include "catalogue/CatalogueTable.h"
+#include "platform/KeyValueMessages.h"
+#include "support/Random.h"
+
+#include <optional>
+#include <vector>
+
+namespace Carawaymill {
+
+/// Intervals at which a replica calls the key-value service.
+struct CatalogueServiceTimes
+{
+    /// Between two polls of a host that watches. Bounds how late a change is seen when the watch has gone silent.
+    Duration pollInterval = 1500ms;
+    /// Between two polls of a host that leaves the watching to others.
+    Duration idlePollInterval = 60s;
+    /// How long the service may hold a watch back.
+    Duration watchWait = 30s;
+    /// An unanswered call counts as lost after this time.
+    Duration callTimeout = 1s;
+    /// Shortest time between two full reads of the catalogue.
+    Duration rereadInterval = 60s;
+    /// Full reads are spaced so that they take no more than this on average.
+    std::size_t rereadBytesPerSecond = 1024;
+};
+
+/// Follows the catalogue in the key-value service.
+///
+/// A long watch brings changes at once. Beside it goes a poll with a cursor of its own: a watch that has gone silent,
+/// or that skipped a change, cannot hide the change from the poll. Only polls and full reads say how far the catalogue
+/// is complete.
+class CatalogueServiceReader
+{
+public:
+    struct Step
+    {
+        std::vector<KeyValueCall> calls;
+        std::vector<CatalogueVersion> versions;
+        /// Deleted in the service itself, which no edit does.
+        std::vector<std::string> deletedKeys;
+        /// The service answered with a state older than one that it had shown before.
+        bool wasOlderState = false;
+    };
+
+    CatalogueServiceReader(CatalogueServiceTimes times, std::uint64_t seed)
+        : m_times(times)
+        , m_random(seed)
+    {
+    }
+
+    /// Makes the calls that are due. `watches` says whether this host watches for others too; `bytes` is the size of
+    /// the catalogue.
+    [[nodiscard]] Step tick(bool watches, std::size_t bytes, TimePoint now);
+
+    /// Takes in an answer. Answers to unknown or given up calls are ignored.
+    [[nodiscard]] Step handle(const KeyValueReply &reply, CatalogueProgress &progress, TimePoint now);
+
+    /// Polls at the next tick, because a change is known to have been accepted.
+    void pollSoon() { m_nextPoll = TimePoint{}; }
+
+private:
+    struct Pending
+    {
+        CallId id;
+        TimePoint sentAt;
+        TimePoint expiresAt;
+    };
+
+    KeyValueCall call(std::optional<Pending> &pending, KeyValueRequest request, Duration wait, TimePoint now);
+    [[nodiscard]] Duration jittered(Duration duration);
+    void giveUpExpiredCalls(TimePoint now);
+    Step handleRead(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
+    Step handlePoll(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
+    Step handleWatch(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
+
+    CatalogueServiceTimes m_times;
+    Random m_random;
+    CallId m_lastCall{0};
+    bool m_loaded = false;
+    std::optional<Pending> m_read;
+    std::optional<Pending> m_poll;
+    std::optional<Pending> m_watch;
+    Revision m_pollRevision;
+    Revision m_watchRevision;
+    TimePoint m_nextRead;
+    TimePoint m_nextPoll;
+    TimePoint m_nextWatch;
+    bool m_rereadNeeded = true;
+    std::optional<TimePoint> m_lastRead;
+};
+
+} // namespace Carawaymill
