Lease: Check the holder's belief against the service in tests

Two of the traps did not show as a second holder, because the waiting hosts' spread hid them; the world now also compares each belief with the service.

Tried: handling a late reply before noticing the lapse; no test fails, as the reply's validity counts from its sending anyway. The order stays for clarity.

--- a/src/lease/tests/LeaseKeeperTest.cpp
+++ b/src/lease/tests/LeaseKeeperTest.cpp
@@ -194,6 +194,18 @@
     CHECK(world.holders(fukuoka).size() == 1);
 }
 
+TEST_CASE("an older reading does not replace what a commit has shown")
+{
+    LeaseRecords records;
+    const KeyValueRecord ours{.key = leaseKey(fukuoka), .value = "", .revision = Revision(9)};
+    records.takeConflict({.present = {ours}, .storeRevision = Revision(9)}, fukuoka);
+    records.takeReading({.records = {}, .storeRevision = Revision(8)}, leasePrefix);
+    records.takeChanges({.written = {}, .deletedKeys = {ours.key}, .storeRevision = Revision(8)});
+    CHECK(records.of(fukuoka).lease);
+    records.takeReading({.records = {}, .storeRevision = Revision(10)}, leasePrefix);
+    CHECK_FALSE(records.of(fukuoka).lease);
+}
+
 TEST_CASE("impossible options are refused by name")
 {
     const auto refused = LeaseKeeper::create({.host = HostId("a"), .timeToLive = 2s});
--- a/src/lease/tests/LeaseWorld.h
+++ b/src/lease/tests/LeaseWorld.h
@@ -20,7 +20,8 @@
     LeaseKeeperOptions keeper;
 };
 
-/// Several keepers and one key-value stand-in under virtual time. Checks at every step that no scope has two holders.
+/// Several keepers and one key-value stand-in under virtual time. Checks at every step that no scope has two holders,
+/// and that a host which believes that it holds a scope is the holder by the service too.
 class LeaseWorld
 {
 public:
@@ -31,7 +32,7 @@
     {
         for (std::size_t index = 0; index < options.hosts; ++index) {
             LeaseKeeperOptions keeper = options.keeper;
-            keeper.host = HostId("host-" + std::to_string(index));
+            keeper.host = HostId(hostName(index));
             keeper.seed = options.seed * 1000 + index;
             auto created = LeaseKeeper::create(keeper);
             m_hosts.push_back(Host{.keeper = std::get<LeaseKeeper>(std::move(created)),
@@ -189,6 +190,8 @@
         send(std::move(travelling));
     }
 
+    [[nodiscard]] static std::string hostName(std::size_t host) { return "host-" + std::to_string(host); }
+
     void check()
     {
         store.endDueLeases(now);
@@ -196,6 +199,13 @@
             if (const auto all = holders(scope); all.size() > 1) {
                 violations.push_back("two holders of " + scope.value());
             }
+            for (const std::size_t host : holders(scope)) {
+                // The host's belief must end before the service's.
+                const auto record = store.record(leaseKey(scope));
+                if (!record || record->value.find(hostName(host)) == std::string::npos) {
+                    violations.push_back(hostName(host) + " believes that it holds " + scope.value());
+                }
+            }
         }
     }
 
