--- a/src/catalogue/CatalogueGossip.cpp
+++ b/src/catalogue/CatalogueGossip.cpp
@@ -260,8 +260,8 @@
     const TimePoint sentAt = sent->second;
     m_sentDigests.erase(sent);
     m_peerAnsweredAt = std::max(m_peerAnsweredAt.value_or(sentAt), sentAt);
-    if (reply.summary.loaded && reply.summary.staleness && reply.summary.stateHash == table.stateHash()) {
-        progress.advance(reply.summary.revision, sentAt - *reply.summary.staleness);
+    if (progress.loaded && reply.summary.staleness && reply.summary.revision <= progress.revision) {
+        progress.completeUntil(sentAt - *reply.summary.staleness);
     }
     if (reply.bucketHashes.size() != CatalogueTable::bucketCount) {
         return {};
--- a/src/catalogue/CatalogueMessages.cpp
+++ b/src/catalogue/CatalogueMessages.cpp
@@ -22,17 +22,6 @@
     }
 }
 
-static void to_json(json &document, const KeyRevision &listed)
-{
-    document = json::array({listed.key, listed.revision});
-}
-
-static void from_json(const json &document, KeyRevision &listed)
-{
-    document.at(0).get_to(listed.key);
-    document.at(1).get_to(listed.revision);
-}
-
 static void to_json(json &document, const CatalogueVersion &version)
 {
     document = json::array({version.key, version.revision, version.value});
--- a/src/catalogue/CatalogueMessages.h
+++ b/src/catalogue/CatalogueMessages.h
@@ -42,12 +42,6 @@
     std::vector<std::uint32_t> bucketHashes;
 };
 
-struct KeyRevision
-{
-    std::string key;
-    Revision revision;
-};
-
 /// All that the sender knows of some buckets that differ.
 struct CatalogueBucketListing
 {
--- a/src/catalogue/CatalogueProgress.h
+++ b/src/catalogue/CatalogueProgress.h
@@ -25,9 +25,12 @@
     {
         loaded = true;
         revision = std::max(revision, upTo);
-        completeAt = std::max(completeAt.value_or(time), time);
+        completeUntil(time);
     }
 
+    /// Notes that all changes accepted before `time` are in force here.
+    void completeUntil(TimePoint time) { completeAt = std::max(completeAt.value_or(time), time); }
+
     /// Every change accepted longer ago than this is in force here.
     [[nodiscard]] std::optional<Duration> staleness(TimePoint now) const
     {
--- a/src/catalogue/CatalogueReplica.cpp
+++ b/src/catalogue/CatalogueReplica.cpp
@@ -68,9 +68,9 @@
                                      m_isChosenWatcher = isChosenWatcher();
                                      return std::vector<CatalogueReplicaAction>{};
                                  },
-                                 [&](const CatalogueVersionAccepted &accepted) {
+                                 [&](const CatalogueVersionsAccepted &accepted) {
                                      std::vector<CatalogueReplicaAction> actions;
-                                     learn({accepted.version}, actions, now);
+                                     learn(accepted.versions, actions, now);
                                      m_service.pollSoon();
                                      return actions;
                                  },
@@ -87,8 +87,12 @@
 std::vector<CatalogueReplicaAction> CatalogueReplica::tick(TimePoint now)
 {
     std::vector<CatalogueReplicaAction> actions;
-    CatalogueServiceReader::Step step = m_service.tick(watches(now), m_table.bytes(), now);
-    std::ranges::move(step.calls, std::back_inserter(actions));
+    CatalogueServiceReader::Needs needs{.watches = watches(now), .bytes = m_table.bytes()};
+    if (m_table.headRevision() > m_progress.revision) {
+        needs.missingKeys = m_table.missingKeys();
+        needs.historyIsMissing = m_table.head() == nullptr || m_table.head()->since > m_progress.revision;
+    }
+    std::ranges::move(m_service.tick(needs, m_progress, now), std::back_inserter(actions));
     std::ranges::move(m_gossip.tick(m_table, m_progress, now), std::back_inserter(actions));
     return actions;
 }
@@ -98,6 +102,9 @@
     std::vector<CatalogueReplicaAction> actions;
     const CatalogueServiceReader::Step step = m_service.handle(reply, m_progress, now);
     learn(step.versions, actions, now);
+    if (step.headSeen && step.headSeen->revision <= m_progress.revision) {
+        m_progress.completeUntil(step.headSeen->at);
+    }
     for (const std::string &key : step.deletedKeys) {
         if (m_reportedDeletions.insert(key).second) {
             actions.emplace_back(
@@ -138,13 +145,14 @@
             continue;
         }
         newKeys.push_back(version.key);
-        if (std::holds_alternative<VersionApplied>(result)) {
+        if (std::holds_alternative<VersionApplied>(result) && version.key != catalogueHeadKey) {
             changedKeys.push_back(version.key);
-        } else {
+        } else if (std::holds_alternative<VersionUnreadable>(result)) {
             actions.emplace_back(
                 CatalogueVersionIgnored{.reason = CatalogueVersionIgnored::Reason::Unreadable, .key = version.key});
         }
     }
+    advanceByHead();
     if (!changedKeys.empty()) {
         actions.emplace_back(CatalogueChanged{.keys = std::move(changedKeys)});
     }
@@ -152,6 +160,15 @@
     return newKeys;
 }
 
+void CatalogueReplica::advanceByHead()
+{
+    const CatalogueHead *head = m_table.head();
+    if (m_progress.loaded && head != nullptr && head->since <= m_progress.revision
+        && m_table.headRevision() > m_progress.revision && m_table.missingKeys().empty()) {
+        m_progress.revision = m_table.headRevision();
+    }
+}
+
 const OrganisationRecord *CatalogueReplica::organisation(const OrganisationId &id) const
 {
     return recordOf<OrganisationRecord>(m_table, "organisation", id.value());
--- a/src/catalogue/CatalogueReplica.h
+++ b/src/catalogue/CatalogueReplica.h
@@ -21,10 +21,10 @@
     std::vector<CataloguePeer> peers;
 };
 
-/// Event: an edit made on this host was accepted; the version is put in force without waiting for the service.
-struct CatalogueVersionAccepted
+/// Event, and action of `CatalogueEditor`: the service has accepted these versions, which are put in force at once.
+struct CatalogueVersionsAccepted
 {
-    CatalogueVersion version;
+    std::vector<CatalogueVersion> versions;
 };
 
 /// Event: somebody wants to know on how many hosts the revision is in force; see `CatalogueReplica::inForceOn`.
@@ -37,7 +37,7 @@
                                            KeyValueReply,
                                            CatalogueMessageReceived,
                                            CataloguePeersChanged,
-                                           CatalogueVersionAccepted,
+                                           CatalogueVersionsAccepted,
                                            InForceAsked>;
 
 /// Action and decision: the records of these keys are in force in their newest version, or deleted.
@@ -143,6 +143,8 @@
     /// Applies versions, spreads what was new and returns its keys.
     std::vector<std::string>
     learn(const std::vector<CatalogueVersion> &versions, std::vector<CatalogueReplicaAction> &actions, TimePoint now);
+    /// Puts the progress at the head's revision when all that the head lists is known.
+    void advanceByHead();
     [[nodiscard]] bool isChosenWatcher() const;
 
     CatalogueReplicaOptions m_options;
--- a/src/catalogue/CatalogueServiceReader.cpp
+++ b/src/catalogue/CatalogueServiceReader.cpp
@@ -11,6 +11,8 @@
 static constexpr Duration giveUpMargin = 500ms;
 /// Between two full reads while the service shows an older state than before.
 static constexpr Duration olderStateRetryInterval = 10s;
+/// Between two reads of single keys.
+static constexpr Duration fetchInterval = 20ms;
 
 static std::vector<CatalogueVersion> versionsOf(const std::vector<KeyValueRecord> &records)
 {
@@ -27,31 +29,53 @@
     return !std::holds_alternative<ServiceUnavailable>(result) && !std::holds_alternative<OutcomeUnknown>(result);
 }
 
-CatalogueServiceReader::Step CatalogueServiceReader::tick(bool watches, std::size_t bytes, TimePoint now)
+std::vector<KeyValueCall>
+CatalogueServiceReader::tick(const Needs &needs, const CatalogueProgress &progress, TimePoint now)
 {
     giveUpExpiredCalls(now);
-    Step step;
-    if (m_loaded && watches && m_lastRead) {
-        const auto byBytes = std::chrono::seconds(bytes / std::max<std::size_t>(m_times.rereadBytesPerSecond, 1));
-        m_rereadNeeded = m_rereadNeeded || now - *m_lastRead >= std::max<Duration>(m_times.rereadInterval, byBytes);
+    std::vector<KeyValueCall> calls;
+    if (!m_read && isRereadDue(needs, progress, now)) {
+        calls.push_back(call(m_read, ReadRange{.prefix = cataloguePrefix}, Duration::zero(), now));
     }
-    if (m_rereadNeeded && !m_read && now >= m_nextRead) {
-        step.calls.push_back(call(m_read, ReadRange{.prefix = cataloguePrefix}, Duration::zero(), now));
+    if (!progress.loaded) {
+        return calls;
     }
-    if (!m_loaded) {
-        return step;
-    }
-    m_nextPoll = std::min(m_nextPoll, now + (watches ? m_times.pollInterval : m_times.idlePollInterval));
+    const Duration pollInterval = needs.watches ? m_times.pollInterval : m_times.idlePollInterval;
+    m_nextPoll = std::min(m_nextPoll, now + pollInterval);
     if (!m_poll && now >= m_nextPoll) {
-        m_nextPoll = now + jittered(watches ? m_times.pollInterval : m_times.idlePollInterval);
-        const WatchRange poll{.prefix = cataloguePrefix, .after = m_pollRevision, .wait = Duration::zero()};
-        step.calls.push_back(call(m_poll, poll, Duration::zero(), now));
+        m_nextPoll = now + jittered(pollInterval);
+        calls.push_back(call(m_poll, ReadRange{.prefix = catalogueHeadKey}, Duration::zero(), now));
     }
-    if (watches && !m_watch && now >= m_nextWatch) {
+    if (!m_fetch && !m_read && !needs.missingKeys.empty() && now >= m_nextFetch) {
+        // Takes turns, so that one key that cannot be had does not keep the others back.
+        const std::string &key = needs.missingKeys.at(m_fetchedKeys++ % needs.missingKeys.size());
+        calls.push_back(call(m_fetch, ReadRange{.prefix = key}, Duration::zero(), now));
+    }
+    if (needs.watches && !m_watch && now >= m_nextWatch) {
+        m_watchRevision = std::max(m_watchRevision, progress.revision);
         const WatchRange watch{.prefix = cataloguePrefix, .after = m_watchRevision, .wait = m_times.watchWait};
-        step.calls.push_back(call(m_watch, watch, m_times.watchWait, now));
+        calls.push_back(call(m_watch, watch, m_times.watchWait, now));
     }
-    return step;
+    return calls;
+}
+
+bool CatalogueServiceReader::isRereadDue(const Needs &needs, const CatalogueProgress &progress, TimePoint now) const
+{
+    if (now < m_nextRead) {
+        return false;
+    }
+    if (!progress.loaded || needs.historyIsMissing) {
+        return true;
+    }
+    const auto byBytes = std::chrono::seconds(needs.bytes / std::max<std::size_t>(m_times.rereadBytesPerSecond, 1));
+    return needs.watches && m_lastRead && now - *m_lastRead >= std::max<Duration>(m_times.rereadInterval, byBytes);
+}
+
+bool CatalogueServiceReader::isOlderState(Revision storeRevision, const CatalogueProgress &progress)
+{
+    const bool isOlder = storeRevision < m_newestState || storeRevision < progress.revision;
+    m_newestState = std::max(m_newestState, storeRevision);
+    return isOlder;
 }
 
 CatalogueServiceReader::Step
@@ -74,9 +98,13 @@
         noteAnswer(*poll);
         return handlePoll(reply.result, *poll, progress, now);
     }
+    if (const auto fetch = take(m_fetch)) {
+        noteAnswer(*fetch);
+        return handleFetch(reply.result, now);
+    }
     if (const auto watch = take(m_watch)) {
         noteAnswer(*watch);
-        return handleWatch(reply.result, *watch, progress, now);
+        return handleWatch(reply.result, *watch, now);
     }
     return {};
 }
@@ -92,16 +120,12 @@
         return {};
     }
     Step step{.versions = versionsOf(read->records)};
-    if (read->storeRevision < m_pollRevision || read->storeRevision < progress.revision) {
+    if (isOlderState(read->storeRevision, progress)) {
         step.wasOlderState = true;
         m_nextRead = now + jittered(olderStateRetryInterval);
         return step;
     }
-    m_loaded = true;
-    m_rereadNeeded = false;
     m_lastRead = now;
-    m_pollRevision = read->storeRevision;
-    m_watchRevision = std::max(m_watchRevision, read->storeRevision);
     progress.advance(read->storeRevision, call.sentAt);
     return step;
 }
@@ -111,35 +135,33 @@
                                                                 CatalogueProgress &progress,
                                                                 TimePoint now)
 {
-    if (std::holds_alternative<WatchCompacted>(result)) {
-        m_rereadNeeded = true;
-        return {};
-    }
-    const auto *changed = std::get_if<RangeChanged>(&result);
-    if (changed == nullptr) {
+    const auto *read = std::get_if<RangeRead>(&result);
+    if (read == nullptr) {
         // A lost answer has already cost its time limit; a refusal came at once and is not met with a quick retry.
         const bool wasLost = std::holds_alternative<OutcomeUnknown>(result);
         m_nextPoll = now + jittered(wasLost ? m_times.callTimeout / 2 : m_times.pollInterval);
         return {};
     }
-    Step step{.versions = versionsOf(changed->written), .deletedKeys = changed->deletedKeys};
-    if (changed->storeRevision < m_pollRevision) {
+    Step step{.versions = versionsOf(read->records)};
+    if (isOlderState(read->storeRevision, progress)) {
         step.wasOlderState = true;
         return step;
     }
-    m_pollRevision = changed->storeRevision;
-    if (changed->storeRevision >= progress.revision) {
-        progress.advance(changed->storeRevision, call.sentAt);
-    }
+    step.headSeen =
+        HeadSeen{.revision = read->records.empty() ? Revision(0) : read->records.front().revision, .at = call.sentAt};
     return step;
 }
 
-CatalogueServiceReader::Step CatalogueServiceReader::handleWatch(const KeyValueResult &result,
-                                                                 const Pending &call,
-                                                                 CatalogueProgress &progress,
-                                                                 TimePoint now)
+CatalogueServiceReader::Step CatalogueServiceReader::handleFetch(const KeyValueResult &result, TimePoint now)
+{
+    m_nextFetch = now + fetchInterval;
+    const auto *read = std::get_if<RangeRead>(&result);
+    return read == nullptr ? Step{} : Step{.versions = versionsOf(read->records)};
+}
+
+CatalogueServiceReader::Step
+CatalogueServiceReader::handleWatch(const KeyValueResult &result, const Pending &call, TimePoint now)
 {
-    (void)progress; // A watch may skip changes, so that it says nothing about completeness.
     if (const auto *compacted = std::get_if<WatchCompacted>(&result)) {
         m_watchRevision = std::max(m_watchRevision, compacted->storeRevision);
         m_nextPoll = now;
@@ -150,7 +172,7 @@
         m_nextWatch = now + jittered(m_times.callTimeout);
         return {};
     }
-    Step step{.versions = versionsOf(changed->written)};
+    Step step{.versions = versionsOf(changed->written), .deletedKeys = changed->deletedKeys};
     const bool hasNews = changed->storeRevision > m_watchRevision;
     m_watchRevision = std::max(m_watchRevision, changed->storeRevision);
     if (!hasNews && now - call.sentAt < m_times.watchWait / 2) {
@@ -176,7 +198,7 @@
 
 void CatalogueServiceReader::giveUpExpiredCalls(TimePoint now)
 {
-    for (std::optional<Pending> *pending : {&m_read, &m_poll, &m_watch}) {
+    for (std::optional<Pending> *pending : {&m_read, &m_poll, &m_fetch, &m_watch}) {
         if (*pending && now >= (*pending)->expiresAt) {
             pending->reset();
         }
--- a/src/catalogue/CatalogueServiceReader.h
+++ b/src/catalogue/CatalogueServiceReader.h
@@ -29,16 +29,39 @@
 
 /// Follows the catalogue in the key-value service.
 ///
-/// A long watch brings changes at once. Beside it goes a poll with a cursor of its own: a watch that has gone silent,
-/// or that skipped a change, cannot hide the change from the poll. Only polls and full reads say how far the catalogue
-/// is complete.
+/// A long watch brings changes at once. Beside it goes a poll that reads the head: a watch that has gone silent, or
+/// that skipped a change, cannot hide the change from it. What the head lists and the watch has not brought is read by
+/// key.
 class CatalogueServiceReader
 {
 public:
+    /// What the replica lacks and needs at present.
+    struct Needs
+    {
+        /// Whether this host watches for others too.
+        bool watches = true;
+        /// Size of the catalogue.
+        std::size_t bytes = 0;
+        /// Keys that the head lists in a newer revision than known.
+        std::vector<std::string> missingKeys;
+        /// More changes are missing than the head lists.
+        bool historyIsMissing = false;
+    };
+
+    /// The service's head record as a poll found it.
+    struct HeadSeen
+    {
+        /// 0: there is none.
+        Revision revision;
+        /// When the poll was sent.
+        TimePoint at;
+    };
+
     struct Step
     {
         std::vector<KeyValueCall> calls;
         std::vector<CatalogueVersion> versions;
+        std::optional<HeadSeen> headSeen;
         /// Deleted in the service itself, which no edit does.
         std::vector<std::string> deletedKeys;
         /// The service answered with a state older than one that it had shown before.
@@ -51,9 +74,8 @@
     {
     }
 
-    /// Makes the calls that are due. `watches` says whether this host watches for others too; `bytes` is the size of
-    /// the catalogue.
-    [[nodiscard]] Step tick(bool watches, std::size_t bytes, TimePoint now);
+    /// Makes the calls that are due.
+    [[nodiscard]] std::vector<KeyValueCall> tick(const Needs &needs, const CatalogueProgress &progress, TimePoint now);
 
     /// Takes in an answer. Answers to unknown or given up calls are ignored.
     [[nodiscard]] Step handle(const KeyValueReply &reply, CatalogueProgress &progress, TimePoint now);
@@ -72,24 +94,29 @@
     KeyValueCall call(std::optional<Pending> &pending, KeyValueRequest request, Duration wait, TimePoint now);
     [[nodiscard]] Duration jittered(Duration duration);
     void giveUpExpiredCalls(TimePoint now);
+    [[nodiscard]] bool isRereadDue(const Needs &needs, const CatalogueProgress &progress, TimePoint now) const;
+    [[nodiscard]] bool isOlderState(Revision storeRevision, const CatalogueProgress &progress);
     Step handleRead(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
     Step handlePoll(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
-    Step handleWatch(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
+    Step handleFetch(const KeyValueResult &result, TimePoint now);
+    Step handleWatch(const KeyValueResult &result, const Pending &call, TimePoint now);
 
     CatalogueServiceTimes m_times;
     Random m_random;
     CallId m_lastCall{0};
-    bool m_loaded = false;
     std::optional<Pending> m_read;
     std::optional<Pending> m_poll;
+    std::optional<Pending> m_fetch;
     std::optional<Pending> m_watch;
-    Revision m_pollRevision;
+    /// The newest state that the service has shown.
+    Revision m_newestState;
     Revision m_watchRevision;
     TimePoint m_nextRead;
     TimePoint m_nextPoll;
+    TimePoint m_nextFetch;
     TimePoint m_nextWatch;
-    bool m_rereadNeeded = true;
     std::optional<TimePoint> m_lastRead;
+    std::size_t m_fetchedKeys = 0;
 };
 
 } // namespace Carawaymill
--- a/src/catalogue/CatalogueTable.cpp
+++ b/src/catalogue/CatalogueTable.cpp
@@ -33,6 +33,21 @@
     item.revision = version.revision;
     item.value = version.value;
 
+    return version.key == catalogueHeadKey ? applyHead(version) : applyRecord(item, version);
+}
+
+ApplyResult CatalogueTable::applyHead(const CatalogueVersion &version)
+{
+    Result<CatalogueHead, DecodeFailure> decoded = decodeCatalogueHead(version.value, version.revision);
+    if (const auto *failure = std::get_if<DecodeFailure>(&decoded)) {
+        return VersionUnreadable{.failure = *failure};
+    }
+    m_head = std::move(std::get<CatalogueHead>(decoded));
+    return VersionApplied{};
+}
+
+ApplyResult CatalogueTable::applyRecord(Item &item, const CatalogueVersion &version)
+{
     Result<StoredRecord, DecodeFailure> decoded = decodeFor(version);
     if (const auto *failure = std::get_if<DecodeFailure>(&decoded)) {
         item.readable = false;
@@ -45,6 +60,26 @@
     return VersionApplied{};
 }
 
+Revision CatalogueTable::headRevision() const
+{
+    const Item *head = item(catalogueHeadKey);
+    return head == nullptr ? Revision(0) : head->revision;
+}
+
+std::vector<std::string> CatalogueTable::missingKeys() const
+{
+    std::vector<std::string> missing;
+    if (!m_head) {
+        return missing;
+    }
+    for (const auto &[key, revision] : m_head->changes) {
+        if (const Item *known = item(key); known == nullptr || known->revision < revision) {
+            missing.push_back(key);
+        }
+    }
+    return missing;
+}
+
 const CatalogueTable::Item *CatalogueTable::item(const std::string &key) const
 {
     const auto found = m_items.find(key);
--- a/src/catalogue/CatalogueTable.h
+++ b/src/catalogue/CatalogueTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalogue/CatalogueHead.h"
 #include "catalogue/StoredRecord.h"
 
 #include <array>
@@ -69,6 +70,15 @@
 
     [[nodiscard]] const Items &items() const { return m_items; }
 
+    /// The newest known head; null if none is known.
+    [[nodiscard]] const CatalogueHead *head() const { return m_head ? &*m_head : nullptr; }
+
+    /// Revision of the newest known head, 0 if none is known.
+    [[nodiscard]] Revision headRevision() const;
+
+    /// Keys that the head lists with a newer revision than is known here.
+    [[nodiscard]] std::vector<std::string> missingKeys() const;
+
     /// The organisation whose record lists this SHA-256 of a bearer token.
     [[nodiscard]] std::optional<OrganisationId> organisationByTokenHash(const std::string &hash) const;
 
@@ -90,11 +100,14 @@
     [[nodiscard]] std::size_t bytes() const { return m_bytes; }
 
 private:
+    ApplyResult applyHead(const CatalogueVersion &version);
+    ApplyResult applyRecord(Item &item, const CatalogueVersion &version);
     void toggleHash(const std::string &key, Revision revision);
     void removeTokenHashes(const Item &item);
     void addTokenHashes(const Item &item);
 
     Items m_items;
+    std::optional<CatalogueHead> m_head;
     std::unordered_map<std::string, OrganisationId> m_tokenHashes;
     std::array<std::vector<std::string>, bucketCount> m_bucketKeys;
     std::array<std::uint32_t, bucketCount> m_bucketHashes{};
