Routing: Prefer targets that have the prompt cached, avoid slow ones

Cause: engines publish cache events late and with gaps, and links degrade. The hits shorten the prompt in a stage's cost. Measured steps correct a target's expected cost, and the correction fades so that the target is tried again. A job that may crash targets goes where it disturbs nobody.

--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -20,11 +20,6 @@
 /// A change of speed by less than this part leaves the drawing weights as they are.
 static constexpr double negligibleChange = 0.1;
 
-static double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 static bool differsMuch(double left, double right)
 {
     return std::abs(left - right) > negligibleChange * std::max(left, right);
@@ -33,6 +28,7 @@
 ChainRouter::ChainRouter(ChainRouterOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_prefixes(m_options.prefixes)
 {
 }
 
@@ -40,12 +36,12 @@
 {
     const auto [found, added] = m_slots.try_emplace(target, static_cast<std::uint32_t>(m_targets.size()));
     if (added) {
-        m_targets.push_back({.id = target});
+        m_targets.emplace_back(target, m_options.targets);
     }
     return found->second;
 }
 
-ChainRouter::Target *ChainRouter::find(const TargetId &target)
+RoutingTarget *ChainRouter::find(const TargetId &target)
 {
     const auto found = m_slots.find(target);
     return found == m_slots.end() ? nullptr : &m_targets[found->second];
@@ -58,67 +54,90 @@
     }
 }
 
+TargetSpeed ChainRouter::withDelay(TargetSpeed speed) const
+{
+    if (speed.linkDelay == Duration::zero()) {
+        if (speed.region != m_options.ownRegion) {
+            speed.linkDelay = m_options.otherRegionDelay;
+        } else if (speed.failureDomain != m_options.ownFailureDomain) {
+            speed.linkDelay = m_options.otherFailureDomainDelay;
+        } else {
+            speed.linkDelay = m_options.sameFailureDomainDelay;
+        }
+    }
+    return speed;
+}
+
 void ChainRouter::updateTarget(const TargetId &target, TargetSpeed speed, std::vector<HeldRange> held)
 {
-    Target &entry = m_targets[slotOf(target)];
-    if (!entry.known || entry.held != held
-        || differsMuch(entry.speed.layerTokensPerSecond, speed.layerTokensPerSecond)) {
-        markOutdated(entry.held);
+    RoutingTarget &entry = m_targets[slotOf(target)];
+    if (entry.held() != held || differsMuch(entry.speed().layerTokensPerSecond, speed.layerTokensPerSecond)) {
+        markOutdated(entry.held());
         markOutdated(held);
     }
-    double layers = 0;
-    for (const HeldRange &range : held) {
-        layers += range.layers.size();
-    }
-    entry.known = true;
-    entry.layersPerStream = held.empty() ? 0 : layers / static_cast<double>(held.size());
-    entry.speed = std::move(speed);
-    entry.held = std::move(held);
+    entry.update(withDelay(std::move(speed)), std::move(held));
 }
 
 void ChainRouter::removeTarget(const TargetId &target)
 {
-    if (Target *entry = find(target)) {
-        markOutdated(entry->held);
-        // The place stays the target's own, since its streams may end after it was removed.
-        entry->known = false;
-        entry->held.clear();
-        entry->otherStreams = 0;
-        entry->availability = TargetAvailability::Available;
+    if (RoutingTarget *entry = find(target)) {
+        markOutdated(entry->held());
+        entry->clear();
     }
 }
 
 void ChainRouter::setAvailable(const TargetId &target, TargetAvailability availability)
 {
-    if (Target *entry = find(target); entry && entry->availability != availability) {
-        entry->availability = availability;
-        markOutdated(entry->held);
+    if (RoutingTarget *entry = find(target); entry && entry->availability() != availability) {
+        entry->setAvailability(availability);
+        markOutdated(entry->held());
     }
 }
 
 void ChainRouter::loadReported(const TargetId &target, const LoadReport &report, TimePoint now)
 {
-    if (Target *entry = find(target)) {
-        const double reported = report.queuedSteps + report.runningSteps;
-        // Our own streams are counted exactly, so that only the others' are taken from the report.
-        entry->otherStreams = std::max(0.0, reported - entry->ownStreams);
-        entry->reportedAt = now;
+    if (RoutingTarget *entry = find(target)) {
+        entry->loadReported(report, now);
     }
 }
 
 void ChainRouter::stepStarted(const ChainStage &stage)
 {
-    Target &entry = m_targets[slotOf(stage.target)];
-    entry.ownLayers += stage.layers.size();
-    entry.ownStreams += 1;
+    m_targets[slotOf(stage.target)].stepStarted(stage.layers);
+}
+
+void ChainRouter::stepMeasured(const ChainStage &stage, const StageWork &work, Duration took, TimePoint now)
+{
+    if (RoutingTarget *entry = find(stage.target); entry && entry->speed().layerTokensPerSecond > 0) {
+        entry->stepMeasured(stage.layers, work, took, now);
+    }
 }
 
 void ChainRouter::stepEnded(const ChainStage &stage)
 {
-    if (Target *entry = find(stage.target)) {
-        entry->ownLayers = std::max(0.0, entry->ownLayers - stage.layers.size());
-        entry->ownStreams = std::max(0.0, entry->ownStreams - 1);
+    if (RoutingTarget *entry = find(stage.target)) {
+        entry->stepEnded(stage.layers);
+    }
+}
+
+std::vector<Holding> ChainRouter::holdingsOf(const ModelKey &key) const
+{
+    std::vector<Holding> holdings;
+    for (std::uint32_t slot = 0; slot < m_targets.size(); ++slot) {
+        const RoutingTarget &target = m_targets[slot];
+        const bool suspect = target.availability() == TargetAvailability::Suspect;
+        const double speed = target.speed().layerTokensPerSecond;
+        if ((!suspect && target.availability() != TargetAvailability::Available) || speed <= 0) {
+            continue;
+        }
+        for (const HeldRange &held : target.held()) {
+            if (ModelKey(held.model, held.version, held.adapter) == key) {
+                const double weight = speed * (suspect ? suspectWeight : 1);
+                holdings.push_back({.target = slot, .layers = held.layers, .weight = weight});
+            }
+        }
     }
+    return holdings;
 }
 
 const StageIndex &ChainRouter::indexOf(const RouteRequest &request)
@@ -130,73 +149,53 @@
     }
     auto &[key, model] = *found;
     if (model.outdated) {
-        std::vector<Holding> holdings;
-        for (std::uint32_t slot = 0; slot < m_targets.size(); ++slot) {
-            const Target &target = m_targets[slot];
-            const bool suspect = target.availability == TargetAvailability::Suspect;
-            if ((!suspect && target.availability != TargetAvailability::Available)
-                || target.speed.layerTokensPerSecond <= 0) {
-                continue;
-            }
-            for (const HeldRange &held : target.held) {
-                if (ModelKey(held.model, held.version, held.adapter) == key) {
-                    const double weight = target.speed.layerTokensPerSecond * (suspect ? suspectWeight : 1);
-                    holdings.push_back({.target = slot, .layers = held.layers, .weight = weight});
-                }
-            }
-        }
-        model.index = StageIndex(std::move(holdings));
+        model.index = StageIndex(holdingsOf(key));
         model.outdated = false;
     }
     return model.index;
 }
 
-bool ChainRouter::usable(const Target &target, const RouteRequest &request) const
+bool ChainRouter::usable(const RoutingTarget &target, const RouteRequest &request)
+{
+    return request.excludedTargets.empty() || !request.excludedTargets.contains(target.id());
+}
+
+ChainRouter::CachedTokens ChainRouter::cachedTokens(const RouteRequest &request, TimePoint now) const
 {
-    return request.excludedTargets.empty() || !request.excludedTargets.contains(target.id);
+    CachedTokens cached;
+    for (const PrefixHit &hit : m_prefixes.find(request.prefixes, now)) {
+        if (const auto slot = m_slots.find(hit.target); slot != m_slots.end()) {
+            // The last token of a prompt is always run, since its result begins the answer.
+            const std::uint64_t most = std::max<std::uint64_t>(request.promptTokens.value(), 1) - 1;
+            cached[slot->second] = TokenCount(std::min(hit.tokens.value(), most));
+        }
+    }
+    return cached;
 }
 
-ChainRouter::Candidate ChainRouter::candidateFor(const StageIndex &index,
-                                                 std::uint32_t holding,
+ChainRouter::Candidate ChainRouter::candidateFor(const Holding &held,
+                                                 TokenCount cachedTokens,
                                                  const RouteRequest &request,
                                                  TimePoint now) const
 {
-    const Holding &held = index.holdings()[holding];
-    const Target &target = m_targets[held.target];
-    const bool reportValid = now - target.reportedAt <= m_options.loadReportLifetime;
-    const double otherStreams = reportValid ? target.otherStreams : 0;
-    const double openLayers = target.ownLayers + otherStreams * target.layersPerStream;
-    const auto generated = static_cast<double>(request.expectedTokens.value());
-    const double tokens = generated + static_cast<double>(request.promptTokens.value());
-
-    // Streams share a target and its link, so that each token waits for one token of every other open stream.
-    const double secondsPerLayer = tokens / target.speed.layerTokensPerSecond;
-    double secondsPerStage = openLayers * secondsPerLayer;
-    if (target.speed.linkBytesPerSecond > 0) {
-        const double bothWays = 2.0 * static_cast<double>(request.activationBytes.value());
-        const double streams = 1 + target.ownStreams + otherStreams;
-        secondsPerStage += tokens * streams * bothWays / target.speed.linkBytesPerSecond;
-    }
-    const bool sameRegion = target.speed.region == m_options.ownRegion;
-    const Duration delay = target.speed.linkDelay + (sameRegion ? Duration::zero() : m_options.otherRegionDelay);
-    secondsPerStage += 2 * seconds(delay) * (generated + 1);
-    if (target.availability == TargetAvailability::Suspect) {
-        secondsPerStage += suspectSeconds;
+    const RoutingTarget &target = m_targets[held.target];
+    const TokenCount tokens = request.expectedTokens + request.promptTokens - cachedTokens;
+    StageCost cost = target.cost(
+        {.tokens = tokens, .steps = request.expectedTokens.value() + 1, .activationBytes = request.activationBytes},
+        now);
+    if (target.availability() == TargetAvailability::Suspect) {
+        cost.secondsPerStage += suspectSeconds;
     }
     if (request.runAlone) {
-        secondsPerStage += openLayers * disturbedLayerSeconds;
+        cost.secondsPerStage += cost.openLayers * disturbedLayerSeconds;
     }
-    return {.holding = holding,
-            .target = held.target,
-            .layers = held.layers,
-            .secondsPerLayer = secondsPerLayer,
-            .secondsPerStage = secondsPerStage,
-            .openLayers = openLayers};
+    return {.target = held.target, .layers = held.layers, .cost = cost, .cachedTokens = cachedTokens};
 }
 
 void ChainRouter::drawCandidates(const StageIndex &index,
                                  const Segment &segment,
                                  const RouteRequest &request,
+                                 const CachedTokens &cached,
                                  std::vector<std::uint32_t> &drawn)
 {
     const std::size_t before = drawn.size();
@@ -212,6 +211,14 @@
             add(StageIndex::draw(segment, m_random));
         }
     }
+    // The few targets that have the prompt's prefix in their cache always take part.
+    if (!cached.empty()) {
+        for (const std::uint32_t holding : segment.holdings) {
+            if (cached.contains(index.holdings()[holding].target)) {
+                add(holding);
+            }
+        }
+    }
     if (drawn.size() == before) {
         std::for_each(segment.holdings.begin(), segment.holdings.end(), add);
     }
@@ -220,6 +227,7 @@
 Result<std::vector<ChainRouter::Candidate>, NoChainForModel>
 ChainRouter::candidatesFor(const StageIndex &index, const RouteRequest &request, LayerRange layers, TimePoint now)
 {
+    const CachedTokens cached = cachedTokens(request, now);
     std::vector<std::uint32_t> drawn;
     LayerIndex covered = layers.first;
     for (const Segment &segment : index.segments()) {
@@ -227,7 +235,7 @@
             continue;
         }
         const std::size_t before = drawn.size();
-        drawCandidates(index, segment, request, drawn);
+        drawCandidates(index, segment, request, cached, drawn);
         if (segment.layers.first > covered || drawn.size() == before) {
             break;
         }
@@ -244,7 +252,9 @@
     std::vector<Candidate> candidates;
     candidates.reserve(drawn.size());
     for (const std::uint32_t holding : drawn) {
-        candidates.push_back(candidateFor(index, holding, request, now));
+        const Holding &held = index.holdings()[holding];
+        const auto tokens = cached.find(held.target);
+        candidates.push_back(candidateFor(held, tokens == cached.end() ? TokenCount() : tokens->second, request, now));
     }
     return candidates;
 }
@@ -256,22 +266,20 @@
     offers.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
         offers.push_back({.layers = candidate.layers,
-                          .secondsPerLayer = candidate.secondsPerLayer,
-                          .secondsPerStage = candidate.secondsPerStage});
+                          .secondsPerLayer = candidate.cost.secondsPerLayer,
+                          .secondsPerStage = candidate.cost.secondsPerStage});
     }
-    const auto cost = [](const Candidate &candidate, LayerRange range) {
-        return candidate.secondsPerStage + candidate.secondsPerLayer * range.size();
-    };
     RoutingDecision decision{.job = request.job, .model = request.model, .candidates = candidates.size()};
     for (const OfferedStage &stage : cheapestChain(layers, offers)) {
         const Candidate &chosen = candidates[stage.offer];
-        StageDecision why{.stage = {.target = m_targets[chosen.target].id, .layers = stage.layers},
-                          .seconds = cost(chosen, stage.layers),
-                          .openLayers = chosen.openLayers};
+        StageDecision why{.stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
+                          .seconds = chosen.cost.seconds(stage.layers),
+                          .openLayers = chosen.cost.openLayers,
+                          .cachedPrefixTokens = chosen.cachedTokens};
         for (const Candidate &other : candidates) {
-            if (other.holding != chosen.holding && other.layers.contains(stage.layers)) {
+            if (&other != &chosen && other.layers.contains(stage.layers)) {
                 why.alternatives.push_back(
-                    {.target = m_targets[other.target].id, .seconds = cost(other, stage.layers)});
+                    {.target = m_targets[other.target].id(), .seconds = other.cost.seconds(stage.layers)});
             }
         }
         std::sort(why.alternatives.begin(), why.alternatives.end(), [](const auto &left, const auto &right) {
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "routing/PrefixIndex.h"
 #include "routing/RoutingMessages.h"
+#include "routing/RoutingTarget.h"
 #include "routing/StageIndex.h"
 #include "support/Random.h"
 
@@ -19,10 +21,12 @@
     /// Candidates drawn for each run of layers; more find a cheaper chain, fewer keep hosts that see the same lagging
     /// reports from all choosing the same target.
     std::uint32_t candidatesPerSegment = 3;
-    /// Added to a target's delay, one way, when it is in another region and no delay has been measured.
+    /// The delay, one way, that a target has whose `linkDelay` is zero because it has not been measured.
     Duration otherRegionDelay = std::chrono::milliseconds(30);
-    /// A load report older than this counts for nothing.
-    Duration loadReportLifetime = std::chrono::seconds(10);
+    Duration otherFailureDomainDelay = std::chrono::microseconds(500);
+    Duration sameFailureDomainDelay = std::chrono::microseconds(100);
+    RoutingTargetOptions targets;
+    PrefixIndexOptions prefixes;
 };
 
 /// Chooses the chains of targets that run jobs.
@@ -50,9 +54,16 @@
     /// A stage of a job has been given to its target: from now on it counts as load there.
     void stepStarted(const ChainStage &stage);
 
+    /// A step on the stage was answered in time `took`, from sending to answer. Corrects the target's expected cost, so
+    /// that work moves away from a target or link that has become slow.
+    void stepMeasured(const ChainStage &stage, const StageWork &work, Duration took, TimePoint now);
+
     /// The stage's work is over, whatever its outcome. Called once for each `stepStarted`.
     void stepEnded(const ChainStage &stage);
 
+    /// What is known of the targets' prefix caches. Whoever drives the router feeds it with cache events.
+    [[nodiscard]] PrefixIndex &prefixes() { return m_prefixes; }
+
     /// The chain for a whole model.
     [[nodiscard]] Result<RoutedChain, NoChainForModel> route(const RouteRequest &request, TimePoint now);
 
@@ -64,50 +75,38 @@
 private:
     using ModelKey = std::tuple<ModelId, std::string, std::string>;
 
-    struct Target
-    {
-        TargetId id;
-        bool known = false;
-        TargetSpeed speed;
-        std::vector<HeldRange> held;
-        TargetAvailability availability = TargetAvailability::Available;
-        /// Layers and streams that this host has open on the target.
-        double ownLayers = 0;
-        double ownStreams = 0;
-        /// Streams of other hosts, by the last report.
-        double otherStreams = 0;
-        /// Layers that a stream takes on the target on average, as far as can be known.
-        double layersPerStream = 0;
-        TimePoint reportedAt{};
-    };
-
     struct Model
     {
         StageIndex index;
         bool outdated = true;
     };
 
-    /// A holding that takes part in the choice, with its costs in seconds.
+    /// A holding that takes part in the choice.
     struct Candidate
     {
-        std::uint32_t holding = 0;
         std::uint32_t target = 0;
         LayerRange layers;
-        double secondsPerLayer = 0;
-        double secondsPerStage = 0;
-        double openLayers = 0;
+        StageCost cost;
+        TokenCount cachedTokens;
     };
 
+    /// Prompt tokens that a target, by its place in the table, has in its cache.
+    using CachedTokens = std::unordered_map<std::uint32_t, TokenCount>;
+
     [[nodiscard]] std::uint32_t slotOf(const TargetId &target);
-    [[nodiscard]] Target *find(const TargetId &target);
+    [[nodiscard]] RoutingTarget *find(const TargetId &target);
+    [[nodiscard]] TargetSpeed withDelay(TargetSpeed speed) const;
+    [[nodiscard]] std::vector<Holding> holdingsOf(const ModelKey &key) const;
     void markOutdated(const std::vector<HeldRange> &held);
     [[nodiscard]] const StageIndex &indexOf(const RouteRequest &request);
-    [[nodiscard]] bool usable(const Target &target, const RouteRequest &request) const;
+    [[nodiscard]] static bool usable(const RoutingTarget &target, const RouteRequest &request);
+    [[nodiscard]] CachedTokens cachedTokens(const RouteRequest &request, TimePoint now) const;
     [[nodiscard]] Candidate
-    candidateFor(const StageIndex &index, std::uint32_t holding, const RouteRequest &request, TimePoint now) const;
+    candidateFor(const Holding &held, TokenCount cachedTokens, const RouteRequest &request, TimePoint now) const;
     void drawCandidates(const StageIndex &index,
                         const Segment &segment,
                         const RouteRequest &request,
+                        const CachedTokens &cached,
                         std::vector<std::uint32_t> &drawn);
     [[nodiscard]] Result<std::vector<Candidate>, NoChainForModel>
     candidatesFor(const StageIndex &index, const RouteRequest &request, LayerRange layers, TimePoint now);
@@ -118,7 +117,8 @@
 
     ChainRouterOptions m_options;
     Random m_random;
-    std::vector<Target> m_targets;
+    PrefixIndex m_prefixes;
+    std::vector<RoutingTarget> m_targets;
     std::unordered_map<TargetId, std::uint32_t> m_slots;
     std::map<ModelKey, Model> m_models;
 };
--- /dev/null
+++ b/src/routing/RoutingTarget.cpp
@@ -0,0 +1,106 @@
+#include "routing/RoutingTarget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Carawaymill {
+
+/// Weight of the newest measurement in the running average of the slowdown.
+static constexpr double newestWeight = 0.1;
+static constexpr double leastSlowdown = 0.5;
+static constexpr double mostSlowdown = 1000;
+
+static double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+RoutingTarget::RoutingTarget(TargetId id, RoutingTargetOptions options)
+    : m_id(std::move(id))
+    , m_options(options)
+{
+}
+
+void RoutingTarget::update(TargetSpeed speed, std::vector<HeldRange> held)
+{
+    double layers = 0;
+    for (const HeldRange &range : held) {
+        layers += range.layers.size();
+    }
+    m_layersPerStream = held.empty() ? 0 : layers / static_cast<double>(held.size());
+    m_speed = std::move(speed);
+    m_held = std::move(held);
+}
+
+void RoutingTarget::clear()
+{
+    update({}, {});
+    m_availability = TargetAvailability::Available;
+    m_otherStreams = 0;
+    m_slowdown = 1;
+}
+
+void RoutingTarget::loadReported(const LoadReport &report, TimePoint now)
+{
+    const double reported = report.queuedSteps + report.runningSteps;
+    // Our own streams are counted exactly, so that only the others' are taken from the report.
+    m_otherStreams = std::max(0.0, reported - m_ownStreams);
+    m_reportedAt = now;
+}
+
+void RoutingTarget::stepStarted(LayerRange layers)
+{
+    m_ownLayers += layers.size();
+    m_ownStreams += 1;
+}
+
+void RoutingTarget::stepEnded(LayerRange layers)
+{
+    m_ownLayers = std::max(0.0, m_ownLayers - layers.size());
+    m_ownStreams = std::max(0.0, m_ownStreams - 1);
+}
+
+void RoutingTarget::stepMeasured(LayerRange layers, const StageWork &work, Duration took, TimePoint now)
+{
+    if (const double expected = nominalCost(work, now).seconds(layers); expected > 0) {
+        const double measured = std::clamp(seconds(took) / expected, leastSlowdown, mostSlowdown);
+        m_slowdown = (1 - newestWeight) * slowdown(now) + newestWeight * measured;
+        m_measuredAt = now;
+    }
+}
+
+double RoutingTarget::slowdown(TimePoint now) const
+{
+    const double halvings = seconds(now - m_measuredAt) / seconds(m_options.slowdownHalfLife);
+    return 1 + (m_slowdown - 1) * std::exp2(-halvings);
+}
+
+StageCost RoutingTarget::nominalCost(const StageWork &work, TimePoint now) const
+{
+    const bool reportValid = now - m_reportedAt <= m_options.loadReportLifetime;
+    const double otherStreams = reportValid ? m_otherStreams : 0;
+    const auto tokens = static_cast<double>(work.tokens.value());
+    StageCost cost{.secondsPerLayer = tokens / m_speed.layerTokensPerSecond,
+                   .openLayers = m_ownLayers + otherStreams * m_layersPerStream};
+
+    // Streams share a target and its link, so that each token waits for one token of every other open stream.
+    cost.secondsPerStage = cost.openLayers * cost.secondsPerLayer;
+    if (m_speed.linkBytesPerSecond > 0) {
+        const double bothWays = 2.0 * static_cast<double>(work.activationBytes.value());
+        const double streams = 1 + m_ownStreams + otherStreams;
+        cost.secondsPerStage += tokens * streams * bothWays / m_speed.linkBytesPerSecond;
+    }
+    cost.secondsPerStage += 2 * seconds(m_speed.linkDelay) * static_cast<double>(work.steps);
+    return cost;
+}
+
+StageCost RoutingTarget::cost(const StageWork &work, TimePoint now) const
+{
+    StageCost cost = nominalCost(work, now);
+    const double factor = slowdown(now);
+    cost.secondsPerLayer *= factor;
+    cost.secondsPerStage *= factor;
+    return cost;
+}
+
+} // namespace Carawaymill
--- a/src/routing/tests/ChainRouterTest.cpp
+++ b/src/routing/tests/ChainRouterTest.cpp
@@ -162,6 +162,56 @@
     CHECK(chosen[TargetId("t0")] < 20);
 }
 
+TEST_CASE("a target with the prompt in its cache is preferred over as fast ones, but not at any wait")
+{
+    ChainRouter router({.seed = 1, .candidatesPerSegment = 2});
+    for (int i = 0; i < 20; ++i) {
+        add(router, "t" + std::to_string(i), range(0, 4));
+    }
+    RouteRequest wish = request(4);
+    wish.promptTokens = TokenCount(500);
+    wish.prefixes = {PrefixFingerprint(7)};
+    router.prefixes().assumeCached(TargetId("t9"), {{PrefixFingerprint(7), TokenCount(400)}}, TimePoint());
+    const RoutedChain first = routed(router, wish);
+    CHECK(first.chain.stages.front().target == TargetId("t9"));
+    CHECK(first.decision.stages.front().cachedPrefixTokens == TokenCount(400));
+    for (int i = 0; i < 50; ++i) {
+        router.stepStarted(first.chain.stages.front());
+    }
+    CHECK(routed(router, wish).chain.stages.front().target != TargetId("t9"));
+}
+
+TEST_CASE("a job that may crash its target runs where it disturbs nobody, also on a slower target")
+{
+    ChainRouter router({.seed = 1, .candidatesPerSegment = 2});
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "t" + std::to_string(i);
+        add(router, id, range(0, 4), i == 7 ? 100 : 1000);
+        if (i != 7) {
+            router.stepStarted({.target = TargetId(id), .layers = range(0, 1)});
+        }
+    }
+    RouteRequest wish = request(4);
+    wish.runAlone = true;
+    CHECK(routed(router, wish).chain.stages.front().target == TargetId("t7"));
+}
+
+TEST_CASE("work moves away from a target whose link has become slow, and comes back in time")
+{
+    ChainRouter router({.seed = 1});
+    add(router, "a", range(0, 4), 1200);
+    add(router, "b", range(0, 4), 1000);
+    const ChainStage stage = routed(router, request(4)).chain.stages.front();
+    CHECK(stage.target == TargetId("a"));
+    for (int i = 0; i < 20; ++i) {
+        router.stepMeasured(stage, {.tokens = TokenCount(1), .activationBytes = ByteCount(8192)}, 1s, TimePoint(1s));
+    }
+    auto degraded = router.route(request(4), TimePoint(1s));
+    CHECK(std::get<RoutedChain>(degraded).chain.stages.front().target == TargetId("b"));
+    auto recovered = router.route(request(4), TimePoint(200s));
+    CHECK(std::get<RoutedChain>(recovered).chain.stages.front().target == TargetId("a"));
+}
+
 TEST_CASE("a decision is described with its alternatives")
 {
     ChainRouter router({.seed = 1});
