--- /dev/null
+++ b/src/membership/tests/MembershipFleet.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "membership/Membership.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Carawaymill {
+
+struct MembershipFleetOptions
+{
+    std::size_t hosts = 4;
+    std::uint64_t seed = 1;
+    /// Fractions of the messages.
+    double lossRate = 0;
+    double duplicateRate = 0;
+    Duration shortestDelay = 1ms;
+    Duration longestDelay = 40ms;
+    Duration step = 20ms;
+    /// Whether to pack each message to count its bytes.
+    bool countBytes = false;
+    /// Changes the options of each host.
+    std::function<void(MembershipOptions &)> adjust;
+};
+
+/// What a host has sent and received, both counted at the sender's or receiver's side.
+struct MembershipTraffic
+{
+    std::size_t messages = 0;
+    std::size_t bytes = 0;
+};
+
+/// Drives the `Membership` of several hosts over a faulty network in virtual time.
+class MembershipFleet
+{
+public:
+    explicit MembershipFleet(MembershipFleetOptions options);
+
+    /// Lets virtual time pass.
+    void run(Duration duration);
+    /// Runs until `condition` holds and returns the time it took, or empty after `limit`.
+    std::optional<Duration> runUntil(const std::function<bool()> &condition, Duration limit);
+    /// Starts (again) a host with nothing but its settings.
+    void start(std::size_t index, IncarnationNumber incarnation);
+    /// The process is gone without a word.
+    void kill(std::size_t index);
+    /// The process stands still until `resume`; what is sent to it waits.
+    void pause(std::size_t index);
+    /// The process goes on; it sees a tick before the messages that wait.
+    void resume(std::size_t index);
+    void inject(std::size_t index, const MembershipEvent &event);
+
+    [[nodiscard]] Membership &at(std::size_t index) { return *m_nodes[index].membership; }
+
+    [[nodiscard]] static HostId host(std::size_t index) { return HostId("host-" + std::to_string(index)); }
+
+    [[nodiscard]] MemberState state(std::size_t observer, std::size_t subject);
+    /// Whether every running host other than the subject gives it that state.
+    [[nodiscard]] bool allSee(std::size_t subject, MemberState state);
+    /// Whether every running host sees every host as alive.
+    [[nodiscard]] bool allSeeAllAlive();
+    /// The host list with every host live.
+    [[nodiscard]] HostListRead fullList() const;
+
+    /// State changes that `observer` has reported since the start.
+    std::vector<std::vector<MemberChanged>> changes;
+    std::vector<MembershipTraffic> sent;
+    std::vector<MembershipTraffic> received;
+    /// Whether messages between two hosts get lost at present.
+    std::function<bool(std::size_t from, std::size_t to)> isCut;
+
+private:
+    struct Node
+    {
+        std::optional<Membership> membership;
+        bool paused = false;
+        std::vector<MembershipMessageReceived> waiting;
+    };
+
+    struct Delivery
+    {
+        std::size_t to = 0;
+        MembershipMessageReceived event;
+        std::size_t bytes = 0;
+    };
+
+    void carryOut(std::size_t index, const std::vector<MembershipAction> &actions);
+    void post(std::size_t from, const SendMembershipMessage &message);
+    void deliverDue();
+
+    MembershipFleetOptions m_options;
+    Random m_random;
+    TimePoint m_now;
+    std::vector<Node> m_nodes;
+    std::map<HostId, std::size_t> m_indices;
+    std::multimap<TimePoint, Delivery> m_inFlight;
+};
+
+} // namespace Carawaymill
