Placement: Plan layer ranges over mixed targets and failure domains

Cause: which target holds which layers decides the throughput and whether the loss of a failure domain stops a model. Change: PlacementPlanner puts each target where it adds most to a value that counts slow layers, layers without holder, and the same after the loss of each failure domain; what is held stays but for few moves worth much. The scope of one holder is a region, since models share its targets' memory. A maximum flow over targets, links and layers bounds the throughput. Seen failing with the guard removed: failure domains, move limit and threshold, full replan, demand weights, link limits.

--- a/src/placement/EngineOrders.h
+++ b/src/placement/EngineOrders.h
@@ -12,7 +12,7 @@
 /// What a placement holder and an engine say to each other, and its JSON.
 namespace Carawaymill {
 
-/// The part of placement that one holder decides on: the targets of one region, for one model.
+/// The part of placement that one holder decides on: all targets of one region, so that no two holders share a target.
 using PlacementScope = StrongType<struct PlacementScopeTag, std::string>;
 
 /// Numbers the orders of one holder under one fencing number; the first is 1.
--- /dev/null
+++ b/src/placement/PlacementPlanner.cpp
@@ -0,0 +1,167 @@
+#include "placement/PlacementPlanner.h"
+
+#include "placement/MaximumFlow.h"
+#include "placement/PlacementWorkspace.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+using Positions = std::vector<std::size_t>;
+
+/// The slot that a target's present layers stand for; empty when nobody wants them or they don't fit.
+static std::optional<PlacementSlot>
+slotFor(const PlacementTarget &target, const std::vector<PlacementDemand> &demands, const PlacementPlan &current)
+{
+    const auto held = current.find(target.id);
+    if (held == current.end() || held->second.layers.empty()) {
+        return std::nullopt;
+    }
+    for (std::size_t demand = 0; demand < demands.size(); ++demand) {
+        const LayerRange layers = held->second.layers;
+        if (matches(demands[demand], held->second) && layers.end.value() <= demands[demand].layers
+            && layers.size() <= layersThatFit(target, demands[demand])) {
+            return PlacementSlot{.demand = demand, .layers = layers};
+        }
+    }
+    return std::nullopt;
+}
+
+static void placeFree(PlacementWorkspace &workspace, const Positions &free, std::uint32_t passes)
+{
+    for (std::uint32_t pass = 0; pass < passes; ++pass) {
+        for (const std::size_t target : free) {
+            workspace.take(target);
+            if (const auto slot = workspace.best(target)) {
+                workspace.put(target, *slot);
+            }
+        }
+    }
+}
+
+static void moveFew(PlacementWorkspace &workspace, const Positions &placed, const PlacementPlannerOptions &options)
+{
+    for (std::uint32_t move = 0; move < options.maximumMoves; ++move) {
+        double mostGained = 0;
+        std::optional<std::pair<std::size_t, PlacementSlot>> chosen;
+        for (const std::size_t target : placed) {
+            const auto present = workspace.take(target);
+            if (!present) {
+                continue;
+            }
+            const double presentGain = workspace.gain(target, *present);
+            const auto better = workspace.best(target);
+            workspace.put(target, *present);
+            if (better && better->gain > presentGain * options.moveThreshold
+                && better->gain - presentGain > mostGained) {
+                mostGained = better->gain - presentGain;
+                chosen = {target, *better};
+            }
+        }
+        if (!chosen) {
+            return;
+        }
+        workspace.take(chosen->first);
+        workspace.put(chosen->first, chosen->second);
+    }
+}
+
+/// Targets with much memory first, since those with little fit into the gaps that are left.
+static void sortForPlacing(Positions &positions, const std::vector<PlacementTarget> &targets)
+{
+    std::sort(positions.begin(), positions.end(), [&](std::size_t left, std::size_t right) {
+        const auto &[a, b] = std::tie(targets[left], targets[right]);
+        return a.layerMemory != b.layerMemory ? a.layerMemory > b.layerMemory : a.id < b.id;
+    });
+}
+
+PlacementPlanner::PlacementPlanner(PlacementPlannerOptions options)
+    : m_options(options)
+{
+}
+
+PlacementPlan PlacementPlanner::plan(const std::vector<PlacementTarget> &targets,
+                                     const std::vector<PlacementDemand> &demands,
+                                     const PlacementPlan &current) const
+{
+    PlacementWorkspace workspace(targets, demands);
+    Positions all;
+    Positions placed;
+    Positions free;
+    for (std::size_t target = 0; target < targets.size(); ++target) {
+        all.push_back(target);
+        if (const auto slot = slotFor(targets[target], demands, current)) {
+            placed.push_back(target);
+            workspace.put(target, *slot);
+        } else {
+            free.push_back(target);
+        }
+    }
+    sortForPlacing(all, targets);
+    sortForPlacing(free, targets);
+    for (const std::size_t target : placed) {
+        // A target that holds fewer layers than fit keeps them and gets neighbouring ones.
+        const auto kept = workspace.take(target);
+        workspace.put(target, workspace.best(target, kept).value_or(*kept));
+    }
+    placeFree(workspace, free, m_options.passes);
+    moveFew(workspace, placed, m_options);
+    if (!workspace.complete() && !placed.empty()) {
+        // What is held stands in the way of a whole model: service goes before few moves.
+        PlacementWorkspace fresh(targets, demands);
+        placeFree(fresh, all, m_options.passes);
+        if (fresh.complete()) {
+            return fresh.plan();
+        }
+    }
+    return workspace.plan();
+}
+
+PlacementPlan equalSplitPlan(const std::vector<PlacementTarget> &targets, const PlacementDemand &demand)
+{
+    std::uint32_t size = demand.layers;
+    for (const PlacementTarget &target : targets) {
+        size = std::min(size, layersThatFit(target, demand));
+    }
+    PlacementPlan plan;
+    if (size == 0) {
+        return plan;
+    }
+    const std::uint32_t parts = (demand.layers + size - 1) / size;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const auto part = static_cast<std::uint32_t>(i % parts);
+        const LayerRange layers{LayerIndex(part * demand.layers / parts),
+                                LayerIndex((part + 1) * demand.layers / parts)};
+        plan[targets[i].id] = {demand.model, demand.version, demand.adapter, layers};
+    }
+    return plan;
+}
+
+double
+throughputBound(const std::vector<PlacementTarget> &targets, const PlacementDemand &demand, const PlacementPlan &plan)
+{
+    std::vector<FlowTarget> flows;
+    for (const PlacementTarget &target : targets) {
+        if (const auto held = plan.find(target.id); held != plan.end() && matches(demand, held->second)) {
+            flows.push_back({.layerTokensPerSecond = target.layerTokensPerSecond,
+                             .linkTokensPerSecond = linkTokensPerSecond(target, demand),
+                             .layers = held->second.layers});
+        }
+    }
+    return throughputBound(flows, demand.layers);
+}
+
+double hardwareBound(const std::vector<PlacementTarget> &targets, const PlacementDemand &demand)
+{
+    std::vector<FlowTarget> flows;
+    for (const PlacementTarget &target : targets) {
+        const double link = linkTokensPerSecond(target, demand);
+        const double mostByLink = link * layersThatFit(target, demand);
+        flows.push_back({.layerTokensPerSecond = std::min(target.layerTokensPerSecond, mostByLink),
+                         .linkTokensPerSecond = link,
+                         .layers = {LayerIndex(0), LayerIndex(demand.layers)}});
+    }
+    return throughputBound(flows, demand.layers);
+}
+
+} // namespace Carawaymill
