Node: Join the slices into one entry host without input and output

Cause: the whole path needs one place that gives each slice its events and carries its actions to the driver.

--- a/src/enginestandin/EngineCore.cpp
+++ b/src/enginestandin/EngineCore.cpp
@@ -146,11 +146,7 @@
         for (std::uint32_t offset = 0; offset < step.layers.size(); ++offset) {
             const LayerIndex layer(step.layers.first.value() + offset);
             activation = StandInModel::runLayer(layer, stream.states[offset], activation, weights);
-            m_runLog.push_back({.job = step.job,
-                                .attempt = step.attempt,
-                                .stream = step.stream,
-                                .position = stream.next,
-                                .layer = layer});
+            note(step, stream.next, layer);
         }
         stream.next = stream.next.next();
         ++reply.positions;
@@ -165,6 +161,14 @@
     return reply;
 }
 
+void EngineCore::note(const StepRequest &step, TokenPosition position, LayerIndex layer)
+{
+    if (m_options.keepRunLog) {
+        m_runLog.push_back(
+            {.job = step.job, .attempt = step.attempt, .stream = step.stream, .position = position, .layer = layer});
+    }
+}
+
 void EngineCore::evictStreams()
 {
     while (m_streams.size() >= m_options.streamLimit) {
--- a/src/enginestandin/EngineCore.h
+++ b/src/enginestandin/EngineCore.h
@@ -33,6 +33,8 @@
     std::size_t streamLimit = 4096;
     /// A prompt with this word in it crashes the engine. Empty: none does.
     std::string poison;
+    /// Whether every layer run is noted; a process that lives long should not.
+    bool keepRunLog = true;
 };
 
 /// One run of one layer for one token, as the engine's own log has it.
@@ -116,6 +118,7 @@
     void unload(const ModelLayers &layers);
     [[nodiscard]] ByteCount usedMemory() const;
     void evictStreams();
+    void note(const StepRequest &step, TokenPosition position, LayerIndex layer);
 
     EngineCoreOptions m_options;
     std::vector<ModelLayers> m_held;
--- /dev/null
+++ b/src/node/CompletionApi.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "catalogue/Records.h"
+#include "http/HttpMessages.h"
+#include "node/NodeMessages.h"
+#include "node/Problem.h"
+#include "pipeline/PipelineMessages.h"
+
+#include <string>
+
+/// The callers' JSON for model answers: `/v1/completions` and `/v1/chat/completions`.
+namespace Carawaymill {
+
+/// A request for a model's answer, as it was read from JSON.
+struct CompletionRequest
+{
+    EntryId entry;
+    std::string prompt;
+    TokenCount maximumTokens;
+    bool stream = false;
+    bool chat = false;
+};
+
+/// Bounds of one request.
+struct CompletionLimits
+{
+    TokenCount maximumTokens = TokenCount(4096);
+    TokenCount defaultTokens = TokenCount(128);
+};
+
+/// Reads the body; a problem names the field that is wrong.
+[[nodiscard]] Result<CompletionRequest, Problem>
+parseCompletion(const std::string &body, bool chat, const CompletionLimits &limits);
+
+/// What every form of the answer repeats.
+struct CompletionHead
+{
+    JobId job;
+    EntryId entry;
+    bool chat = false;
+    WallClockSeconds created;
+};
+
+/// The whole answer in one response.
+[[nodiscard]] HttpResponse
+completionResponse(const CompletionHead &head, const JobCompleted &completed, bool reachedMaximum);
+
+/// The start of a stream of server-sent events.
+[[nodiscard]] HttpResponse completionStreamHead(const CompletionHead &head);
+/// One token of a stream.
+[[nodiscard]] std::string completionStreamToken(const CompletionHead &head, const std::string &text);
+/// The explicit end of a whole stream, with its token counts. A stream without it was cut.
+[[nodiscard]] std::string
+completionStreamEnd(const CompletionHead &head, const JobCompleted &completed, bool reachedMaximum);
+/// Tells the reader of a stream that no whole answer will come.
+[[nodiscard]] std::string completionStreamProblem(const Problem &problem);
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/NodeMessages.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "http/HttpMessages.h"
+#include "pipeline/EngineMessages.h"
+#include "placement/EngineOrders.h"
+#include "platform/HostListMessages.h"
+#include "platform/KeyValueMessages.h"
+#include "routing/RoutingMessages.h"
+#include "routing/TargetMonitor.h"
+#include "support/Identifiers.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+/// What a driver tells a node, and what the node has it do.
+namespace Carawaymill {
+
+/// Names one caller's request while it is being answered. Given by the driver.
+using RequestId = StrongCount<struct RequestIdTag, std::uint64_t>;
+
+/// Seconds since 1970, as callers want to see them. Never used to decide anything.
+using WallClockSeconds = StrongCount<struct WallClockSecondsTag, std::int64_t>;
+
+/// Event: a caller's request was read whole.
+struct CallerRequest
+{
+    RequestId id;
+    HttpRequest request;
+    WallClockSeconds receivedAt;
+};
+
+/// Event: the caller closed the connection before the answer was complete.
+struct CallerDisconnected
+{
+    RequestId id;
+};
+
+/// Event: an operator's request was read whole.
+struct OperatorRequest
+{
+    RequestId id;
+    HttpRequest request;
+};
+
+/// Event: answer to `RunStep`.
+struct StepReturned
+{
+    JobId job;
+    StreamId stream;
+    StepResult result;
+};
+
+/// Event: answer to `AskStream`.
+struct StreamStatusReturned
+{
+    JobId job;
+    StreamId stream;
+    StreamStatusResult result;
+};
+
+/// What an engine says of itself.
+struct EngineReport
+{
+    EngineState state;
+    LoadReport load;
+};
+
+/// Event: answer to `AskTarget`. Plain services answer with an empty report.
+struct TargetReported
+{
+    TargetId target;
+    PollOutcome outcome = PollOutcome::Answered;
+    EngineReport report;
+};
+
+/// Event: answer to `CallTarget`.
+struct TargetReturned
+{
+    JobId job;
+    AttemptNumber attempt;
+    HttpResult result;
+};
+
+/// Event: answer to `GiveOrder`; nothing when the order may or may not have arrived.
+struct OrderReturned
+{
+    EngineOrder order;
+    std::optional<EngineOrderReply> reply;
+};
+
+/// Event: a peer's message. The link may lose, delay, double or reorder messages.
+struct PeerMessage
+{
+    HostId from;
+    nlohmann::json message;
+};
+
+/// Event: the host is to be shut down; it takes no new work and finishes what it has.
+struct DrainRequested
+{
+};
+
+using NodeEvent = std::variant<Tick,
+                               CallerRequest,
+                               CallerDisconnected,
+                               OperatorRequest,
+                               StepReturned,
+                               StreamStatusReturned,
+                               TargetReported,
+                               TargetReturned,
+                               OrderReturned,
+                               KeyValueReply,
+                               HostListRead,
+                               PeerMessage,
+                               DrainRequested>;
+
+/// Action: the whole answer to a caller or an operator.
+struct Respond
+{
+    RequestId id;
+    HttpResponse response;
+};
+
+/// Action: begin a stream; only status and headers are used.
+struct BeginStream
+{
+    RequestId id;
+    HttpResponse head;
+};
+
+struct WriteStream
+{
+    RequestId id;
+    std::string chunk;
+};
+
+struct EndStream
+{
+    RequestId id;
+};
+
+/// Action: hand one step to an engine. Answered by one `StepReturned`.
+struct RunStep
+{
+    JobId job;
+    std::string address;
+    StepRequest step;
+    Duration timeout{};
+};
+
+/// Action: ask an engine where a stream stands. Answered by one `StreamStatusReturned`.
+struct AskStream
+{
+    JobId job;
+    std::string address;
+    StreamId stream;
+    Duration timeout{};
+};
+
+/// Action: have an engine forget a stream. Not answered.
+struct DropStream
+{
+    std::string address;
+    StreamId stream;
+};
+
+/// Action: ask a target for its state. Answered by one `TargetReported`.
+struct AskTarget
+{
+    TargetId target;
+    TargetKind kind = TargetKind::Engine;
+    std::string address;
+    Duration timeout{};
+};
+
+/// Action: hand a caller's request to a plain service on a connection of its own. Answered by one `TargetReturned`.
+struct CallTarget
+{
+    JobId job;
+    AttemptNumber attempt;
+    std::string address;
+    HttpRequest request;
+    Duration timeout{};
+};
+
+/// Action: hand an order to an engine. Answered by one `OrderReturned`.
+struct GiveOrder
+{
+    std::string address;
+    EngineOrder order;
+};
+
+/// Action: send to one of our hosts. Not answered, and not sure to arrive.
+struct SendToPeer
+{
+    HostId to;
+    std::string address;
+    nlohmann::json message;
+};
+
+/// Action: write one line to the log.
+struct WriteLog
+{
+    std::string line;
+};
+
+using NodeAction = std::variant<Respond,
+                                BeginStream,
+                                WriteStream,
+                                EndStream,
+                                RunStep,
+                                AskStream,
+                                DropStream,
+                                AskTarget,
+                                CallTarget,
+                                GiveOrder,
+                                KeyValueCall,
+                                SendToPeer,
+                                WriteLog>;
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/TargetTable.cpp
@@ -0,0 +1,139 @@
+#include "node/TargetTable.h"
+
+#include <set>
+
+namespace Carawaymill {
+
+TargetTable::TargetTable(ChainRouterOptions router, TargetMonitorOptions monitor)
+    : m_router(std::move(router))
+    , m_monitor(monitor)
+{
+}
+
+void TargetTable::declare(const CatalogueReplica &catalogue, TimePoint now, NodeOutput &output)
+{
+    std::set<TargetId> declared;
+    for (const TargetRecord *record : catalogue.targets()) {
+        declared.insert(record->id);
+        Known &known = m_known[record->id];
+        if (known.record != *record) {
+            known.record = *record;
+            updateRouter(known);
+        }
+    }
+    for (auto known = m_known.begin(); known != m_known.end();) {
+        if (declared.contains(known->first)) {
+            ++known;
+            continue;
+        }
+        m_router.removeTarget(known->first);
+        known = m_known.erase(known);
+    }
+    (void)perform(m_monitor.handle(TargetsDeclared{{declared.begin(), declared.end()}}, now), output);
+}
+
+std::vector<TargetDied> TargetTable::hostListRead(const HostListRead &list, TimePoint now, NodeOutput &output)
+{
+    return perform(m_monitor.handle(list, now), output);
+}
+
+std::vector<TargetDied> TargetTable::reported(const TargetReported &report, TimePoint now, NodeOutput &output)
+{
+    const auto found = m_known.find(report.target);
+    if (found == m_known.end()) {
+        return {};
+    }
+    std::vector<TargetDied> died =
+        perform(m_monitor.handle(TargetPolled{.target = report.target, .outcome = report.outcome}, now), output);
+    Known &known = found->second;
+    if (report.outcome != PollOutcome::Answered || known.record.kind != TargetKind::Engine) {
+        return died;
+    }
+    const EngineState &state = report.report.state;
+    if (known.state && known.state->incarnation != state.incarnation) {
+        output.log("Routing: target " + report.target.value() + " was restarted.");
+        died.push_back({.target = report.target});
+    }
+    const bool changed = !known.state || known.state->held != state.held;
+    known.state = state;
+    if (changed) {
+        updateRouter(known);
+    }
+    m_router.loadReported(report.target, report.report.load, now);
+    return died;
+}
+
+std::vector<TargetDied> TargetTable::tick(TimePoint now, NodeOutput &output)
+{
+    return perform(m_monitor.handle(Tick{}, now), output);
+}
+
+void TargetTable::suspect(const TargetId &target, TimePoint now, NodeOutput &output)
+{
+    (void)perform(m_monitor.handle(TargetSuspected{target}, now), output);
+}
+
+std::string TargetTable::address(const TargetId &target) const
+{
+    const auto found = m_known.find(target);
+    return found == m_known.end() ? std::string() : found->second.record.address;
+}
+
+const EngineState *TargetTable::state(const TargetId &target) const
+{
+    const auto found = m_known.find(target);
+    return found == m_known.end() || !found->second.state ? nullptr : &*found->second.state;
+}
+
+std::vector<TargetId> TargetTable::targets() const
+{
+    std::vector<TargetId> targets;
+    for (const auto &[id, known] : m_known) {
+        targets.push_back(id);
+    }
+    return targets;
+}
+
+std::vector<TargetDied> TargetTable::perform(const std::vector<TargetMonitorAction> &actions, NodeOutput &output)
+{
+    std::vector<TargetDied> died;
+    for (const TargetMonitorAction &action : actions) {
+        if (const auto *poll = std::get_if<PollTarget>(&action)) {
+            const TargetRecord &record = m_known.at(poll->target).record;
+            output.add(AskTarget{
+                .target = poll->target, .kind = record.kind, .address = record.address, .timeout = poll->timeout});
+            continue;
+        }
+        const auto &change = std::get<TargetAvailabilityChanged>(action);
+        output.log(describe(change));
+        m_router.setAvailable(change.target, change.availability);
+        if (change.availability == TargetAvailability::Dead) {
+            died.push_back({.target = change.target});
+        }
+    }
+    return died;
+}
+
+void TargetTable::updateRouter(const Known &known)
+{
+    std::vector<HeldRange> held;
+    if (known.state) {
+        for (const ModelLayers &layers : known.state->held) {
+            held.push_back({.target = known.record.id,
+                            .model = layers.model,
+                            .version = layers.version,
+                            .adapter = layers.adapter,
+                            .layers = layers.layers});
+        }
+    }
+    m_router.updateTarget(known.record.id,
+                          {.layerTokensPerSecond = known.record.layerTokensPerSecond,
+                           .linkBytesPerSecond = known.record.linkBytesPerSecond,
+                           .linkDelay = {},
+                           .failureDomain = known.record.failureDomain,
+                           .region = known.record.region},
+                          std::move(held));
+    m_router.setAvailable(known.record.id, m_monitor.availability(known.record.id));
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/TargetTable.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "catalogue/CatalogueReplica.h"
+#include "node/NodeOutput.h"
+#include "routing/ChainRouter.h"
+#include "routing/TargetMonitor.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// A target's process is gone: its streams, if any, are lost.
+struct TargetDied
+{
+    TargetId target;
+};
+
+/// Keeps the router's and the monitor's view of the targets in step with the catalogue, the polls and the host list.
+class TargetTable
+{
+public:
+    TargetTable(ChainRouterOptions router, TargetMonitorOptions monitor);
+
+    /// The catalogue's targets changed.
+    void declare(const CatalogueReplica &catalogue, TimePoint now, NodeOutput &output);
+    /// These return the targets whose process died.
+    [[nodiscard]] std::vector<TargetDied> hostListRead(const HostListRead &list, TimePoint now, NodeOutput &output);
+    [[nodiscard]] std::vector<TargetDied> reported(const TargetReported &report, TimePoint now, NodeOutput &output);
+    [[nodiscard]] std::vector<TargetDied> tick(TimePoint now, NodeOutput &output);
+
+    /// A job had trouble with the target.
+    void suspect(const TargetId &target, TimePoint now, NodeOutput &output);
+
+    [[nodiscard]] ChainRouter &router() { return m_router; }
+
+    [[nodiscard]] TargetAvailability availability(const TargetId &target) const
+    {
+        return m_monitor.availability(target);
+    }
+
+    /// Empty when the target isn't declared.
+    [[nodiscard]] std::string address(const TargetId &target) const;
+    /// What the engine last said that it holds; null when it never did.
+    [[nodiscard]] const EngineState *state(const TargetId &target) const;
+    [[nodiscard]] std::vector<TargetId> targets() const;
+
+private:
+    struct Known
+    {
+        TargetRecord record;
+        std::optional<EngineState> state;
+    };
+
+    std::vector<TargetDied> perform(const std::vector<TargetMonitorAction> &actions, NodeOutput &output);
+    void updateRouter(const Known &known);
+
+    ChainRouter m_router;
+    TargetMonitor m_monitor;
+    std::map<TargetId, Known> m_known;
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/tests/NodeTest.cpp
@@ -0,0 +1,121 @@
+#include "NodeWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace Carawaymill;
+
+static const std::string launchLog = "0914 aerotow VH-GOA tuggie Ines release 600 metres circuit landing runway 23";
+
+static void addFleet(NodeWorld &world)
+{
+    world.addEngine("engine-1", {LayerIndex(0), LayerIndex(6)}, "fukuoka");
+    world.addEngine("engine-2", {LayerIndex(6), LayerIndex(12)}, "fukuoka");
+    world.addEngine("engine-3", {LayerIndex(0), LayerIndex(7)}, "kumamoto");
+    world.addEngine("engine-4", {LayerIndex(5), LayerIndex(12)}, "kumamoto");
+    world.addService("billing-1");
+    world.addService("billing-2");
+    world.seedCatalogue();
+}
+
+static std::string answerText(const CallerView &view)
+{
+    return nlohmann::json::parse(view.response->body).at("choices").at(0).at("text").get<std::string>();
+}
+
+static std::string problemType(const CallerView &view)
+{
+    return nlohmann::json::parse(view.response->body).at("type").get<std::string>();
+}
+
+TEST_CASE("a request at any host is answered whole through the pipeline")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    for (const std::string &host : world.hosts()) {
+        const std::size_t call = world.complete(host, launchLog);
+        REQUIRE(world.runUntil([&] { return world.view(call).answered(); }, 10s));
+        REQUIRE(world.view(call).response->status == 200);
+        CHECK(answerText(world.view(call)) == NodeWorld::expectedAnswer(launchLog));
+    }
+}
+
+TEST_CASE("a stream ends with its token count, and only then")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    const std::size_t call = world.complete("entry-1", launchLog, true);
+    REQUIRE(world.runUntil([&] { return world.view(call).answered(); }, 10s));
+    CHECK(world.view(call).streamed.ends_with("data: [DONE]\n\n"));
+    CHECK(world.view(call).streamed.find("\"completion_tokens\":") != std::string::npos);
+}
+
+TEST_CASE("an engine that dies in mid-answer leaves the answer whole")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    std::vector<std::size_t> calls;
+    calls.reserve(20);
+    for (int count = 0; count < 20; ++count) {
+        calls.push_back(
+            world.complete("entry-" + std::to_string(count % 4 + 1), launchLog + " " + std::to_string(count)));
+    }
+    world.run(10ms);
+    world.killTarget("engine-1");
+    world.run(5ms);
+    world.killTarget("engine-4");
+    for (const std::size_t call : calls) {
+        REQUIRE(world.runUntil([&] { return world.view(call).answered(); }, 20s));
+        REQUIRE(world.view(call).response->status == 200);
+        CHECK(answerText(world.view(call)) == NodeWorld::expectedAnswer(launchLog + " " + std::to_string(call)));
+    }
+}
+
+TEST_CASE("who may not call is told so, and nothing runs")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    const auto refusal = [&](const std::string &token, const nlohmann::json &body) {
+        HttpRequest request{.method = "POST", .target = "/v1/completions", .headers = {}, .body = body.dump()};
+        request.headers.emplace_back("Authorization", "Bearer " + token);
+        const std::size_t call = world.call("entry-1", request);
+        REQUIRE(world.runUntil([&] { return world.view(call).answered(); }, 1s));
+        CHECK(nlohmann::json::parse(world.view(call).response->body).at("ran") == "no");
+        return problemType(world.view(call));
+    };
+    const nlohmann::json good = {{"model", "flight-summary"}, {"prompt", launchLog}};
+    CHECK(refusal("wrong", good) == "urn:carawaymill:problem:unauthenticated");
+    CHECK(refusal("hibana-token", good) == "urn:carawaymill:problem:forbidden");
+    CHECK(refusal("ridge-token", {{"model", "nothing"}, {"prompt", "x"}}) == "urn:carawaymill:problem:entry-unknown");
+    CHECK(refusal("ridge-token", {{"model", "flight-summary"}}) == "urn:carawaymill:problem:invalid-field");
+    CHECK(world.layerRuns().empty());
+}
+
+TEST_CASE("a draining host refuses new requests and cuts none that is in progress")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    const std::size_t before = world.complete("entry-1", launchLog);
+    world.run(5ms);
+    world.drainHost("entry-1");
+    const std::size_t after = world.complete("entry-1", launchLog);
+    REQUIRE(world.runUntil([&] { return world.view(before).answered() && world.view(after).answered(); }, 10s));
+    CHECK(answerText(world.view(before)) == NodeWorld::expectedAnswer(launchLog));
+    CHECK(problemType(world.view(after)) == "urn:carawaymill:problem:draining");
+    CHECK(world.node("entry-1").drained());
+}
+
+TEST_CASE("a caller that goes away leaves nothing behind")
+{
+    NodeWorld world({});
+    addFleet(world);
+    world.run(2s);
+    const std::size_t call = world.complete("entry-1", launchLog);
+    world.run(5ms);
+    world.disconnectCaller(call);
+    CHECK(world.node("entry-1").requestsInProgress() == 0);
+}
--- /dev/null
+++ b/src/node/tests/NodeWorld.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "enginestandin/EngineCore.h"
+#include "node/Node.h"
+#include "standins/KeyValueStore.h"
+#include "support/Random.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// What one caller or operator saw of one request.
+struct CallerView
+{
+    std::string host;
+    HttpRequest request;
+    TimePoint sentAt{};
+    std::optional<TimePoint> answeredAt;
+    std::optional<HttpResponse> response;
+    std::string streamed;
+    bool streamEnded = false;
+    /// The host died or the connection was cut before the answer was complete.
+    bool cut = false;
+
+    [[nodiscard]] bool answered() const { return response.has_value() || streamEnded; }
+};
+
+/// One run of a request by a plain service.
+struct ServiceRun
+{
+    TargetId target;
+    HttpRequest request;
+    TimePoint at{};
+};
+
+struct NodeWorldOptions
+{
+    std::size_t hosts = 4;
+    std::uint64_t seed = 1;
+    /// Share of peer messages that are lost, and that arrive twice.
+    double peerLoss = 0;
+    double peerDoubling = 0;
+};
+
+/// A few nodes with stand-in engines, services and key-value service, in virtual time and one thread.
+class NodeWorld
+{
+public:
+    explicit NodeWorld(NodeWorldOptions options);
+
+    /// Writes a record as an operator's edit would, straight into the store.
+    void seed(const CatalogueRecord &record);
+    /// A small catalogue: organisations `thermal-ridge` and `hibana` (tokens `ridge-token`, `hibana-token`), their
+    /// entries `flight-summary` and `handover`, the service entries `tow-billing` and `booking`, and all targets added
+    /// so far.
+    void seedCatalogue();
+    void addEngine(const std::string &target, LayerRange layers, const std::string &failureDomain = "fukuoka");
+    void addService(const std::string &target);
+
+    void run(Duration duration);
+    /// Runs until the condition holds or the time is up; tells whether it holds.
+    bool runUntil(const std::function<bool()> &condition, Duration limit);
+
+    [[nodiscard]] std::size_t call(const std::string &host, HttpRequest request);
+    [[nodiscard]] std::size_t complete(const std::string &host, const std::string &prompt, bool stream = false);
+    [[nodiscard]] std::size_t callService(const std::string &host,
+                                          const std::string &entry,
+                                          const std::string &method,
+                                          const std::string &body,
+                                          const std::string &idempotencyKey = {});
+    [[nodiscard]] std::size_t operate(const std::string &host, HttpRequest request);
+
+    [[nodiscard]] const CallerView &view(std::size_t call) const { return m_views.at(call); }
+
+    [[nodiscard]] const std::vector<CallerView> &views() const { return m_views; }
+
+    void disconnectCaller(std::size_t call);
+
+    void killHost(const std::string &host);
+    /// Starts the host anew, with nothing of what it knew.
+    void startHost(const std::string &host);
+
+    void freezeHost(const std::string &host) { hostNamed(host).frozen = true; }
+
+    void thawHost(const std::string &host);
+    void drainHost(const std::string &host);
+
+    void cutService(const std::string &host, bool cut) { hostNamed(host).cutFromService = cut; }
+
+    void cutPeers(const std::string &host, bool cut) { hostNamed(host).cutFromPeers = cut; }
+
+    void killTarget(const std::string &target);
+    void startTarget(const std::string &target);
+
+    /// The target takes requests and runs them, but nothing comes back.
+    void silenceTarget(const std::string &target, bool silent) { m_targets.at(target).silent = silent; }
+
+    /// The connection breaks after the target ran the next so many requests of callers.
+    void loseServiceAnswers(const std::string &target, std::uint32_t count)
+    {
+        m_targets.at(target).answersToLose = count;
+    }
+
+    void listHost(const std::string &host, HostListState state) { m_listed[host] = state; }
+
+    void listTarget(const std::string &target, HostListState state) { m_listedTargets[target] = state; }
+
+    [[nodiscard]] Node &node(const std::string &host) { return *hostNamed(host).node; }
+
+    [[nodiscard]] bool isUp(const std::string &host) { return hostNamed(host).node != nullptr; }
+
+    [[nodiscard]] KeyValueStore &store() { return m_store; }
+
+    [[nodiscard]] TimePoint now() const { return m_now; }
+
+    [[nodiscard]] const std::vector<std::string> &log() const { return m_log; }
+
+    [[nodiscard]] std::vector<LayerRun> layerRuns() const;
+
+    [[nodiscard]] const std::vector<ServiceRun> &serviceRuns() const { return m_serviceRuns; }
+
+    [[nodiscard]] std::vector<std::string> hosts() const;
+
+    [[nodiscard]] std::uint64_t peerMessages() const { return m_peerMessages; }
+
+    [[nodiscard]] std::size_t targetCrashes() const { return m_targetCrashes; }
+
+    /// A prompt with this word in it crashes any engine that runs it.
+    static constexpr const char *poison = "poisonous";
+
+    [[nodiscard]] static std::string expectedAnswer(const std::string &prompt);
+
+private:
+    struct Host
+    {
+        std::string name;
+        std::unique_ptr<Node> node;
+        std::uint64_t starts = 0;
+        bool frozen = false;
+        bool cutFromService = false;
+        bool cutFromPeers = false;
+        TimePoint nextTick{};
+        std::map<RequestId, std::size_t> calls;
+        std::vector<NodeEvent> heldBack;
+    };
+
+    struct Target
+    {
+        TargetRecord record;
+        EngineCoreOptions engineOptions;
+        std::optional<EngineCore> engine;
+        bool up = true;
+        bool silent = false;
+        std::uint32_t answersToLose = 0;
+        std::uint64_t starts = 1;
+        std::map<std::uint64_t, std::function<void(StepResult)>> waiting;
+    };
+
+    struct Later
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator<(const Later &other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
+    };
+
+    [[nodiscard]] Host &hostNamed(const std::string &host) { return m_hosts.at(host); }
+
+    [[nodiscard]] Target *targetAt(const std::string &address);
+    void after(Duration delay, std::function<void()> action);
+    void step();
+    void feed(Host &host, const NodeEvent &event);
+    /// Feeds the event later, unless the host has been restarted meanwhile.
+    void feedLater(Host &host, Duration delay, NodeEvent event);
+    void perform(Host &host, Respond &action);
+    void perform(Host &host, BeginStream &action);
+    void perform(Host &host, WriteStream &action);
+    void perform(Host &host, EndStream &action);
+    void perform(Host &host, RunStep &action);
+    void perform(Host &host, AskStream &action);
+    void perform(Host &host, DropStream &action);
+    void perform(Host &host, AskTarget &action);
+    void perform(Host &host, CallTarget &action);
+    void perform(Host &host, GiveOrder &action);
+    void perform(Host &host, KeyValueCall &action);
+    void perform(Host &host, SendToPeer &action);
+    void perform(Host &host, WriteLog &action);
+    void pollWatch(Host &host, std::uint64_t start, KeyValueCall call, TimePoint until);
+    void advanceEngines();
+    void readHostList();
+    [[nodiscard]] NodeOptions optionsFor(const Host &host) const;
+
+    NodeWorldOptions m_options;
+    Random m_random;
+    TimePoint m_now{};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Later> m_later;
+    KeyValueStore m_store;
+    std::map<std::string, Host> m_hosts;
+    std::map<std::string, Target> m_targets;
+    std::map<std::string, HostListState> m_listed;
+    std::map<std::string, HostListState> m_listedTargets;
+    TimePoint m_nextHostList{};
+    std::vector<CallerView> m_views;
+    std::vector<ServiceRun> m_serviceRuns;
+    std::vector<std::vector<LayerRun>> m_deadLogs;
+    std::vector<std::string> m_log;
+    RequestId m_lastRequest;
+    std::uint64_t m_peerMessages = 0;
+    std::size_t m_targetCrashes = 0;
+};
+
+} // namespace Carawaymill
