Platform: Call the key-value service over HTTP, and serve a stand-in

The daemon needs an adapter for the slices' KeyValueCall, and tests and demo need the platform as a process. The adapter speaks the published gateway of etcd's third API; its JSON mapping is free of input and output. One deviation: a watch ends after its first changes or its wait.

--- a/src/lease/tests/LeaseWorld.h
+++ b/src/lease/tests/LeaseWorld.h
@@ -174,20 +174,34 @@
 
     void arrive(Travelling travelling)
     {
-        KeyValueResult result = store.apply(travelling.call.request, now);
         const auto *watch = std::get_if<WatchRange>(&travelling.call.request);
+        if (watch == nullptr) {
+            travelling.result = store.apply(travelling.call.request, now);
+        } else if (travelling.watchEnd == TimePoint() || now >= travelling.watchEnd) {
+            travelling.result = startOrEndWatch(travelling, *watch);
+        } else {
+            travelling.result = store.pollWatch(*watch, now);
+        }
+        if (travelling.result) {
+            send(std::move(travelling));
+        } else {
+            m_travelling.emplace(now + step, std::move(travelling));
+        }
+    }
+
+    [[nodiscard]] std::optional<KeyValueResult> startOrEndWatch(Travelling &travelling, const WatchRange &watch)
+    {
+        if (travelling.watchEnd != TimePoint()) {
+            return RangeChanged{.written = {}, .deletedKeys = {}, .storeRevision = watch.after};
+        }
+        travelling.watchEnd = now + watch.wait;
+        KeyValueResult result = store.apply(watch, now);
         const auto *changes = std::get_if<RangeChanged>(&result);
-        if (watch != nullptr && changes != nullptr && changes->written.empty() && changes->deletedKeys.empty()) {
-            if (travelling.watchEnd == TimePoint()) {
-                travelling.watchEnd = now + watch->wait;
-            }
-            if (now < travelling.watchEnd) {
-                m_travelling.emplace(now + step, std::move(travelling));
-                return;
-            }
+        if (changes != nullptr && changes->written.empty() && changes->deletedKeys.empty()
+            && store.faults().watches == WatchFault::None) {
+            return std::nullopt;
         }
-        travelling.result = std::move(result);
-        send(std::move(travelling));
+        return result;
     }
 
     [[nodiscard]] static std::string hostName(std::size_t host) { return "host-" + std::to_string(host); }
--- /dev/null
+++ b/src/platform/KeyValueCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "http/HttpMessages.h"
+#include "platform/KeyValueMessages.h"
+
+/// The client's side of the key-value service's JSON over HTTP: the published gateway of etcd's third API.
+namespace Carawaymill {
+
+/// The HTTP request that carries out the call.
+[[nodiscard]] HttpRequest encodeKeyValueRequest(const KeyValueRequest &request);
+
+/// What became of the call. An answer that cannot be read counts as none: `OutcomeUnknown` for writes and
+/// `ServiceUnavailable` for reads.
+[[nodiscard]] KeyValueResult decodeKeyValueResponse(const KeyValueRequest &request, const HttpResult &response);
+
+/// Whether the call counts as a write and may have taken effect when no answer came.
+[[nodiscard]] bool isKeyValueWrite(const KeyValueRequest &request);
+
+} // namespace Carawaymill
--- a/src/standins/KeyValueStore.cpp
+++ b/src/standins/KeyValueStore.cpp
@@ -47,6 +47,20 @@
     return result;
 }
 
+std::optional<KeyValueResult> KeyValueStore::pollWatch(const WatchRange &watch, TimePoint now)
+{
+    endDueLeases(now);
+    if (m_faults.outage) {
+        return ServiceUnavailable{};
+    }
+    KeyValueResult result = carryOut(watch, now);
+    if (const auto *changes = std::get_if<RangeChanged>(&result);
+        changes != nullptr && changes->written.empty() && changes->deletedKeys.empty()) {
+        return std::nullopt;
+    }
+    return result;
+}
+
 void KeyValueStore::endDueLeases(TimePoint now)
 {
     std::vector<LeaseId> due;
--- a/src/standins/KeyValueStore.h
+++ b/src/standins/KeyValueStore.h
@@ -53,6 +53,10 @@
     /// A watch is answered at once with what has changed, possibly nothing: whoever drives the store asks again.
     [[nodiscard]] KeyValueResult apply(const KeyValueRequest &request, TimePoint now);
 
+    /// The answer to a watch that `apply` found nothing for, as soon as there is one. Not counted: a waiting watch is
+    /// one call. Ends the leases that are due first.
+    [[nodiscard]] std::optional<KeyValueResult> pollWatch(const WatchRange &watch, TimePoint now);
+
     /// Ends the leases that are due and deletes their records.
     void endDueLeases(TimePoint now);
 
