--- a/src/catalogue/CatalogueServiceReader.cpp
+++ b/src/catalogue/CatalogueServiceReader.cpp
@@ -11,8 +11,12 @@
 static constexpr Duration giveUpMargin = 500ms;
 /// Between two full reads while the service shows an older state than before.
 static constexpr Duration olderStateRetryInterval = 10s;
-/// Between two reads of single keys.
+/// Between two reads of single keys, and before all have their next turn.
 static constexpr Duration fetchInterval = 20ms;
+static constexpr Duration fetchRetryInterval = 300ms;
+/// Calls overlap, so that one without an answer does not keep the next back.
+static constexpr std::size_t maxPollsInFlight = 4;
+static constexpr std::size_t maxFetchesInFlight = 8;
 
 static std::vector<CatalogueVersion> versionsOf(const std::vector<KeyValueRecord> &records)
 {
@@ -34,27 +38,28 @@
 {
     giveUpExpiredCalls(now);
     std::vector<KeyValueCall> calls;
-    if (!m_read && isRereadDue(needs, progress, now)) {
-        calls.push_back(call(m_read, ReadRange{.prefix = cataloguePrefix}, Duration::zero(), now));
+    if (inFlight(CallKind::Read) == 0 && isRereadDue(needs, progress, now)) {
+        calls.push_back(call(CallKind::Read, ReadRange{.prefix = cataloguePrefix}, Duration::zero(), now));
     }
     if (!progress.loaded) {
         return calls;
     }
     const Duration pollInterval = needs.watches ? m_times.pollInterval : m_times.idlePollInterval;
     m_nextPoll = std::min(m_nextPoll, now + pollInterval);
-    if (!m_poll && now >= m_nextPoll) {
+    if (inFlight(CallKind::Poll) < maxPollsInFlight && now >= m_nextPoll) {
         m_nextPoll = now + jittered(pollInterval);
-        calls.push_back(call(m_poll, ReadRange{.prefix = catalogueHeadKey}, Duration::zero(), now));
+        calls.push_back(call(CallKind::Poll, ReadRange{.prefix = catalogueHeadKey}, Duration::zero(), now));
     }
-    if (!m_fetch && !m_read && !needs.missingKeys.empty() && now >= m_nextFetch) {
+    if (!needs.missingKeys.empty() && inFlight(CallKind::Fetch) < maxFetchesInFlight && now >= m_nextFetch) {
         // Takes turns, so that one key that cannot be had does not keep the others back.
         const std::string &key = needs.missingKeys.at(m_fetchedKeys++ % needs.missingKeys.size());
-        calls.push_back(call(m_fetch, ReadRange{.prefix = key}, Duration::zero(), now));
+        m_nextFetch = now + (m_fetchedKeys % needs.missingKeys.size() == 0 ? fetchRetryInterval : fetchInterval);
+        calls.push_back(call(CallKind::Fetch, ReadRange{.prefix = key}, Duration::zero(), now));
     }
-    if (needs.watches && !m_watch && now >= m_nextWatch) {
+    if (needs.watches && inFlight(CallKind::Watch) == 0 && now >= m_nextWatch) {
         m_watchRevision = std::max(m_watchRevision, progress.revision);
         const WatchRange watch{.prefix = cataloguePrefix, .after = m_watchRevision, .wait = m_times.watchWait};
-        calls.push_back(call(m_watch, watch, m_times.watchWait, now));
+        calls.push_back(call(CallKind::Watch, watch, m_times.watchWait, now));
     }
     return calls;
 }
@@ -81,30 +86,24 @@
 CatalogueServiceReader::Step
 CatalogueServiceReader::handle(const KeyValueReply &reply, CatalogueProgress &progress, TimePoint now)
 {
-    const auto take = [&](std::optional<Pending> &pending) -> std::optional<Pending> {
-        return pending && pending->id == reply.id ? std::exchange(pending, std::nullopt) : std::nullopt;
-    };
-    const auto noteAnswer = [&](const Pending &answered) {
-        if (isAnswer(reply.result)) {
-            progress.serviceAnsweredAt =
-                std::max(progress.serviceAnsweredAt.value_or(answered.sentAt), answered.sentAt);
-        }
-    };
-    if (const auto read = take(m_read)) {
-        noteAnswer(*read);
-        return handleRead(reply.result, *read, progress, now);
-    }
-    if (const auto poll = take(m_poll)) {
-        noteAnswer(*poll);
-        return handlePoll(reply.result, *poll, progress, now);
-    }
-    if (const auto fetch = take(m_fetch)) {
-        noteAnswer(*fetch);
-        return handleFetch(reply.result, now);
-    }
-    if (const auto watch = take(m_watch)) {
-        noteAnswer(*watch);
-        return handleWatch(reply.result, *watch, now);
+    const auto found = std::ranges::find(m_pending, reply.id, &Pending::id);
+    if (found == m_pending.end()) {
+        return {};
+    }
+    const Pending answered = *found;
+    m_pending.erase(found);
+    if (isAnswer(reply.result)) {
+        progress.serviceAnsweredAt = std::max(progress.serviceAnsweredAt.value_or(answered.sentAt), answered.sentAt);
+    }
+    switch (answered.kind) {
+    case CallKind::Read:
+        return handleRead(reply.result, answered, progress, now);
+    case CallKind::Poll:
+        return handlePoll(reply.result, answered, progress);
+    case CallKind::Fetch:
+        return handleFetch(reply.result);
+    case CallKind::Watch:
+        return handleWatch(reply.result, answered, now);
     }
     return {};
 }
@@ -130,16 +129,11 @@
     return step;
 }
 
-CatalogueServiceReader::Step CatalogueServiceReader::handlePoll(const KeyValueResult &result,
-                                                                const Pending &call,
-                                                                CatalogueProgress &progress,
-                                                                TimePoint now)
+CatalogueServiceReader::Step
+CatalogueServiceReader::handlePoll(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress)
 {
     const auto *read = std::get_if<RangeRead>(&result);
     if (read == nullptr) {
-        // A lost answer has already cost its time limit; a refusal came at once and is not met with a quick retry.
-        const bool wasLost = std::holds_alternative<OutcomeUnknown>(result);
-        m_nextPoll = now + jittered(wasLost ? m_times.callTimeout / 2 : m_times.pollInterval);
         return {};
     }
     Step step{.versions = versionsOf(read->records)};
@@ -152,9 +146,8 @@
     return step;
 }
 
-CatalogueServiceReader::Step CatalogueServiceReader::handleFetch(const KeyValueResult &result, TimePoint now)
+CatalogueServiceReader::Step CatalogueServiceReader::handleFetch(const KeyValueResult &result)
 {
-    m_nextFetch = now + fetchInterval;
     const auto *read = std::get_if<RangeRead>(&result);
     return read == nullptr ? Step{} : Step{.versions = versionsOf(read->records)};
 }
@@ -182,27 +175,28 @@
     return step;
 }
 
-KeyValueCall
-CatalogueServiceReader::call(std::optional<Pending> &pending, KeyValueRequest request, Duration wait, TimePoint now)
+KeyValueCall CatalogueServiceReader::call(CallKind kind, KeyValueRequest request, Duration wait, TimePoint now)
 {
     m_lastCall += callIdStep;
-    pending = Pending{.id = m_lastCall, .sentAt = now, .expiresAt = now + wait + m_times.callTimeout + giveUpMargin};
+    m_pending.push_back(
+        {.kind = kind, .id = m_lastCall, .sentAt = now, .expiresAt = now + wait + m_times.callTimeout + giveUpMargin});
     return KeyValueCall{.id = m_lastCall, .request = std::move(request), .timeout = m_times.callTimeout};
 }
 
 Duration CatalogueServiceReader::jittered(Duration duration)
 {
-    const auto half = duration / 2;
-    return half + Duration(static_cast<Duration::rep>(m_random.fraction() * static_cast<double>(half.count())));
+    const auto spread = duration / 4;
+    return duration - Duration(static_cast<Duration::rep>(m_random.fraction() * static_cast<double>(spread.count())));
 }
 
 void CatalogueServiceReader::giveUpExpiredCalls(TimePoint now)
 {
-    for (std::optional<Pending> *pending : {&m_read, &m_poll, &m_fetch, &m_watch}) {
-        if (*pending && now >= (*pending)->expiresAt) {
-            pending->reset();
-        }
-    }
+    std::erase_if(m_pending, [now](const Pending &pending) { return now >= pending.expiresAt; });
+}
+
+std::size_t CatalogueServiceReader::inFlight(CallKind kind) const
+{
+    return static_cast<std::size_t>(std::ranges::count(m_pending, kind, &Pending::kind));
 }
 
 } // namespace Carawaymill
--- a/src/catalogue/CatalogueServiceReader.h
+++ b/src/catalogue/CatalogueServiceReader.h
@@ -14,7 +14,7 @@
 struct CatalogueServiceTimes
 {
     /// Between two polls of a host that watches. Bounds how late a change is seen when the watch has gone silent.
-    Duration pollInterval = 1500ms;
+    Duration pollInterval = 1s;
     /// Between two polls of a host that leaves the watching to others.
     Duration idlePollInterval = 60s;
     /// How long the service may hold a watch back.
@@ -84,30 +84,36 @@
     void pollSoon() { m_nextPoll = TimePoint{}; }
 
 private:
+    enum class CallKind {
+        Read,
+        Poll,
+        Fetch,
+        Watch,
+    };
+
     struct Pending
     {
+        CallKind kind = CallKind::Read;
         CallId id;
         TimePoint sentAt;
         TimePoint expiresAt;
     };
 
-    KeyValueCall call(std::optional<Pending> &pending, KeyValueRequest request, Duration wait, TimePoint now);
+    KeyValueCall call(CallKind kind, KeyValueRequest request, Duration wait, TimePoint now);
+    [[nodiscard]] std::size_t inFlight(CallKind kind) const;
     [[nodiscard]] Duration jittered(Duration duration);
     void giveUpExpiredCalls(TimePoint now);
     [[nodiscard]] bool isRereadDue(const Needs &needs, const CatalogueProgress &progress, TimePoint now) const;
     [[nodiscard]] bool isOlderState(Revision storeRevision, const CatalogueProgress &progress);
     Step handleRead(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
-    Step handlePoll(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress, TimePoint now);
-    Step handleFetch(const KeyValueResult &result, TimePoint now);
+    Step handlePoll(const KeyValueResult &result, const Pending &call, CatalogueProgress &progress);
+    static Step handleFetch(const KeyValueResult &result);
     Step handleWatch(const KeyValueResult &result, const Pending &call, TimePoint now);
 
     CatalogueServiceTimes m_times;
     Random m_random;
     CallId m_lastCall{0};
-    std::optional<Pending> m_read;
-    std::optional<Pending> m_poll;
-    std::optional<Pending> m_fetch;
-    std::optional<Pending> m_watch;
+    std::vector<Pending> m_pending;
     /// The newest state that the service has shown.
     Revision m_newestState;
     Revision m_watchRevision;
--- a/src/catalogue/tests/CatalogueWorld.cpp
+++ b/src/catalogue/tests/CatalogueWorld.cpp
@@ -39,21 +39,36 @@
     }
 }
 
-Duration CatalogueWorld::runUntilInForce(Revision revision, Duration limit)
+Duration CatalogueWorld::runUntil(const std::function<bool(const Host &)> &isDone, Duration limit)
 {
     const TimePoint start = m_now;
-    const auto isInForce = [&] {
-        return std::ranges::all_of(m_hosts, [&](const auto &host) {
-            const bool isConnected = !host->isFrozen && (host->reachesService || host->reachesPeers);
-            return !isConnected || host->replica.revision() >= revision;
-        });
+    const auto isDoneOrCutOff = [&](const std::unique_ptr<Host> &host) {
+        const bool isConnected = !host->isFrozen && (host->reachesService || host->reachesPeers);
+        return !isConnected || isDone(*host);
     };
-    while (!isInForce() && m_now - start < limit) {
+    while (!std::ranges::all_of(m_hosts, isDoneOrCutOff) && m_now - start < limit) {
         step();
     }
     return m_now - start;
 }
 
+Duration CatalogueWorld::runUntilInForce(Revision revision, Duration limit)
+{
+    return runUntil([&](const Host &host) { return host.replica.revision() >= revision; }, limit);
+}
+
+Duration CatalogueWorld::runUntilKnown(const std::map<std::string, Revision> &keys, Duration limit)
+{
+    return runUntil(
+        [&](const Host &host) {
+            return std::ranges::all_of(keys, [&](const auto &known) {
+                const CatalogueTable::Item *item = host.replica.table().item(known.first);
+                return item != nullptr && item->revision >= known.second;
+            });
+        },
+        limit);
+}
+
 void CatalogueWorld::ask(std::size_t host, const EditAsked &asked)
 {
     deliver({.host = host, .event = CatalogueEditorEvent(asked)});
--- a/src/catalogue/tests/CatalogueWorld.h
+++ b/src/catalogue/tests/CatalogueWorld.h
@@ -3,6 +3,7 @@
 #include "catalogue/CatalogueEditor.h"
 #include "standins/KeyValueStore.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
     /// Runs until every connected host has the revision in force; returns how long that took, at most `limit`.
     Duration runUntilInForce(Revision revision, Duration limit);
 
+    /// Like `runUntilInForce`, for single keys, whatever else the hosts lack.
+    Duration runUntilKnown(const std::map<std::string, Revision> &keys, Duration limit);
+
     void ask(std::size_t host, const EditAsked &asked);
 
     /// Asks and runs until the outcome is there.
@@ -71,6 +75,7 @@
         TimePoint until;
     };
 
+    Duration runUntil(const std::function<bool(const Host &)> &isDone, Duration limit);
     void step();
     void deliver(const Delivery &delivery);
     void carryOut(std::size_t host, const CatalogueReplicaAction &action);
