--- a/src/catalogue/CatalogueValidation.cpp
+++ b/src/catalogue/CatalogueValidation.cpp
@@ -106,7 +106,7 @@
     if (catalogue.organisation(entry.owner) == nullptr) {
         return InvalidRecord{.field = "/owner", .fault = RecordFault::UnknownOrganisation};
     }
-    if (const Fault fault = limitsFault(entry.limits)) {
+    if (Fault fault = limitsFault(entry.limits)) {
         return fault;
     }
     return std::visit([&](const auto &backEnd) { return backEndFault(backEnd, catalogue); }, entry.backEnd);
@@ -164,7 +164,7 @@
         return InvalidRecord{.field = failure->field, .fault = RecordFault::Malformed};
     }
     auto &record = std::get<CatalogueRecord>(decoded);
-    if (const Fault fault = differenceBetween(json, nlohmann::json(record))) {
+    if (Fault fault = differenceBetween(json, nlohmann::json(record))) {
         return *fault;
     }
     return std::move(record);
@@ -177,8 +177,7 @@
     if (!isId(id)) {
         return InvalidRecord{.field = "/id", .fault = RecordFault::NotAnId};
     }
-    if (const Fault fault =
-            std::visit([&](const auto &concrete) { return recordFault(concrete, catalogue); }, record)) {
+    if (Fault fault = std::visit([&](const auto &concrete) { return recordFault(concrete, catalogue); }, record)) {
         return *fault;
     }
     return Done{};
