--- /dev/null
+++ b/src/tool/ToolOptions.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "support/Variant.h"
+
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// How `carawaymillctl` was called.
+struct ToolOptions
+{
+    /// Address of any entry host's administration listener, for example `10.0.0.4:7402`.
+    std::string host;
+    std::string tokenFile;
+    /// Empty: the tool makes an id of its own.
+    std::string editId;
+    /// Print the hosts' JSON instead of text.
+    bool json = false;
+    std::string command;
+    std::vector<std::string> arguments;
+};
+
+/// The command line is wrong; `message` says why.
+struct WrongUsage
+{
+    std::string message;
+};
+
+/// `--help` or `--version` was asked for: print the text and stop.
+struct TextAsked
+{
+    std::string text;
+};
+
+[[nodiscard]] Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(std::vector<std::string> commandLine);
+
+/// The commands, for people.
+[[nodiscard]] std::string toolHelp();
+
+} // namespace Carawaymill
