--- a/src/node/Fleet.cpp
+++ b/src/node/Fleet.cpp
@@ -18,7 +18,7 @@
     return ChannelMessage{.channel = static_cast<PeerChannel>(message[0].get<unsigned>()), .body = message[1]};
 }
 
-static const char *stateName(MemberState state)
+const char *memberStateName(MemberState state)
 {
     switch (state) {
     case MemberState::Alive:
@@ -100,7 +100,7 @@
             continue;
         }
         const auto &change = std::get<MemberChanged>(action);
-        output.log("Membership: host " + change.host.value() + " is " + stateName(change.state) + ".");
+        output.log("Membership: host " + change.host.value() + " is " + memberStateName(change.state) + ".");
         changed = true;
     }
     if (changed) {
--- a/src/node/Fleet.h
+++ b/src/node/Fleet.h
@@ -60,6 +60,9 @@
     std::map<HostId, std::string> m_addresses;
 };
 
+/// For people, for example `alive`.
+[[nodiscard]] const char *memberStateName(MemberState state);
+
 /// Unwraps a message; nothing when it has another shape.
 [[nodiscard]] std::optional<ChannelMessage> readEnvelope(const nlohmann::json &message);
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -18,14 +18,22 @@
     if (const auto *invalid = std::get_if<InvalidMembershipOptions>(&fleet)) {
         return InvalidOptions{.field = "membership." + invalid->option};
     }
-    return std::unique_ptr<Node>(new Node(
-        std::move(options), std::get<CatalogueReplica>(std::move(catalogue)), std::get<Fleet>(std::move(fleet))));
+    auto administration = AdministrationApi::create({.tokenHash = options.operatorTokenHash});
+    if (const auto *invalid = std::get_if<InvalidAdministrationOptions>(&administration)) {
+        return InvalidOptions{.field = "administration." + invalid->field};
+    }
+    return std::unique_ptr<Node>(new Node(std::move(options),
+                                          std::get<CatalogueReplica>(std::move(catalogue)),
+                                          std::get<Fleet>(std::move(fleet)),
+                                          std::get<AdministrationApi>(std::move(administration))));
 }
 
-Node::Node(NodeOptions options, CatalogueReplica catalogue, Fleet fleet)
+Node::Node(NodeOptions options, CatalogueReplica catalogue, Fleet fleet, AdministrationApi administration)
     : m_options(std::move(options))
     , m_catalogue(std::move(catalogue))
     , m_fleet(std::move(fleet))
+    , m_editor(CatalogueEditorOptions{})
+    , m_administration(std::move(administration))
     , m_targets({.seed = stableHash("routing", m_options.seed),
                  .ownFailureDomain = m_options.failureDomain,
                  .ownRegion = m_options.region},
@@ -56,6 +64,8 @@
         membersChanged(now, output);
     }
     feedCatalogue(Tick{}, now, output);
+    feedEditor(Tick{}, now, output);
+    feedAdministration(Tick{}, now, output);
     targetsDied(m_targets.tick(now, output), now, output);
     m_modelJobs.tick(now, m_targets, output);
     (void)m_modelJobs.takeEnded();
@@ -150,9 +160,11 @@
     m_modelJobs.callerDisconnected(event.id, now, m_targets, output);
 }
 
-void Node::on(const OperatorRequest &event, TimePoint, NodeOutput &output)
+void Node::on(const OperatorRequest &event, TimePoint now, NodeOutput &output)
 {
-    output.refuse(event.id, {.type = ProblemType::NotSupported, .ran = Ran::No, .detail = "Not built yet."});
+    m_lastOperatorCall = m_lastOperatorCall.next();
+    m_operatorRequests.emplace(m_lastOperatorCall, event.id);
+    feedAdministration(AdministrationRequest{.id = m_lastOperatorCall, .request = event.request}, now, output);
 }
 
 void Node::on(const StepReturned &event, TimePoint now, NodeOutput &output)
@@ -187,6 +199,9 @@
     case Slice::Catalogue:
         feedCatalogue(reply, now, output);
         break;
+    case Slice::CatalogueEditor:
+        feedEditor(reply, now, output);
+        break;
     }
 }
 
@@ -267,6 +282,88 @@
     }
 }
 
+void Node::feedEditor(const CatalogueEditorEvent &event, TimePoint now, NodeOutput &output)
+{
+    for (CatalogueEditorAction &action : m_editor.handle(event, m_catalogue, now)) {
+        std::visit(
+            Overloaded{[&](KeyValueCall &call) { callKeyValue(Slice::CatalogueEditor, std::move(call), output); },
+                       [&](CatalogueVersionsAccepted &accepted) { feedCatalogue(std::move(accepted), now, output); },
+                       [&](EditFinished &finished) { feedAdministration(std::move(finished), now, output); }},
+            action);
+    }
+}
+
+void Node::feedAdministration(const AdministrationEvent &event, TimePoint now, NodeOutput &output)
+{
+    for (AdministrationAction &action : m_administration.handle(event, m_catalogue, now)) {
+        std::visit(Overloaded{[&](AdministrationReply &reply) {
+                                  const auto request = m_operatorRequests.extract(reply.id);
+                                  output.respond(request.mapped(), std::move(reply.response));
+                              },
+                              [&](const AdministrationQuery &query) { answerQuery(query, now, output); },
+                              [&](EditAsked &asked) { feedEditor(std::move(asked), now, output); },
+                              [&](InForceAsked asked) { feedCatalogue(asked, now, output); }},
+                   action);
+    }
+}
+
+void Node::answerQuery(const AdministrationQuery &query, TimePoint now, NodeOutput &output)
+{
+    AdministrationAnswer answer{.id = query.id, .result = AdministrationUnavailable{}};
+    switch (query.kind) {
+    case AdministrationQueryKind::Status:
+        answer.result = statusReport(now);
+        break;
+    case AdministrationQueryKind::Decisions:
+        if (const auto lines = m_decisions.linesOf(JobId(query.argument)); !lines.empty()) {
+            answer.result = nlohmann::json{{"job", query.argument}, {"decisions", lines}};
+        } else {
+            answer.result = AdministrationSubjectUnknown{};
+        }
+        break;
+    case AdministrationQueryKind::Drain:
+        if (query.argument == m_options.host.value()) {
+            on(DrainRequested{}, now, output);
+            answer.result = nlohmann::json{{"host", query.argument}, {"draining", true}};
+        } else {
+            answer.result = AdministrationSubjectUnknown{};
+        }
+        break;
+    case AdministrationQueryKind::Usage:
+    case AdministrationQueryKind::Suspects:
+    case AdministrationQueryKind::LiftSuspect:
+        break;
+    }
+    feedAdministration(answer, now, output);
+}
+
+nlohmann::json Node::statusReport(TimePoint now) const
+{
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const Member &member : m_fleet.members()) {
+        hosts.push_back({{"host", member.host},
+                         {"state", memberStateName(member.state)},
+                         {"failureDomain", member.profile.failureDomain}});
+    }
+    nlohmann::json targets = nlohmann::json::array();
+    for (const TargetId &target : m_targets.targets()) {
+        nlohmann::json held = nlohmann::json::array();
+        if (const EngineState *state = m_targets.state(target)) {
+            held = state->held;
+        }
+        targets.push_back({{"target", target},
+                           {"availability", availabilityName(m_targets.availability(target))},
+                           {"held", held}});
+    }
+    return {{"host", m_options.host},
+            {"ready", ready(now)},
+            {"draining", m_draining},
+            {"requestsInProgress", requestsInProgress()},
+            {"catalogueRevision", m_catalogue.revision()},
+            {"hosts", hosts},
+            {"targets", targets}};
+}
+
 void Node::targetsDied(const std::vector<TargetDied> &died, TimePoint now, NodeOutput &output)
 {
     for (const TargetDied &target : died) {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "administration/AdministrationApi.h"
+#include "catalogue/CatalogueEditor.h"
 #include "catalogue/CatalogueReplica.h"
 #include "node/CallerGate.h"
 #include "node/DecisionLog.h"
@@ -45,6 +47,7 @@
     /// The slices that make calls to the key-value service.
     enum class Slice {
         Catalogue,
+        CatalogueEditor,
     };
 
     struct SliceCall
@@ -53,7 +56,7 @@
         CallId id;
     };
 
-    Node(NodeOptions options, CatalogueReplica catalogue, Fleet fleet);
+    Node(NodeOptions options, CatalogueReplica catalogue, Fleet fleet, AdministrationApi administration);
 
     void on(const Tick &event, TimePoint now, NodeOutput &output);
     void on(const CallerRequest &event, TimePoint now, NodeOutput &output);
@@ -74,6 +77,10 @@
     /// Tells the slices that some host's state changed.
     void membersChanged(TimePoint now, NodeOutput &output);
     void targetsDied(const std::vector<TargetDied> &died, TimePoint now, NodeOutput &output);
+    void feedEditor(const CatalogueEditorEvent &event, TimePoint now, NodeOutput &output);
+    void feedAdministration(const AdministrationEvent &event, TimePoint now, NodeOutput &output);
+    void answerQuery(const AdministrationQuery &query, TimePoint now, NodeOutput &output);
+    [[nodiscard]] nlohmann::json statusReport(TimePoint now) const;
     void answerHealth(const CallerRequest &event, TimePoint now, NodeOutput &output);
     void startCompletion(const CallerRequest &event, bool chat, TimePoint now, NodeOutput &output);
     [[nodiscard]] JobId nextJobId();
@@ -82,6 +89,11 @@
     DecisionLog m_decisions;
     CatalogueReplica m_catalogue;
     Fleet m_fleet;
+    CatalogueEditor m_editor;
+    AdministrationApi m_administration;
+    /// Operators' requests by the ids that the administration knows them by.
+    std::map<CallId, RequestId> m_operatorRequests;
+    CallId m_lastOperatorCall;
     TargetTable m_targets;
     ModelJobs m_modelJobs;
     CallerGate m_gate;
--- a/src/routing/TargetMonitor.cpp
+++ b/src/routing/TargetMonitor.cpp
@@ -124,7 +124,7 @@
     }
 }
 
-static const char *availabilityName(TargetAvailability availability)
+const char *availabilityName(TargetAvailability availability)
 {
     switch (availability) {
     case TargetAvailability::Available:
--- a/src/routing/TargetMonitor.h
+++ b/src/routing/TargetMonitor.h
@@ -103,6 +103,9 @@
     std::map<TargetId, Target> m_targets;
 };
 
+/// For people, for example `available`.
+[[nodiscard]] const char *availabilityName(TargetAvailability availability);
+
 /// One line for the log.
 [[nodiscard]] std::string describe(const TargetAvailabilityChanged &change);
 
