Platform: Let calls outlive the key-value client

A reply that arrived after the daemon had destroyed the client wrote to freed memory, as the callback held the client. The address in use is now shared with the calls in progress. Destroying the client with a call in progress is tested.

--- a/src/platform/KeyValueHttpClient.h
+++ b/src/platform/KeyValueHttpClient.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,18 +23,17 @@
 class KeyValueHttpClient
 {
 public:
-    /// `client` must outlive this object and the calls in progress.
+    /// `client` must outlive this object. Calls in progress may outlive it and are still called back.
     KeyValueHttpClient(HttpClient &client, KeyValueHttpClientOptions options);
 
     /// Calls back exactly once, later.
     void carryOut(const KeyValueCall &call, KeyValueReplyCallback callback);
 
 private:
-    void noteFailure(std::size_t addressIndex);
-
     HttpClient &m_client;
     KeyValueHttpClientOptions m_options;
-    std::size_t m_addressIndex = 0;
+    /// The address in use. Shared with the calls in progress, which may outlive this object.
+    std::shared_ptr<std::size_t> m_addressIndex;
 };
 
 } // namespace Carawaymill
--- a/src/standins/tests/PlatformServerTest.cpp
+++ b/src/standins/tests/PlatformServerTest.cpp
@@ -99,6 +99,26 @@
     CHECK(std::holds_alternative<ValueTooLarge>(served.call(large)));
 }
 
+TEST_CASE("after a call that could not be sent the next one goes to the next address")
+{
+    Served served;
+    // Nothing listens on port 1; the destroyed client's calls are still answered.
+    auto keyValue = std::make_unique<KeyValueHttpClient>(
+        served.client, KeyValueHttpClientOptions{.addresses = {"127.0.0.1:1", served.address}});
+    std::vector<KeyValueResult> results;
+    for (std::size_t call = 1; call <= 3; ++call) {
+        keyValue->carryOut({.id = CallId(call), .request = ReadRange{.prefix = "a/"}},
+                           [&](const KeyValueReply &reply) { results.push_back(reply.result); });
+        if (call == 3) {
+            keyValue.reset();
+        }
+        served.runUntil([&] { return results.size() == call; });
+    }
+    CHECK(std::holds_alternative<ServiceUnavailable>(results[0]));
+    CHECK(std::holds_alternative<RangeRead>(results[1]));
+    CHECK(std::holds_alternative<RangeRead>(results[2]));
+}
+
 TEST_CASE("a watch waits for a change, counts once, and ends after its wait")
 {
     Served served;
