Daemon: Serve a request end to end as separate processes

Cause: the thin path is due first: callers to answer through a pipeline, with operators' edits on the way.

--- a/Meta/carawaymill.sh
+++ b/Meta/carawaymill.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The one script for people. Usage: Meta/carawaymill.sh build|test|lint
+# The one script for people. Usage: Meta/carawaymill.sh demo|test|lint|build
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${CARAWAYMILL_BUILD:-build}
@@ -11,6 +11,10 @@
 }
 
 case "${1:-}" in
+demo)
+    buildAll
+    Meta/demo.sh "$build"
+    ;;
 build) buildAll ;;
 test)
     buildAll
--- /dev/null
+++ b/Meta/demo.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Starts 4 daemons and the stand-ins on free loopback ports, sends a launch log and a handover note, prints each answer and
+# the decisions behind it, edits the catalogue, and stops everything that it started. Called by Meta/carawaymill.sh demo.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+work=$(mktemp -d)
+processes=()
+
+stopAll() {
+    local status=$?
+    for process in "${processes[@]}"; do kill "$process" 2>/dev/null || true; done
+    for process in "${processes[@]}"; do wait "$process" 2>/dev/null || true; done
+    if [ "$status" -ne 0 ]; then
+        echo "demo: failed; the last lines of the logs:"
+        tail -n 5 "$work"/*.log || true
+    fi
+    rm -rf "$work"
+}
+trap stopAll EXIT
+
+# Starts a program in the background, keeps its id and its log: start NAME PROGRAM [ARGUMENT...]
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.log" 2>&1 &
+    processes+=($!)
+}
+
+# Repeats a command until it succeeds, for at most 20 seconds.
+await() {
+    for _ in $(seq 200); do
+        if "$@" >/dev/null 2>&1; then return 0; fi
+        sleep 0.1
+    done
+    echo "demo: gave up waiting for: $*"
+    return 1
+}
+
+# A port that was free a moment ago.
+freePort() { python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'; }
+hashOf() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+platformPort=$(freePort)
+start platform "$build/carawaymill-standin-platform" --port "$platformPort"
+await curl -fs "http://127.0.0.1:$platformPort/hosts"
+
+layers=('' '[0, 6]' '[6, 12]' '[0, 7]' '[5, 12]')
+slowness=(0 5 5 10 10)
+enginePorts=('')
+for number in 1 2 3 4; do
+    enginePorts[$number]=$(freePort)
+    cat >"$work/engine-$number.json" <<EOF
+{"target": "engine-$number", "microsecondsPerLayerToken": ${slowness[$number]}, "memory": 16777216, "bytesPerLayer": 1048576,
+ "held": [{"model": "glider", "version": "1", "adapter": "", "layers": ${layers[$number]}}]}
+EOF
+    start "engine-$number" "$build/carawaymill-standin-engine" --settings "$work/engine-$number.json" --port "${enginePorts[$number]}"
+done
+
+domains=('' fukuoka kumamoto kagoshima fukuoka)
+callerPorts=('')
+operatorPorts=('')
+peerPorts=('')
+hosts=()
+for number in 1 2 3 4; do
+    callerPorts[$number]=$(freePort)
+    operatorPorts[$number]=$(freePort)
+    peerPorts[$number]=$(freePort)
+    hosts+=("{\"host\": \"entry-$number\", \"state\": \"live\", \"peerAddress\": \"tcp://127.0.0.1:${peerPorts[$number]}\", \"failureDomain\": \"${domains[$number]}\", \"region\": \"kyushu\"}")
+done
+hostList="{\"hosts\": [$(IFS=,; echo "${hosts[*]}")], \"targets\": []}"
+curl -fs -X PUT -d "$hostList" "http://127.0.0.1:$platformPort/hosts" >/dev/null
+
+for number in 1 2 3 4; do
+    cat >"$work/entry-$number.json" <<EOF
+{"host": "entry-$number", "failureDomain": "${domains[$number]}", "region": "kyushu",
+ "callers": {"address": "127.0.0.1", "port": ${callerPorts[$number]}},
+ "operators": {"address": "127.0.0.1", "port": ${operatorPorts[$number]}},
+ "peerAddress": "tcp://127.0.0.1:${peerPorts[$number]}", "peerKey": "a key for the demonstration only",
+ "operatorTokenHash": "$(hashOf operator-token)",
+ "keyValueService": "127.0.0.1:$platformPort", "hostListService": "127.0.0.1:$platformPort"}
+EOF
+    start "entry-$number" "$build/carawaymilld" --settings "$work/entry-$number.json"
+done
+for number in 1 2 3 4; do
+    await curl -fs "http://127.0.0.1:${callerPorts[$number]}/healthz"
+done
+
+printf 'operator-token' >"$work/operator-token"
+control() { "$build/carawaymillctl" --host "127.0.0.1:${operatorPorts[1]}" --token-file "$work/operator-token" "$@"; }
+
+sed -e "s/@RIDGE@/$(hashOf ridge-token)/; s/@HIBANA@/$(hashOf hibana-token)/" \
+    -e "s/@ENGINE1@/127.0.0.1:${enginePorts[1]}/; s/@ENGINE2@/127.0.0.1:${enginePorts[2]}/" \
+    -e "s/@ENGINE3@/127.0.0.1:${enginePorts[3]}/; s/@ENGINE4@/127.0.0.1:${enginePorts[4]}/" \
+    Meta/demo/catalogue.json >"$work/catalogue.json"
+echo "== Operators write the catalogue"
+await control status
+control apply "$work/catalogue.json"
+for number in 1 2 3 4; do
+    await curl -fs "http://127.0.0.1:${callerPorts[$number]}/readyz"
+done
+
+# ask NUMBER TOKEN ENTRY FILE: sends a file's text to a host and prints the answer and the decisions behind it.
+ask() {
+    local number=$1 token=$2 entry=$3 file=$4 job
+    python3 -c 'import json, sys; print(json.dumps({"model": sys.argv[1], "prompt": open(sys.argv[2]).read(), "max_tokens": 24}))' "$entry" "$file" >"$work/body.json"
+    curl -fsS -X POST -H "Authorization: Bearer $token" -H 'Content-Type: application/json' --data @"$work/body.json" \
+        "http://127.0.0.1:${callerPorts[$number]}/v1/completions" >"$work/answer.json"
+    job=$(python3 -c 'import json, sys; print(json.load(open(sys.argv[1]))["id"])' "$work/answer.json")
+    echo "== entry-$number answers $entry (job $job)"
+    python3 -c 'import json, sys; a = json.load(open(sys.argv[1])); print(a["choices"][0]["text"]); print("usage:", a["usage"])' "$work/answer.json"
+    "$build/carawaymillctl" --host "127.0.0.1:${operatorPorts[$number]}" --token-file "$work/operator-token" explain "$job"
+}
+
+sleep 1
+ask 1 ridge-token flight-summary Meta/demo/launch-log.txt
+ask 3 hibana-token handover-note Meta/demo/handover.txt
+
+echo "== An operator edits an entry while the system runs"
+control edit entry flight-summary '{"jobClass": "critical"}'
+echo "== Hosts and targets"
+control status
+echo "demo: done"
--- a/src/administration/AdministrationApi.cpp
+++ b/src/administration/AdministrationApi.cpp
@@ -46,9 +46,9 @@
     return {.id = id, .response = std::move(response)};
 }
 
-static AdministrationReply problem(CallId id, const Problem &problem)
+static AdministrationReply problem(CallId id, const AdministrationProblem &problem)
 {
-    return reply(id, problemResponse(problem));
+    return reply(id, administrationProblemResponse(problem));
 }
 
 static AdministrationReply notFound(CallId id)
--- a/src/administration/AdministrationReplies.cpp
+++ b/src/administration/AdministrationReplies.cpp
@@ -12,7 +12,7 @@
     return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body.dump() + "\n"};
 }
 
-HttpResponse problemResponse(const Problem &problem)
+HttpResponse administrationProblemResponse(const AdministrationProblem &problem)
 {
     nlohmann::json body = problem.members;
     body["type"] = "urn:carawaymill:problem:" + problem.type;
@@ -44,7 +44,7 @@
     if (conflict.present) {
         members["present"] = *conflict.present;
     }
-    return problemResponse({.status = 412,
+    return administrationProblemResponse({.status = 412,
                             .type = "edit-conflict",
                             .detail = "The record was changed by somebody else. Nothing was written.",
                             .members = std::move(members)});
@@ -58,18 +58,18 @@
             [](const EditAlreadyApplied &applied) { return acceptedResponse("already-applied", applied.revision); },
             [](const EditConflict &conflict) { return conflictResponse(conflict); },
             [](const EditRefused &refused) {
-                return problemResponse({.status = 422,
+                return administrationProblemResponse({.status = 422,
                                         .type = "invalid-record",
                                         .detail = refused.reason.field + " " + describe(refused.reason.fault),
                                         .members = {{"field", refused.reason.field}}});
             },
             [](const EditNotMade &) {
-                return problemResponse({.status = 503,
+                return administrationProblemResponse({.status = 503,
                                         .type = "service-unavailable",
                                         .detail = "The key-value service does not answer. Nothing was written."});
             },
             [](const EditOutcomeUnknown &) {
-                return problemResponse({.status = 504,
+                return administrationProblemResponse({.status = 504,
                                         .type = "outcome-unknown",
                                         .detail = "The edit may have taken effect. Repeat it with the same Edit-Id.",
                                         .ran = TookEffect::Unknown});
--- a/src/administration/AdministrationReplies.h
+++ b/src/administration/AdministrationReplies.h
@@ -19,7 +19,7 @@
 
 /// An error as `application/problem+json`. `type` becomes `urn:carawaymill:problem:<type>`, and never changes its
 /// meaning.
-struct Problem
+struct AdministrationProblem
 {
     unsigned status = 500;
     std::string type;
@@ -30,7 +30,7 @@
 };
 
 [[nodiscard]] HttpResponse jsonResponse(const nlohmann::json &body);
-[[nodiscard]] HttpResponse problemResponse(const Problem &problem);
+[[nodiscard]] HttpResponse administrationProblemResponse(const AdministrationProblem &problem);
 
 /// What became of an edit, as a response.
 [[nodiscard]] HttpResponse editResponse(const EditOutcome &outcome);
--- a/src/enginestandin/EngineStandInMain.cpp
+++ b/src/enginestandin/EngineStandInMain.cpp
@@ -1,5 +1,6 @@
 #include "enginestandin/EngineServer.h"
 #include "http/HttpServer.h"
+#include "platform/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -351,9 +351,8 @@
         if (const EngineState *state = m_targets.state(target)) {
             held = state->held;
         }
-        targets.push_back({{"target", target},
-                           {"availability", availabilityName(m_targets.availability(target))},
-                           {"held", held}});
+        targets.push_back(
+            {{"target", target}, {"availability", availabilityName(m_targets.availability(target))}, {"held", held}});
     }
     return {{"host", m_options.host},
             {"ready", ready(now)},
