--- a/src/catalogue/tests/CatalogueWorld.cpp
+++ b/src/catalogue/tests/CatalogueWorld.cpp
@@ -9,15 +9,13 @@
     return HostId(std::to_string(index));
 }
 
-static FailureDomainId failureDomainOf(std::size_t index)
-{
-    return FailureDomainId(std::to_string(index % 3));
-}
-
-CatalogueWorld::CatalogueWorld(std::size_t hosts, std::uint64_t seed)
+CatalogueWorld::CatalogueWorld(std::size_t hosts, std::uint64_t seed, std::size_t failureDomains)
     : m_random(seed)
     , m_store({.seed = seed})
 {
+    const auto failureDomainOf = [&](std::size_t index) {
+        return FailureDomainId(std::to_string(index % failureDomains));
+    };
     for (std::size_t index = 0; index < hosts; ++index) {
         auto replica = CatalogueReplica::create(
             {.host = hostId(index), .failureDomain = failureDomainOf(index), .seed = seed * 1000 + index});
--- a/src/catalogue/tests/CatalogueWorld.h
+++ b/src/catalogue/tests/CatalogueWorld.h
@@ -28,7 +28,7 @@
         std::map<std::string, Revision> seen;
     };
 
-    explicit CatalogueWorld(std::size_t hosts, std::uint64_t seed = 1);
+    explicit CatalogueWorld(std::size_t hosts, std::uint64_t seed = 1, std::size_t failureDomains = 3);
 
     /// Advances the time in steps of 10 ms.
     void run(Duration duration);
--- a/src/tool/ToolOptions.cpp
+++ b/src/tool/ToolOptions.cpp
@@ -38,7 +38,7 @@
            "  10 not done: the host or the key-value service cannot do it now\n";
 }
 
-Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(std::vector<std::string> commandLine)
+Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(const std::vector<std::string> &commandLine)
 {
     char *host = nullptr;
     char *tokenFile = nullptr;
--- a/src/tool/ToolOptions.h
+++ b/src/tool/ToolOptions.h
@@ -33,7 +33,7 @@
     std::string text;
 };
 
-[[nodiscard]] Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(std::vector<std::string> commandLine);
+[[nodiscard]] Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(const std::vector<std::string> &commandLine);
 
 /// The commands, for people.
 [[nodiscard]] std::string toolHelp();
