Placement: Hold a scope and bring its engines to the plan

Cause: one holder at a time gives orders; a paused holder, a lost order or an engine that ignores fencing numbers must not spoil the placement. Change: PlacementController starts from what the engines hold, plans, and gives orders in the order that restores service first, few loads at a time. Orders end before the lease; a new holder waits out the former one's orders and reads every engine again; state is read back periodically. Unloads happen only where room is needed, and the last holder keeps its layers unless service is down. Conclusion: what remains for engines that ignore the number is a write that the network holds back for longer than the wait; it is found by reading back.

--- /dev/null
+++ b/src/placement/EngineLedger.cpp
@@ -0,0 +1,152 @@
+#include "placement/EngineLedger.h"
+
+#include "routing/MergeRanges.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+EngineLedger::EngineLedger(const PlacementControllerOptions &options)
+    : m_options(options)
+{
+}
+
+void EngineLedger::startAgain(TimePoint now)
+{
+    m_engines.clear();
+    m_readAllowance = 0;
+    m_allowanceAt = now;
+    m_formerHolderGone = now + m_options.formerHolderWait;
+}
+
+void EngineLedger::retain(const std::vector<PlacementTarget> &targets)
+{
+    std::erase_if(m_engines, [&](const auto &engine) {
+        return std::none_of(
+            targets.begin(), targets.end(), [&](const PlacementTarget &target) { return target.id == engine.first; });
+    });
+}
+
+bool EngineLedger::readDue(const Engine &engine, TimePoint now) const
+{
+    if (engine.readRequestedAt) {
+        return now - *engine.readRequestedAt >= m_options.readTimeout;
+    }
+    const bool outdated = engine.lastOrderEnded && engine.stateAsOf < *engine.lastOrderEnded;
+    const bool beforeTakeover = now >= m_formerHolderGone && engine.stateAsOf < m_formerHolderGone;
+    const bool loading = engine.state && !engine.state->loading.empty();
+    // While an engine loads, the end of the load is worth knowing soon.
+    const Duration interval = loading ? m_options.readInterval / 10 : m_options.readInterval;
+    return !engine.state || outdated || beforeTakeover || now - engine.stateAsOf >= interval;
+}
+
+std::vector<TargetId> EngineLedger::dueReads(const std::vector<TargetId> &targets, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_allowanceAt).count();
+    m_allowanceAt = now;
+    m_readAllowance = std::min(m_readAllowance + elapsed * m_options.readsPerSecond, m_options.readsPerSecond);
+    std::vector<TargetId> due;
+    for (const TargetId &target : targets) {
+        if (m_readAllowance < 1) {
+            break;
+        }
+        if (Engine &engine = m_engines[target]; readDue(engine, now)) {
+            engine.readRequestedAt = now;
+            m_readAllowance -= 1;
+            due.push_back(target);
+        }
+    }
+    return due;
+}
+
+void EngineLedger::stateRead(const EngineState &state)
+{
+    const auto found = m_engines.find(state.target);
+    if (found == m_engines.end()) {
+        return;
+    }
+    Engine &engine = found->second;
+    // An answer that nobody waits for is of unknown age.
+    if (engine.readRequestedAt) {
+        engine.state = state;
+        engine.state->held = mergeRanges(
+            state.held, [](const ModelLayers &range) { return std::tie(range.model, range.version, range.adapter); });
+        engine.stateAsOf = *engine.readRequestedAt;
+        engine.readRequestedAt = std::nullopt;
+    }
+}
+
+void EngineLedger::ordered(const EngineOrder &order, TimePoint now)
+{
+    Engine &engine = m_engines[order.target];
+    engine.order = order;
+    engine.orderedAt = now;
+}
+
+bool EngineLedger::orderEnded(const TargetId &target, OrderNumber number, bool accepted, TimePoint now)
+{
+    const auto found = m_engines.find(target);
+    if (found == m_engines.end() || !found->second.order || found->second.order->number != number) {
+        return false;
+    }
+    Engine &engine = found->second;
+    if (accepted) {
+        engine.failures = 0;
+    } else {
+        const Duration delay = m_options.firstRetryDelay * (1U << std::min(engine.failures, 10U));
+        engine.retryAt = now + std::min(delay, m_options.lastRetryDelay);
+        engine.failures += 1;
+    }
+    if (accepted && engine.state) {
+        // Until the next reading the loads count as under way.
+        engine.state->loading.insert(
+            engine.state->loading.end(), engine.order->loads.begin(), engine.order->loads.end());
+    }
+    engine.order = std::nullopt;
+    engine.lastOrderEnded = now;
+    engine.readRequestedAt = std::nullopt;
+    return true;
+}
+
+void EngineLedger::dropOverdueOrders(TimePoint now)
+{
+    for (auto &[target, engine] : m_engines) {
+        if (engine.order && now - engine.orderedAt >= engine.order->validFor + m_options.readTimeout) {
+            orderEnded(target, engine.order->number, false, now);
+        }
+    }
+}
+
+std::optional<EngineState> EngineLedger::state(const TargetId &target) const
+{
+    const auto found = m_engines.find(target);
+    if (found == m_engines.end() || !found->second.state) {
+        return std::nullopt;
+    }
+    EngineState state = *found->second.state;
+    if (const auto &order = found->second.order) {
+        state.loading.insert(state.loading.end(), order->loads.begin(), order->loads.end());
+    }
+    return state;
+}
+
+bool EngineLedger::mayBeOrdered(const TargetId &target, TimePoint readAfter, TimePoint now) const
+{
+    const auto found = m_engines.find(target);
+    if (found == m_engines.end()) {
+        return false;
+    }
+    const Engine &engine = found->second;
+    const bool readSinceOrder = !engine.lastOrderEnded || engine.stateAsOf >= *engine.lastOrderEnded;
+    return engine.state && engine.stateAsOf >= readAfter && readSinceOrder && !engine.order && now >= engine.retryAt;
+}
+
+std::size_t EngineLedger::loadingEngines() const
+{
+    return static_cast<std::size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto &entry) {
+        const Engine &engine = entry.second;
+        return (engine.state && !engine.state->loading.empty()) || (engine.order && !engine.order->loads.empty());
+    }));
+}
+
+} // namespace Carawaymill
--- a/src/placement/EngineOrders.cpp
+++ b/src/placement/EngineOrders.cpp
@@ -8,6 +8,11 @@
                               {EngineOrderOutcome::OldFencingNumber, "oldFencingNumber"},
                               {EngineOrderOutcome::InsufficientMemory, "insufficientMemory"}})
 
+PlacementScope placementScope(const RegionId &region)
+{
+    return PlacementScope("region/" + region.value());
+}
+
 void to_json(nlohmann::json &json, const ModelLayers &layers)
 {
     json = {{"model", layers.model},
--- a/src/placement/EngineOrders.h
+++ b/src/placement/EngineOrders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lease/LeaseMessages.h"
 #include "support/Codec.h"
 #include "support/Identifiers.h"
 #include "support/Time.h"
@@ -13,7 +14,10 @@
 namespace Carawaymill {
 
 /// The part of placement that one holder decides on: all targets of one region, so that no two holders share a target.
-using PlacementScope = StrongType<struct PlacementScopeTag, std::string>;
+using PlacementScope = LeaseScopeId;
+
+/// For example `region/kyushu`.
+[[nodiscard]] PlacementScope placementScope(const RegionId &region);
 
 /// Numbers the orders of one holder under one fencing number; the first is 1.
 using OrderNumber = StrongCount<struct OrderNumberTag, std::uint64_t>;
--- /dev/null
+++ b/src/placement/PlacementController.cpp
@@ -0,0 +1,219 @@
+#include "placement/PlacementController.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+/// An order that would be valid for less is not worth sending.
+static constexpr Duration leastValidity = std::chrono::milliseconds(100);
+
+PlacementController::PlacementController(PlacementControllerOptions options)
+    : m_options(std::move(options))
+    , m_planner(m_options.planner)
+    , m_targets(m_options)
+    , m_engines(m_options)
+{
+}
+
+std::vector<PlacementAction> PlacementController::handle(const PlacementEvent &event, TimePoint now)
+{
+    Actions actions;
+    std::visit(Overloaded{[](const Tick &) {},
+                          [&](const LeaseAcquired &lease) { acquired(lease, now); },
+                          [&](const LeaseExtended &extended) {
+                              if (m_holding && extended.scope == m_options.scope) {
+                                  m_holding->validUntil = extended.validUntil;
+                              }
+                          },
+                          [&](const LeaseLost &lost) {
+                              if (lost.scope == m_options.scope) {
+                                  m_holding = std::nullopt;
+                              }
+                          },
+                          [&](const PlacementTargetsChanged &changed) {
+                              m_planOutdated = m_targets.update(changed.targets, now) || m_planOutdated;
+                          },
+                          [&](const PlacementDemandsChanged &changed) {
+                              m_planOutdated = m_planOutdated || m_demands != changed.demands;
+                              m_demands = changed.demands;
+                          },
+                          [&](const EngineStateRead &read) { m_engines.stateRead(read.state); },
+                          [&](const EngineOrderAnswered &answered) { orderAnswered(answered, actions, now); },
+                          [&](const EngineOrderUnanswered &unanswered) {
+                              m_engines.orderEnded(unanswered.target, unanswered.number, false, now);
+                          }},
+               event);
+    m_planOutdated = m_targets.dropLost(now) || m_planOutdated;
+    // A host that was paused past its lease learns it here, before it decides anything.
+    const bool due = !m_decidedAt || now - *m_decidedAt >= m_options.decisionInterval;
+    if (m_holding && now < m_holding->validUntil && due) {
+        m_decidedAt = now;
+        proceed(actions, now);
+    }
+    return actions;
+}
+
+void PlacementController::acquired(const LeaseAcquired &acquired, TimePoint now)
+{
+    if (acquired.scope != m_options.scope) {
+        return;
+    }
+    m_holding = Holding{.fencingNumber = acquired.fencingNumber, .validUntil = acquired.validUntil, .acquiredAt = now};
+    m_lastOrder = OrderNumber();
+    m_engines.startAgain(now);
+    // Another holder may have changed everything meanwhile: what the engines hold is the truth.
+    m_plan.clear();
+    m_planOutdated = true;
+}
+
+void PlacementController::orderAnswered(const EngineOrderAnswered &answered, Actions &actions, TimePoint now)
+{
+    const bool accepted = answered.reply.outcome == EngineOrderOutcome::Accepted;
+    if (!m_engines.orderEnded(answered.target, answered.reply.number, accepted, now) || !m_holding) {
+        return;
+    }
+    if (answered.reply.highestFencingNumber > m_holding->fencingNumber) {
+        actions.push_back(HolderOverruled{.scope = m_options.scope,
+                                          .target = answered.target,
+                                          .ownNumber = m_holding->fencingNumber,
+                                          .seenNumber = answered.reply.highestFencingNumber});
+        m_holding = std::nullopt;
+    }
+}
+
+void PlacementController::proceed(Actions &actions, TimePoint now)
+{
+    m_engines.dropOverdueOrders(now);
+    readStates(actions, now);
+    planIfDue(actions, now);
+    giveOrders(actions, now);
+}
+
+void PlacementController::readStates(Actions &actions, TimePoint now)
+{
+    std::vector<TargetId> targets;
+    for (const PlacementTarget &target : m_targets.listed()) {
+        targets.push_back(target.id);
+    }
+    for (const TargetId &target : m_engines.dueReads(targets, now)) {
+        actions.push_back(ReadEngineState{target});
+    }
+}
+
+bool PlacementController::settled(TimePoint now) const
+{
+    if (now - m_holding->acquiredAt >= m_options.settleTime) {
+        return true;
+    }
+    const std::vector<PlacementTarget> targets = m_targets.listed();
+    return !targets.empty() && std::all_of(targets.begin(), targets.end(), [&](const PlacementTarget &target) {
+        return m_engines.state(target.id).has_value();
+    });
+}
+
+PlacementPlan PlacementController::currentPlan(const std::vector<PlacementTarget> &targets) const
+{
+    PlacementPlan current = m_plan;
+    for (const PlacementTarget &target : targets) {
+        const auto state = m_engines.state(target.id);
+        if (m_plan.contains(target.id) || !state) {
+            continue;
+        }
+        for (const auto *ranges : {&state->held, &state->loading}) {
+            for (const ModelLayers &layers : *ranges) {
+                const bool wanted = std::any_of(
+                    m_demands.begin(), m_demands.end(), [&](const auto &demand) { return matches(demand, layers); });
+                if (const auto largest = current.find(target.id);
+                    wanted && (largest == current.end() || layers.layers.size() > largest->second.layers.size())) {
+                    current[target.id] = layers;
+                }
+            }
+        }
+    }
+    return current;
+}
+
+PlanChanged PlacementController::compare(const PlacementPlan &before) const
+{
+    PlanChanged changed{.scope = m_options.scope, .fencingNumber = m_holding->fencingNumber};
+    const auto find = [](const PlacementPlan &plan, const TargetId &target) -> std::optional<ModelLayers> {
+        const auto found = plan.find(target);
+        return found == plan.end() ? std::nullopt : std::optional(found->second);
+    };
+    PlacementPlan all = before;
+    all.insert(m_plan.begin(), m_plan.end());
+    for (const auto &[target, layers] : all) {
+        const auto old = find(before, target);
+        if (const auto now = find(m_plan, target); now != old) {
+            changed.changes.push_back({.target = target, .before = old, .after = now});
+        }
+    }
+    return changed;
+}
+
+void PlacementController::planIfDue(Actions &actions, TimePoint now)
+{
+    const bool early = m_plannedAt && now - *m_plannedAt < m_options.planInterval;
+    if (!m_planOutdated || early || !settled(now)) {
+        return;
+    }
+    const std::vector<PlacementTarget> targets = m_targets.all();
+    const PlacementPlan before = currentPlan(targets);
+    m_plan = m_planner.plan(targets, m_demands, before);
+    m_planOutdated = false;
+    m_plannedAt = now;
+    m_engines.retain(targets);
+    if (PlanChanged changed = compare(before); !changed.changes.empty()) {
+        for (const PlacementDemand &demand : m_demands) {
+            changed.throughputBounds.push_back(throughputBound(targets, demand, m_plan));
+        }
+        actions.push_back(std::move(changed));
+    }
+}
+
+Duration PlacementController::validity(TimePoint now) const
+{
+    const Duration untilMargin = m_holding->validUntil - now - m_options.leaseMargin;
+    const Duration validity = std::min(m_options.orderValidity, untilMargin);
+    return validity < leastValidity ? Duration::zero() : validity;
+}
+
+std::vector<ScheduledEngine> PlacementController::scheduledEngines(TimePoint now) const
+{
+    std::vector<ScheduledEngine> engines;
+    for (const PlacementTarget &target : m_targets.listed()) {
+        if (const auto state = m_engines.state(target.id)) {
+            const TimePoint readAfter =
+                m_holding->acquiredAt + (target.checksFencingNumber ? Duration::zero() : m_options.formerHolderWait);
+            engines.push_back(
+                {.target = target, .state = *state, .mayBeOrdered = m_engines.mayBeOrdered(target.id, readAfter, now)});
+        }
+    }
+    return engines;
+}
+
+void PlacementController::giveOrders(Actions &actions, TimePoint now)
+{
+    const std::size_t loading = m_engines.loadingEngines();
+    const Duration validFor = validity(now);
+    if (m_planOutdated || loading >= m_options.concurrentLoads || validFor == Duration::zero()) {
+        return;
+    }
+    for (LoadStep &step :
+         scheduleLoads(scheduledEngines(now), m_demands, m_plan, m_options.concurrentLoads - loading)) {
+        m_lastOrder = m_lastOrder.next();
+        SendEngineOrder send{.order = {.target = step.target,
+                                       .scope = m_options.scope,
+                                       .fencingNumber = m_holding->fencingNumber,
+                                       .number = m_lastOrder,
+                                       .loads = std::move(step.loads),
+                                       .unloads = std::move(step.unloads),
+                                       .validFor = validFor},
+                             .reason = step.reason,
+                             .sendBefore = now + validFor};
+        m_engines.ordered(send.order, now);
+        actions.push_back(std::move(send));
+    }
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/placement/PlacementOptions.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "placement/EngineOrders.h"
+#include "placement/PlacementPlanner.h"
+#include "support/Time.h"
+
+#include <cstdint>
+
+namespace Carawaymill {
+
+struct PlacementControllerOptions
+{
+    PlacementScope scope;
+    PlacementPlannerOptions planner;
+    /// No order is valid for longer.
+    Duration orderValidity = std::chrono::seconds(2);
+    /// Orders end so long before the lease does. Covers the drift of clocks and a write that the network holds back.
+    Duration leaseMargin = std::chrono::milliseconds(500);
+    /// A new holder gives no order for so long to engines that ignore fencing numbers: by then the former holder's last
+    /// order has arrived or was given up.
+    Duration formerHolderWait = std::chrono::seconds(3);
+    /// How often an engine's real state is read.
+    Duration readInterval = std::chrono::seconds(10);
+    /// How long a reading may take before it is asked for again.
+    Duration readTimeout = std::chrono::seconds(2);
+    /// Readings a second over all engines of the scope.
+    double readsPerSecond = 50;
+    /// A new holder plans without the engines that have not told their state by then.
+    Duration settleTime = std::chrono::seconds(6);
+    /// A target that vanishes from the list counts as lost after this time.
+    Duration lossGrace = std::chrono::seconds(2);
+    /// When more than this part of the targets vanishes at once, it is probably this host that cannot see them.
+    double doubtfulLoss = 0.6;
+    /// How long a doubtful loss is waited out.
+    Duration doubtfulLossGrace = std::chrono::seconds(30);
+    /// The least time between two looks at what is to be done.
+    Duration decisionInterval = std::chrono::milliseconds(50);
+    /// The least time between two plans.
+    Duration planInterval = std::chrono::seconds(1);
+    /// Targets that load at the same time: the weight store is rate-limited, so that more would delay the most urgent.
+    std::uint32_t concurrentLoads = 4;
+    Duration firstRetryDelay = std::chrono::seconds(1);
+    Duration lastRetryDelay = std::chrono::seconds(60);
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/placement/tests/FakeFleet.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "placement/PlacementController.h"
+
+#include <map>
+#include <vector>
+
+namespace Carawaymill {
+
+/// Engines that carry out orders, one weight store that loads one range of layers at a time, and the controller.
+class FakeFleet
+{
+public:
+    explicit FakeFleet(std::size_t count, PlacementControllerOptions options = {.scope = scope()})
+        : controller(std::move(options))
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            addTarget();
+        }
+    }
+
+    static PlacementScope scope() { return placementScope(RegionId("kyushu")); }
+
+    static PlacementDemand demand()
+    {
+        return {.model = ModelId("glider"), .version = "1", .layers = 12, .bytesPerLayer = ByteCount(100)};
+    }
+
+    void addTarget()
+    {
+        const std::size_t i = targets.size();
+        const TargetId id("t" + std::to_string(100 + i));
+        targets.push_back({.id = id,
+                           .layerMemory = ByteCount(400),
+                           .layerTokensPerSecond = 1000,
+                           .linkBytesPerSecond = 1e9,
+                           .failureDomain = FailureDomainId("d" + std::to_string(i % 3)),
+                           .checksFencingNumber = true});
+        engines[id] = {.target = id, .freeMemory = ByteCount(400)};
+    }
+
+    /// Gives the controller the lease, the targets and the demand.
+    void takeOver(std::uint64_t fencingNumber = 1, Duration leaseFor = std::chrono::hours(10))
+    {
+        feed(PlacementTargetsChanged{targets});
+        feed(PlacementDemandsChanged{{demand()}});
+        feed(LeaseAcquired{
+            .scope = scope(), .fencingNumber = FencingNumber(fencingNumber), .validUntil = now + leaseFor});
+    }
+
+    void loseLease() { feed(LeaseLost{.scope = scope()}); }
+
+    void feed(const PlacementEvent &event) { carryOut(controller.handle(event, now)); }
+
+    void run(Duration duration)
+    {
+        for (const TimePoint end = now + duration; now < end; now += step) {
+            feed(Tick());
+            loadNext();
+        }
+    }
+
+    /// Removes a failure domain from the list.
+    void lose(const FailureDomainId &domain)
+    {
+        std::erase_if(targets, [&](const PlacementTarget &target) { return target.failureDomain == domain; });
+        feed(PlacementTargetsChanged{targets});
+    }
+
+    /// How many listed targets hold each layer.
+    [[nodiscard]] std::vector<int> holders() const
+    {
+        std::vector<int> counts(demand().layers);
+        for (const PlacementTarget &target : targets) {
+            for (const ModelLayers &held : engines.at(target.id).held) {
+                for (auto layer = held.layers.first.value(); layer < held.layers.end.value(); ++layer) {
+                    ++counts[layer];
+                }
+            }
+        }
+        return counts;
+    }
+
+    PlacementController controller;
+    std::vector<PlacementTarget> targets;
+    std::map<TargetId, EngineState> engines;
+    std::vector<SendEngineOrder> orders;
+    std::vector<PlanChanged> plans;
+    std::size_t overruled = 0;
+    std::size_t reads = 0;
+    TimePoint now{};
+    bool answerOrders = true;
+    bool weightStoreUp = true;
+    /// Checked by engines, when not zero.
+    FencingNumber seenByEngines;
+
+private:
+    static constexpr Duration step = std::chrono::milliseconds(100);
+
+    void carryOut(const std::vector<PlacementAction> &actions)
+    {
+        for (const PlacementAction &action : actions) {
+            std::visit(Overloaded{[&](const ReadEngineState &read) {
+                                      ++reads;
+                                      m_answers.push_back(EngineStateRead{engines.at(read.target)});
+                                  },
+                                  [&](const SendEngineOrder &send) { carryOutOrder(send); },
+                                  [&](const PlanChanged &changed) { plans.push_back(changed); },
+                                  [&](const HolderOverruled &) { ++overruled; }},
+                       action);
+        }
+        std::vector<PlacementEvent> events;
+        events.swap(m_answers);
+        for (const PlacementEvent &event : events) {
+            feed(event);
+        }
+    }
+
+    void carryOutOrder(const SendEngineOrder &send)
+    {
+        orders.push_back(send);
+        if (!answerOrders) {
+            return;
+        }
+        EngineOrderReply reply{.number = send.order.number, .highestFencingNumber = seenByEngines};
+        if (seenByEngines > send.order.fencingNumber) {
+            reply.outcome = EngineOrderOutcome::OldFencingNumber;
+        } else {
+            EngineState &engine = engines.at(send.order.target);
+            for (const ModelLayers &unload : send.order.unloads) {
+                std::erase(engine.held, unload);
+            }
+            engine.loading.insert(engine.loading.end(), send.order.loads.begin(), send.order.loads.end());
+        }
+        m_answers.push_back(EngineOrderAnswered{.target = send.order.target, .reply = reply});
+    }
+
+    void loadNext()
+    {
+        for (auto &[id, engine] : engines) {
+            if (weightStoreUp && !engine.loading.empty()) {
+                engine.held.push_back(engine.loading.front());
+                engine.loading.erase(engine.loading.begin());
+                return;
+            }
+        }
+    }
+
+    std::vector<PlacementEvent> m_answers;
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/placement/tests/PlacementControllerTest.cpp
@@ -0,0 +1,209 @@
+#include "placement/tests/FakeFleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace Carawaymill;
+
+static int fewestHolders(const FakeFleet &fleet)
+{
+    const std::vector<int> holders = fleet.holders();
+    return *std::min_element(holders.begin(), holders.end());
+}
+
+TEST_CASE("a new holder brings an empty fleet to the plan, and then leaves it alone")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    CHECK(fewestHolders(fleet) >= 2);
+    const std::size_t orders = fleet.orders.size();
+    CHECK(orders >= 9);
+    fleet.run(10min);
+    CHECK(fleet.orders.size() == orders);
+    CHECK(fleet.plans.size() == 1);
+    CHECK(describe(fleet.orders.front()).starts_with("Placement: scope region/kyushu order 1.1 to t"));
+}
+
+TEST_CASE("the first loads are those that restore service, and few targets load at the same time")
+{
+    FakeFleet fleet(9);
+    fleet.weightStoreUp = false;
+    fleet.takeOver();
+    fleet.run(5s);
+    REQUIRE(fleet.orders.size() == 4);
+    std::set<LayerRange> restoring;
+    for (const SendEngineOrder &send : fleet.orders) {
+        if (send.reason == LoadReason::RestoresService) {
+            restoring.insert(send.order.loads.front().layers);
+        }
+    }
+    CHECK(restoring.size() == 3);
+}
+
+TEST_CASE("a holder that wakes up after its lease does nothing, and its orders end before its lease")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver(1, 2s);
+    fleet.run(1s);
+    CHECK_FALSE(fleet.orders.empty());
+    for (const SendEngineOrder &send : fleet.orders) {
+        CHECK(send.sendBefore <= TimePoint(2s - 500ms));
+    }
+    const std::size_t orders = fleet.orders.size();
+    const std::size_t reads = fleet.reads;
+    fleet.now = TimePoint(2s);
+    fleet.run(60s);
+    CHECK(fleet.orders.size() == orders);
+    CHECK(fleet.reads == reads);
+}
+
+TEST_CASE("engines that ignore fencing numbers get no order before a former holder's last one has run out")
+{
+    FakeFleet fleet(9);
+    for (PlacementTarget &target : fleet.targets) {
+        target.checksFencingNumber = false;
+    }
+    fleet.takeOver();
+    fleet.run(2900ms);
+    CHECK(fleet.orders.empty());
+    fleet.run(600ms);
+    CHECK_FALSE(fleet.orders.empty());
+}
+
+TEST_CASE("what a late order of a former holder did is found by reading back, and mended")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    const std::vector<int> before = fleet.holders();
+    fleet.engines.begin()->second.held.clear();
+    fleet.run(15s);
+    CHECK(fleet.holders() == before);
+}
+
+TEST_CASE("after an outage of the service the next term as holder begins without orders")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    // Placed one after another, the targets stand elsewhere than a plan from nothing would put them.
+    for (int i = 0; i < 4; ++i) {
+        fleet.addTarget();
+        fleet.targets.back().layerMemory = ByteCount(1200 - 300 * static_cast<std::uint64_t>(i));
+        fleet.feed(PlacementTargetsChanged{fleet.targets});
+        fleet.run(30s);
+    }
+    const std::size_t orders = fleet.orders.size();
+    fleet.loseLease();
+    fleet.run(300s);
+    CHECK(fleet.orders.size() == orders);
+    fleet.takeOver(2);
+    fleet.run(60s);
+    CHECK(fleet.orders.size() == orders);
+}
+
+TEST_CASE("a target that vanishes shortly, or most targets at once, change no plan")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    const std::vector<PlacementTarget> all = fleet.targets;
+    SUBCASE("shortly")
+    {
+        fleet.feed(PlacementTargetsChanged{{all.begin() + 1, all.end()}});
+        fleet.run(1s);
+    }
+    SUBCASE("most at once")
+    {
+        fleet.feed(PlacementTargetsChanged{{all.begin(), all.begin() + 3}});
+        fleet.run(20s);
+    }
+    fleet.feed(PlacementTargetsChanged{all});
+    fleet.run(60s);
+    CHECK(fleet.plans.size() == 1);
+}
+
+TEST_CASE("after the loss of a failure domain every layer soon has holders in both others")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    fleet.lose(FailureDomainId("d1"));
+    CHECK(fewestHolders(fleet) >= 1);
+    fleet.run(30s);
+    CHECK(fewestHolders(fleet) >= 1);
+}
+
+TEST_CASE("a new target is taken in while the others stay as they are")
+{
+    FakeFleet fleet(9);
+    fleet.takeOver();
+    fleet.run(60s);
+    fleet.addTarget();
+    fleet.feed(PlacementTargetsChanged{fleet.targets});
+    fleet.run(10s);
+    REQUIRE(fleet.plans.size() == 2);
+    REQUIRE(fleet.plans.back().changes.size() == 1);
+    CHECK(fleet.plans.back().changes.front().target == fleet.targets.back().id);
+    CHECK_FALSE(fleet.engines.at(fleet.targets.back().id).held.empty());
+}
+
+TEST_CASE("an order without answer is repeated ever more seldom, after reading what became of it")
+{
+    FakeFleet fleet(3);
+    fleet.answerOrders = false;
+    fleet.takeOver();
+    fleet.run(10min);
+    CHECK(fleet.orders.size() > 9);
+    CHECK(fleet.orders.size() < 60);
+}
+
+TEST_CASE("a holder that an engine overrules gives no more orders")
+{
+    FakeFleet fleet(9);
+    fleet.seenByEngines = FencingNumber(5);
+    fleet.takeOver(4);
+    fleet.run(60s);
+    CHECK(fleet.overruled == 1);
+    CHECK(fleet.orders.size() <= 4);
+}
+
+static ModelLayers layers(std::uint32_t first, std::uint32_t end)
+{
+    return {.model = ModelId("glider"), .version = "1", .layers = {LayerIndex(first), LayerIndex(end)}};
+}
+
+TEST_CASE("a layer without any holder is loaded first, also over a slower link")
+{
+    const auto engine = [](const std::string &id, double link, std::vector<ModelLayers> held) {
+        const PlacementTarget target{.id = TargetId(id),
+                                     .layerMemory = ByteCount(1200),
+                                     .linkBytesPerSecond = link,
+                                     .failureDomain = FailureDomainId(id)};
+        return ScheduledEngine{target, {.target = target.id, .held = std::move(held), .freeMemory = ByteCount(1200)}};
+    };
+    const std::vector<ScheduledEngine> engines{
+        engine("fast", 1e9, {layers(0, 4)}), engine("slow", 1e6, {layers(4, 8)}), engine("other", 1e6, {layers(0, 8)})};
+    const PlacementPlan plan{{TargetId("fast"), layers(0, 8)}, {TargetId("slow"), layers(4, 12)}};
+    const auto steps = scheduleLoads(engines, {FakeFleet::demand()}, plan, 9);
+    REQUIRE(steps.size() == 2);
+    CHECK(steps.front().target == TargetId("slow"));
+    CHECK(steps.front().loads == std::vector{layers(8, 12)});
+}
+
+TEST_CASE("the last holder of a layer drops it only when a layer without any holder needs the room")
+{
+    const PlacementTarget target{.id = TargetId("a"), .layerMemory = ByteCount(400)};
+    const PlacementTarget other{.id = TargetId("b"), .layerMemory = ByteCount(1200)};
+    ScheduledEngine full{.target = target, .state = {.target = target.id, .held = {layers(0, 4)}}};
+    ScheduledEngine rest{.target = other, .state = {.target = other.id, .held = {layers(4, 12)}}};
+    const PlacementPlan plan{{target.id, layers(4, 8)}};
+    CHECK(scheduleLoads({full, rest}, {FakeFleet::demand()}, plan, 9).empty());
+    rest.state.held = {layers(0, 12)};
+    CHECK(scheduleLoads({full, rest}, {FakeFleet::demand()}, plan, 9).size() == 1);
+    rest.state.held = {layers(8, 12)};
+    CHECK(scheduleLoads({full, rest}, {FakeFleet::demand()}, plan, 9).size() == 1);
+}
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -1,6 +1,7 @@
 #include "routing/ChainRouter.h"
 
 #include "routing/CheapestChain.h"
+#include "routing/MergeRanges.h"
 
 #include <algorithm>
 #include <cassert>
@@ -71,6 +72,8 @@
 void ChainRouter::updateTarget(const TargetId &target, TargetSpeed speed, std::vector<HeldRange> held)
 {
     RoutingTarget &entry = m_targets[slotOf(target)];
+    held = mergeRanges(std::move(held),
+                       [](const HeldRange &range) { return std::tie(range.model, range.version, range.adapter); });
     if (entry.held() != held || differsMuch(entry.speed().layerTokensPerSecond, speed.layerTokensPerSecond)) {
         markOutdated(entry.held());
         markOutdated(held);
--- a/src/routing/tests/ChainRouterTest.cpp
+++ b/src/routing/tests/ChainRouterTest.cpp
@@ -104,6 +104,17 @@
     CHECK(routed(router, wish).chain.stages.front().target == TargetId("slow"));
 }
 
+TEST_CASE("layers that a target loaded in pieces are run in one stage")
+{
+    ChainRouter router({.seed = 1});
+    const TargetId target("a");
+    router.updateTarget(
+        target,
+        speed(1000),
+        {{target, ModelId("glider"), "1", "", range(2, 4)}, {target, ModelId("glider"), "1", "", range(0, 2)}});
+    CHECK(routed(router, request(4)).chain.stages.size() == 1);
+}
+
 TEST_CASE("a suspect target is used for layers that nobody else holds")
 {
     ChainRouter router({.seed = 1});
