--- a/src/membership/MembershipOptions.h
+++ b/src/membership/MembershipOptions.h
@@ -29,9 +29,10 @@
     /// Seeds the choice of whom to probe; differs from host to host.
     std::uint64_t seed = 0;
     /// One member is probed in each period.
-    Duration probePeriod = 1s;
-    /// After that time without an answer, other members are asked to probe. Above the round trip between regions.
-    Duration probeTimeout = 400ms;
+    Duration probePeriod = 600ms;
+    /// After that time without an answer, other members are asked to probe. Above the round trip between regions; the
+    /// rest of the period has to be enough for the way through another member.
+    Duration probeTimeout = 200ms;
     /// How many other members are asked.
     std::size_t indirectProbes = 3;
     /// A dead member is probed so often, in case it lives behind a healed link.
@@ -39,7 +40,7 @@
     /// See `MemberTable`.
     Duration dropDelay = 60s;
     /// Gossip that this host sends in a period, over all its messages.
-    std::size_t updatesPerPeriod = 30;
+    std::size_t updatesPerPeriod = 20;
     std::size_t updatesPerMessage = 10;
     /// Members that a host which leaves tells at once.
     std::size_t leaveFanOut = 8;
--- a/src/membership/tests/MembershipFleet.cpp
+++ b/src/membership/tests/MembershipFleet.cpp
@@ -77,7 +77,13 @@
 
 void MembershipFleet::post(std::size_t from, const SendMembershipMessage &message)
 {
-    const std::size_t bytes = m_options.countBytes ? packCbor(nlohmann::json(message.message)).size() : 0;
+    std::size_t bytes = 0;
+    MembershipMessage arriving = message.message;
+    if (m_options.packMessages) {
+        const std::string packed = packCbor(nlohmann::json(message.message));
+        bytes = packed.size();
+        arriving = std::get<nlohmann::json>(unpackCbor(packed)).get<MembershipMessage>();
+    }
     ++sent[from].messages;
     sent[from].bytes += bytes;
     const auto to = m_indices.find(message.to);
@@ -89,7 +95,7 @@
         if (m_random.fraction() >= m_options.lossRate) {
             const Duration spread = m_options.longestDelay - m_options.shortestDelay;
             const Duration delay = m_options.shortestDelay + Duration(m_random.below(spread.count() + 1));
-            m_inFlight.emplace(m_now + delay, Delivery{to->second, {host(from), message.message}, bytes});
+            m_inFlight.emplace(m_now + delay, Delivery{to->second, {host(from), arriving}, bytes});
         }
     }
 }
--- a/src/membership/tests/MembershipFleet.h
+++ b/src/membership/tests/MembershipFleet.h
@@ -20,13 +20,13 @@
     Duration shortestDelay = 1ms;
     Duration longestDelay = 40ms;
     Duration step = 20ms;
-    /// Whether to pack each message to count its bytes.
-    bool countBytes = false;
+    /// Whether each message travels packed, so that its bytes are counted.
+    bool packMessages = false;
     /// Changes the options of each host.
     std::function<void(MembershipOptions &)> adjust;
 };
 
-/// What a host has sent and received, both counted at the sender's or receiver's side.
+/// What a host has sent or received.
 struct MembershipTraffic
 {
     std::size_t messages = 0;
