Quarantine: Bound the targets that one request takes down

Cause: a request that crashes each target that runs it is sent again by its caller, while few targets exist. Change: hosts report crashes to each other; the only request in flight is condemned, several become suspects that run apart on a reserved target, claimed in the service; completion clears, expiry and operators free. Bound: c + 1 targets, c being the targets that had it in flight before the first crash was known; 2 where it comes one at a time. Seen failing with the guard taken out: condemnation of a lone request, companions freed by a common culprit, the window in which nothing of a crash runs. Not seen failing: the answer to a trial whose request is cleared while it waits.

--- /dev/null
+++ b/src/quarantine/Quarantine.cpp
@@ -0,0 +1,311 @@
+#include "quarantine/Quarantine.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace Carawaymill {
+
+Result<Quarantine, InvalidQuarantineOptions> Quarantine::create(QuarantineOptions options)
+{
+    const auto durations = {options.companionWindow,
+                            options.expiry,
+                            options.clearedMemory,
+                            options.trialLimit,
+                            options.retryAfter,
+                            options.reservationSettling,
+                            options.reservationHold,
+                            options.retryPause,
+                            options.readInterval};
+    const bool positive = std::ranges::all_of(durations, [](Duration duration) { return duration > 0s; });
+    if (!positive || options.reportRepeats == 0) {
+        return InvalidQuarantineOptions{};
+    }
+    return Quarantine(std::move(options));
+}
+
+Quarantine::Quarantine(QuarantineOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::string Quarantine::holderName() const
+{
+    return m_options.self.value() + "#" + std::to_string(m_options.incarnation.value());
+}
+
+std::vector<QuarantineAction> Quarantine::handle(const QuarantineEvent &event, TimePoint now)
+{
+    Actions actions;
+    std::visit(Overloaded{
+                   [&](const TargetCrashed &crash) { crashed(crash, now, actions); },
+                   [&](const RequestCompleted &done) { completed(done.fingerprint, now, actions); },
+                   [&](const TrialWanted &wanted) { trialWanted(wanted, now, actions); },
+                   [&](const TrialEnded &ended) { trialEnded(ended.fingerprint, now); },
+                   [&](const QuarantineMessageReceived &received) {
+                       std::visit(Overloaded{
+                                      [&](const CrashReported &report) { noteCrash(report, now); },
+                                      [&](const QuarantineAnnounced &message) { announced(message, now); },
+                                      [&](const TargetReserved &message) { reserved(message, now); },
+                                  },
+                                  received.message);
+                   },
+                   [&](const KeyValueReply &result) { reply(result, now, actions); },
+                   [&](const LiftRequested &wanted) { lift(wanted.fingerprint, now, actions); },
+                   [&](const Tick &) { tick(now, actions); },
+               },
+               event);
+    grantTrials(now, actions);
+    repeatReservations(now, actions);
+    synchronise(now, actions);
+    return actions;
+}
+
+QuarantineVerdict Quarantine::verdict(const Fingerprint &fingerprint, TimePoint now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return RunFreely{};
+    }
+    const Entry &entry = found->second;
+    if (entry.record.state == QuarantineState::Condemned) {
+        return RefuseRequest{.retryAfter = std::max(entry.expiry - now, m_options.retryAfter), .condemned = true};
+    }
+    if (now < entry.windowEnd) {
+        return RefuseRequest{.retryAfter = std::max(entry.windowEnd - now, m_options.retryAfter)};
+    }
+    if (entry.record.state == QuarantineState::Cleared) {
+        return RunFreely{};
+    }
+    if (entry.record.state == QuarantineState::OnTrial || entry.trialWanted) {
+        return RefuseRequest{.retryAfter = m_options.retryAfter};
+    }
+    return RunAlone{};
+}
+
+std::vector<std::pair<Fingerprint, QuarantineRecord>> Quarantine::list() const
+{
+    std::vector<std::pair<Fingerprint, QuarantineRecord>> listed;
+    for (const auto &[fingerprint, entry] : m_entries) {
+        if (entry.record.state != QuarantineState::Cleared) {
+            listed.emplace_back(fingerprint, entry.record);
+        }
+    }
+    return listed;
+}
+
+void Quarantine::change(Entry &entry, QuarantineState state, TimePoint now) const
+{
+    entry.record.state = state;
+    entry.record.holder = state == QuarantineState::OnTrial ? holderName() : std::string();
+    entry.since = now;
+    entry.expiry = now + (state == QuarantineState::Cleared ? m_options.clearedMemory : m_options.expiry);
+    if (state != QuarantineState::OnTrial) {
+        entry.trialHere = false;
+    }
+}
+
+bool Quarantine::targetReserved(const TargetId &target, TimePoint now) const
+{
+    const auto found = m_reservations.find(target);
+    return found != m_reservations.end() && now < found->second.until;
+}
+
+void Quarantine::crashed(const TargetCrashed &event, TimePoint now, Actions &actions)
+{
+    if (event.inFlight.empty()) {
+        return;
+    }
+    CrashReported report{
+        .id = {.reporter = m_options.self, .incarnation = m_options.incarnation, .number = ++m_lastCrash},
+        .target = event.target,
+        .inFlight = event.inFlight};
+    noteCrash(report, now);
+    Crash &crash = m_crashes[event.target];
+    crash.own.insert(event.inFlight.begin(), event.inFlight.end());
+    crash.repeatsLeft = m_options.reportRepeats - 1;
+    crash.nextRepeat = now + m_options.companionWindow / (m_options.reportRepeats + 1);
+    crash.report = report;
+    actions.emplace_back(BroadcastQuarantineMessage{.message = std::move(report)});
+}
+
+void Quarantine::noteCrash(const CrashReported &report, TimePoint now)
+{
+    if (!m_seenReports.emplace(report.id, now + m_options.clearedMemory).second) {
+        return;
+    }
+    Crash &crash = m_crashes[report.target];
+    if (crash.inFlight.empty()) {
+        crash.windowEnd = now + m_options.companionWindow;
+    }
+    for (const Fingerprint &fingerprint : report.inFlight) {
+        crash.inFlight.insert(fingerprint);
+        const auto [found, added] = m_entries.try_emplace(fingerprint);
+        if (added) {
+            change(found->second, QuarantineState::Suspect, now);
+        }
+        found->second.windowEnd = std::max(found->second.windowEnd, crash.windowEnd);
+    }
+}
+
+std::optional<Fingerprint> Quarantine::culpritOf(const Crash &crash) const
+{
+    if (crash.inFlight.size() == 1) {
+        return *crash.inFlight.begin();
+    }
+    // Suspects run apart, so the only one that was in an earlier crash as well explains both.
+    std::optional<Fingerprint> culprit;
+    for (const Fingerprint &fingerprint : crash.inFlight) {
+        const QuarantineRecord &record = m_entries.at(fingerprint).record;
+        const bool free = record.state == QuarantineState::Cleared || record.crashes == 0;
+        if (free) {
+            continue;
+        }
+        if (culprit) {
+            return std::nullopt;
+        }
+        culprit = fingerprint;
+    }
+    return culprit;
+}
+
+void Quarantine::judge(const Crash &crash, TimePoint now, Actions &actions)
+{
+    const auto cleared = [&](const Fingerprint &fingerprint) {
+        return m_entries.at(fingerprint).record.state == QuarantineState::Cleared;
+    };
+    const std::optional<Fingerprint> culprit = culpritOf(crash);
+    const bool allCleared = std::ranges::all_of(crash.inFlight, cleared);
+    for (const Fingerprint &fingerprint : crash.inFlight) {
+        Entry &entry = m_entries.at(fingerprint);
+        if (entry.record.state == QuarantineState::Condemned || (cleared(fingerprint) && !allCleared)) {
+            continue;
+        }
+        const bool condemned = culprit == fingerprint;
+        if (culprit && !condemned) {
+            // The crash is explained without this request.
+            change(entry, QuarantineState::Cleared, now);
+            continue;
+        }
+        entry.record.weight += 1.0 / static_cast<double>(crash.inFlight.size());
+        ++entry.record.crashes;
+        change(entry, condemned ? QuarantineState::Condemned : QuarantineState::Suspect, now);
+        actions.emplace_back(QuarantineDecision{.fingerprint = fingerprint, .record = entry.record});
+        if (crash.own.contains(fingerprint)) {
+            // Each host records what it ran itself, so that a crash costs one write for each of them.
+            entry.dirty = true;
+            if (condemned) {
+                announce(fingerprint, entry, actions);
+            }
+        }
+    }
+}
+
+void Quarantine::announce(const Fingerprint &fingerprint, const Entry &entry, Actions &actions) const
+{
+    actions.emplace_back(
+        BroadcastQuarantineMessage{.message = QuarantineAnnounced{.fingerprint = fingerprint, .record = entry.record}});
+}
+
+void Quarantine::completed(const Fingerprint &fingerprint, TimePoint now, Actions &actions)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return;
+    }
+    const QuarantineState state = found->second.record.state;
+    if (state == QuarantineState::Suspect || state == QuarantineState::OnTrial) {
+        clear(fingerprint, found->second, now, actions);
+    }
+}
+
+void Quarantine::lift(const Fingerprint &fingerprint, TimePoint now, Actions &actions)
+{
+    if (const auto found = m_entries.find(fingerprint); found != m_entries.end()) {
+        found->second.windowEnd = now;
+        clear(fingerprint, found->second, now, actions);
+    }
+}
+
+void Quarantine::clear(const Fingerprint &fingerprint, Entry &entry, TimePoint now, Actions &actions)
+{
+    change(entry, QuarantineState::Cleared, now);
+    entry.dirty = entry.revision > Revision(0);
+    if (entry.trialWanted || entry.grantAt) {
+        // It may run freely, but the one that asked has no reserved target: it asks for a new verdict.
+        decideTrial(fingerprint, entry, false, actions);
+    }
+    announce(fingerprint, entry, actions);
+    actions.emplace_back(QuarantineDecision{.fingerprint = fingerprint, .record = entry.record});
+}
+
+void Quarantine::announced(const QuarantineAnnounced &announced, TimePoint now)
+{
+    const auto [found, added] = m_entries.try_emplace(announced.fingerprint);
+    Entry &entry = found->second;
+    const bool clears = announced.record.state == QuarantineState::Cleared;
+    // A late double of an announcement must not undo what followed it.
+    const bool newer = announced.record.crashes > entry.record.crashes;
+    const bool follows = clears && announced.record.crashes == entry.record.crashes;
+    if (!added && !newer && !follows && entry.record.state != QuarantineState::Suspect) {
+        return;
+    }
+    if (!added && announced.record.crashes < entry.record.crashes) {
+        return;
+    }
+    entry.record = announced.record;
+    change(entry, announced.record.state, now);
+    entry.dirty = false;
+    if (clears) {
+        entry.revision = Revision(0);
+    }
+}
+
+void Quarantine::tick(TimePoint now, Actions &actions)
+{
+    for (auto &[target, crash] : m_crashes) {
+        if (crash.repeatsLeft > 0 && now >= crash.nextRepeat) {
+            --crash.repeatsLeft;
+            crash.nextRepeat = now + m_options.companionWindow / (m_options.reportRepeats + 1);
+            actions.emplace_back(BroadcastQuarantineMessage{.message = crash.report});
+        }
+        if (now >= crash.windowEnd) {
+            judge(crash, now, actions);
+        }
+    }
+    std::erase_if(m_crashes, [&](const auto &crash) { return now >= crash.second.windowEnd; });
+    std::erase_if(m_seenReports, [&](const auto &seen) { return now >= seen.second; });
+    expire(now);
+}
+
+void Quarantine::expire(TimePoint now)
+{
+    for (auto &[fingerprint, entry] : m_entries) {
+        const bool here = entry.trialHere || entry.trialWanted;
+        if (entry.record.state == QuarantineState::OnTrial && !here && now - entry.since >= m_options.trialLimit) {
+            change(entry, QuarantineState::Suspect, now);
+        }
+        if (entry.record.state != QuarantineState::Cleared && !here && now >= entry.expiry) {
+            change(entry, QuarantineState::Cleared, now);
+            entry.dirty = entry.revision > Revision(0);
+        }
+    }
+    std::erase_if(m_entries, [&](const auto &item) {
+        const Entry &entry = item.second;
+        return entry.record.state == QuarantineState::Cleared && !entry.dirty && now >= entry.expiry
+               && now >= entry.windowEnd;
+    });
+}
+
+std::string describe(const QuarantineDecision &decision)
+{
+    static const std::map<QuarantineState, const char *> names{{QuarantineState::Suspect, "a suspect"},
+                                                               {QuarantineState::OnTrial, "run alone"},
+                                                               {QuarantineState::Condemned, "condemned"},
+                                                               {QuarantineState::Cleared, "cleared"}};
+    std::ostringstream text;
+    text << "Quarantine: request " << decision.fingerprint << " is " << names.at(decision.record.state) << " after "
+         << decision.record.crashes << " crashes, weight " << decision.record.weight;
+    return text.str();
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/quarantine/tests/QuarantineFleet.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "quarantine/Quarantine.h"
+#include "standins/KeyValueStore.h"
+#include "support/Random.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace Carawaymill {
+
+/// Several hosts with a quarantine each, their links and the key-value service under virtual time.
+class QuarantineFleet
+{
+public:
+    QuarantineFleet(std::uint64_t seed, unsigned hostCount);
+
+    void handle(unsigned host, const QuarantineEvent &event);
+    [[nodiscard]] QuarantineVerdict verdict(unsigned host, const Fingerprint &fingerprint) const;
+    /// Tells every host that has requests in flight of the crash.
+    void crash(const TargetId &target, const std::map<unsigned, std::vector<Fingerprint>> &inFlight);
+    /// Asks for a run alone and waits for the decision.
+    [[nodiscard]] bool tryAlone(unsigned host, const Fingerprint &fingerprint, const TargetId &target);
+
+    [[nodiscard]] bool targetReserved(unsigned host, const TargetId &target) const
+    {
+        return m_hosts[host].targetReserved(target, now);
+    }
+
+    void run(Duration duration);
+
+    template<typename Verdict>
+    [[nodiscard]] bool everyVerdict(const Fingerprint &fingerprint) const
+    {
+        for (unsigned host = 0; host < m_hosts.size(); ++host) {
+            if (!std::holds_alternative<Verdict>(verdict(host, fingerprint))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    TimePoint now{};
+    KeyValueStore store;
+    double messageLoss = 0;
+    std::function<void(unsigned host, const TrialDecided &)> onTrial;
+    std::vector<BroadcastQuarantineMessage> sent;
+
+private:
+    void perform(unsigned host, const std::vector<QuarantineAction> &actions);
+    void call(unsigned host, const KeyValueCall &call);
+
+    Random m_random;
+    std::vector<Quarantine> m_hosts;
+    std::multimap<TimePoint, std::function<void()>> m_steps;
+};
+
+} // namespace Carawaymill
