--- /dev/null
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -0,0 +1,98 @@
+#include "daemon/Daemon.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+
+#include <popt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
+using namespace Carawaymill;
+
+namespace {
+
+/// What the process ends with. Documented in docs/RUNNING.md.
+enum ExitCode {
+    ExitSuccess = 0,
+    ExitWrongCommandLine = 2,
+    ExitWrongSettings = 3,
+    ExitCannotStart = 4,
+};
+
+struct CommandLine
+{
+    std::string settingsFile;
+    bool checkOnly = false;
+};
+
+/// Reads the command line; exits when it is wrong.
+CommandLine readCommandLine(int argc, const char **argv)
+{
+    char *settings = nullptr;
+    int checkOnly = 0;
+    const poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &settings, 0, "JSON file with the daemon's settings", "FILE"},
+        {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext(nullptr, argc, argv, static_cast<const poptOption *>(options), 0);
+    if (poptGetNextOpt(context) < -1 || settings == nullptr) {
+        poptPrintUsage(context, stderr, 0);
+        std::exit(ExitWrongCommandLine);
+    }
+    CommandLine line{.settingsFile = settings, .checkOnly = checkOnly != 0};
+    std::free(settings);
+    poptFreeContext(context);
+    return line;
+}
+
+/// Reads the settings file; exits when it is wrong.
+DaemonSettings readSettings(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        LOG(ERROR) << "Daemon: cannot read the settings file.";
+        std::exit(ExitWrongSettings);
+    }
+    const std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    auto settings = readDaemonSettings(text);
+    if (const auto *invalid = std::get_if<InvalidSettings>(&settings)) {
+        LOG(ERROR) << "Daemon: setting " << invalid->field << ": " << invalid->reason;
+        std::exit(ExitWrongSettings);
+    }
+    return std::get<DaemonSettings>(std::move(settings));
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    const CommandLine line = readCommandLine(argc, argv);
+    DaemonSettings settings = readSettings(line.settingsFile);
+    if (line.checkOnly) {
+        LOG(INFO) << "Daemon: the settings are good.";
+        return ExitSuccess;
+    }
+    boost::asio::io_context context;
+    auto daemon = Daemon::create(context, std::move(settings));
+    if (const auto *failure = std::get_if<StartFailure>(&daemon)) {
+        LOG(ERROR) << "Daemon: cannot start: " << failure->reason << ".";
+        return ExitCannotStart;
+    }
+    auto &running = *std::get<std::unique_ptr<Daemon>>(daemon);
+    LOG(INFO) << "Daemon: answers callers on port " << running.callerPort() << ", operators on port "
+              << running.operatorPort() << ".";
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &error, int) {
+        if (!error) {
+            running.drain();
+        }
+    });
+    context.run();
+    return ExitSuccess;
+}
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,340 @@
+#include "daemon/Daemon.h"
+
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "node/Node.h"
+#include "peering/PeerLink.h"
+#include "pipeline/EngineHttpClient.h"
+#include "platform/BootClock.h"
+#include "platform/HostListHttpClient.h"
+#include "platform/KeyValueHttpClient.h"
+#include "support/Hash.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+
+#include <chrono>
+#include <map>
+
+namespace Carawaymill {
+
+static constexpr std::chrono::milliseconds tickInterval(10);
+
+/// The sockets, timers and clients of one daemon.
+class Daemon::Implementation
+{
+public:
+    Implementation(boost::asio::io_context &context, DaemonSettings settings, std::unique_ptr<Node> node)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_node(std::move(node))
+        , m_client(context)
+        , m_engines(m_client)
+        , m_keyValue(m_client, {.addresses = {m_settings.keyValueService}})
+        , m_tick(context)
+    {
+    }
+
+    [[nodiscard]] std::optional<StartFailure> start()
+    {
+        if (auto failure = listen(m_settings.callers, false, m_callers)) {
+            return failure;
+        }
+        if (auto failure = listen(m_settings.operators, true, m_operators)) {
+            return failure;
+        }
+        auto link = PeerLink::create(
+            m_context,
+            {.host = m_settings.host, .listenAddress = m_settings.peerAddress, .key = m_settings.peerKey},
+            [this](HostId from, nlohmann::json message) {
+                feed(PeerMessage{.from = std::move(from), .message = std::move(message)});
+            });
+        if (const auto *failure = std::get_if<PeerLinkFailure>(&link)) {
+            return StartFailure{.reason = "peer address: " + failure->reason};
+        }
+        m_peers = std::get<std::unique_ptr<PeerLink>>(std::move(link));
+        m_hostList =
+            std::make_unique<HostListHttpClient>(m_context,
+                                                 m_client,
+                                                 HostListHttpClientOptions{.address = m_settings.hostListService},
+                                                 [this](HostListRead list) { feed(std::move(list)); });
+        tick();
+        return std::nullopt;
+    }
+
+    void drain()
+    {
+        if (m_drainUntil) {
+            return;
+        }
+        m_drainUntil = readBootClock() + m_settings.drainTimeout;
+        feed(DrainRequested{});
+    }
+
+    [[nodiscard]] std::uint16_t callerPort() const { return m_callers->port(); }
+
+    [[nodiscard]] std::uint16_t operatorPort() const { return m_operators->port(); }
+
+private:
+    [[nodiscard]] std::optional<StartFailure>
+    listen(const ListenSettings &listen, bool operators, std::unique_ptr<HttpServer> &place)
+    {
+        auto server =
+            HttpServer::create(m_context,
+                               {.address = listen.address,
+                                .port = listen.port,
+                                .bodyLimit = m_settings.bodyLimit,
+                                .connectionLimit = m_settings.connectionLimit},
+                               [this, operators](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+                                   takeRequest(std::move(request), std::move(responder), operators);
+                               });
+        if (const auto *failure = std::get_if<ListenFailure>(&server)) {
+            return StartFailure{.reason = listen.address + ": " + failure->reason};
+        }
+        place = std::get<std::unique_ptr<HttpServer>>(std::move(server));
+        return std::nullopt;
+    }
+
+    void takeRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder, bool operators)
+    {
+        m_lastRequest = m_lastRequest.next();
+        const RequestId id = m_lastRequest;
+        responder->onCallerGone([this, id] {
+            m_responders.erase(id);
+            feed(CallerDisconnected{id});
+        });
+        m_responders.emplace(id, std::move(responder));
+        if (operators) {
+            feed(OperatorRequest{.id = id, .request = std::move(request)});
+            return;
+        }
+        const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+        feed(CallerRequest{.id = id,
+                           .request = std::move(request),
+                           .receivedAt =
+                               WallClockSeconds(std::chrono::duration_cast<std::chrono::seconds>(wallClock).count())});
+    }
+
+    void feed(const NodeEvent &event)
+    {
+        for (NodeAction &action : m_node->handle(event, readBootClock())) {
+            std::visit([this](auto &concrete) { perform(concrete); }, action);
+        }
+    }
+
+    void tick()
+    {
+        feed(Tick{});
+        if (m_drainUntil) {
+            finishDrain();
+        }
+        m_tick.expires_after(tickInterval);
+        m_tick.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    /// Stops when nothing is in progress any more, or when the time for it is up.
+    void finishDrain()
+    {
+        const bool idle = m_node->drained() && m_callers->requestsInProgress() == 0;
+        if (!idle && readBootClock() < *m_drainUntil) {
+            return;
+        }
+        LOG(INFO) << "Daemon: stops, " << m_callers->requestsInProgress() << " requests in progress.";
+        m_context.stop();
+    }
+
+    void perform(Respond &action)
+    {
+        if (const auto found = m_responders.find(action.id); found != m_responders.end()) {
+            const auto responder = std::move(found->second);
+            m_responders.erase(found);
+            responder->send(action.response);
+        }
+    }
+
+    void perform(BeginStream &action)
+    {
+        if (const auto found = m_responders.find(action.id); found != m_responders.end()) {
+            found->second->startStream(action.head);
+        }
+    }
+
+    void perform(WriteStream &action)
+    {
+        if (const auto found = m_responders.find(action.id); found != m_responders.end()) {
+            found->second->writeChunk(action.chunk);
+        }
+    }
+
+    void perform(EndStream &action)
+    {
+        if (const auto found = m_responders.find(action.id); found != m_responders.end()) {
+            const auto responder = std::move(found->second);
+            m_responders.erase(found);
+            responder->finishStream();
+        }
+    }
+
+    void perform(RunStep &action)
+    {
+        m_engines.runStep(action.address,
+                          action.step,
+                          action.timeout,
+                          [this, job = action.job, stream = action.step.stream](StepResult result) {
+                              feed(StepReturned{.job = job, .stream = stream, .result = std::move(result)});
+                          });
+    }
+
+    void perform(AskStream &action)
+    {
+        m_engines.askStream(action.address,
+                            action.stream,
+                            action.timeout,
+                            [this, job = action.job, stream = action.stream](StreamStatusResult result) {
+                                feed(StreamStatusReturned{.job = job, .stream = stream, .result = std::move(result)});
+                            });
+    }
+
+    void perform(DropStream &action) { m_engines.dropStream(action.address, action.stream); }
+
+    void perform(AskTarget &action)
+    {
+        if (action.kind == TargetKind::Engine) {
+            m_engines.report(
+                action.address, action.timeout, [this, target = action.target](EngineSelfReportResult result) {
+                    reportTarget(target, std::move(result));
+                });
+            return;
+        }
+        m_client.send(action.address,
+                      {.method = "GET", .target = "/healthz", .headers = {}, .body = {}},
+                      {.timeout = action.timeout},
+                      [this, target = action.target](const HttpResult &result) {
+                          feed(TargetReported{.target = target, .outcome = pollOutcome(result), .report = {}});
+                      });
+    }
+
+    [[nodiscard]] static PollOutcome pollOutcome(const HttpResult &result)
+    {
+        return std::visit(Overloaded{[](const HttpResponse &) { return PollOutcome::Answered; },
+                                     [](HttpNotSent) { return PollOutcome::NotSent; },
+                                     [](HttpNoAnswer) { return PollOutcome::NoAnswer; }},
+                          result);
+    }
+
+    void reportTarget(const TargetId &target, EngineSelfReportResult result)
+    {
+        TargetReported reported{.target = target, .outcome = PollOutcome::Answered, .report = {}};
+        std::visit(Overloaded{[&](EngineSelfReport &report) {
+                                  reported.report = {.state = std::move(report.state), .load = report.load};
+                              },
+                              [&](EngineNotSent) { reported.outcome = PollOutcome::NotSent; },
+                              [&](EngineNoAnswer) { reported.outcome = PollOutcome::NoAnswer; }},
+                   result);
+        feed(reported);
+    }
+
+    void perform(CallTarget &action)
+    {
+        m_client.send(action.address,
+                      std::move(action.request),
+                      {.timeout = action.timeout, .freshConnection = true},
+                      [this, job = action.job, attempt = action.attempt](HttpResult result) {
+                          feed(TargetReturned{.job = job, .attempt = attempt, .result = std::move(result)});
+                      });
+    }
+
+    void perform(GiveOrder &action)
+    {
+        m_engines.order(
+            action.address, action.order, [this, order = action.order](std::optional<EngineOrderReply> reply) {
+                feed(OrderReturned{.order = order, .reply = std::move(reply)});
+            });
+    }
+
+    void perform(KeyValueCall &action)
+    {
+        m_keyValue.carryOut(action, [this](KeyValueReply reply) { feed(std::move(reply)); });
+    }
+
+    void perform(SendToPeer &action) { m_peers->send(action.to, action.address, action.message); }
+
+    static void perform(WriteLog &action) { LOG(INFO) << action.line; }
+
+    boost::asio::io_context &m_context;
+    DaemonSettings m_settings;
+    std::unique_ptr<Node> m_node;
+    HttpClient m_client;
+    EngineHttpClient m_engines;
+    KeyValueHttpClient m_keyValue;
+    boost::asio::steady_timer m_tick;
+    std::unique_ptr<PeerLink> m_peers;
+    std::unique_ptr<HostListHttpClient> m_hostList;
+    std::map<RequestId, std::unique_ptr<HttpResponder>> m_responders;
+    RequestId m_lastRequest;
+    std::optional<TimePoint> m_drainUntil;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_operators;
+};
+
+Daemon::Daemon(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>, StartFailure> Daemon::create(boost::asio::io_context &context, DaemonSettings settings)
+{
+    const auto started = std::chrono::system_clock::now().time_since_epoch();
+    const auto incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(started).count());
+    std::vector<ConfiguredMember> members;
+    for (const ListedHost &peer : settings.peers) {
+        members.push_back(
+            {.host = peer.host,
+             .profile = {.peerAddress = peer.peerAddress, .failureDomain = peer.failureDomain, .region = peer.region}});
+    }
+    auto node = Node::create({.host = settings.host,
+                              .failureDomain = settings.failureDomain,
+                              .region = settings.region,
+                              .peerAddress = settings.peerAddress,
+                              .configuredMembers = std::move(members),
+                              .incarnation = IncarnationNumber(incarnation),
+                              .seed = stableHash(settings.host.value(), incarnation),
+                              .operatorTokenHash = settings.operatorTokenHash,
+                              .firstStartOfDeployment = settings.firstStartOfDeployment},
+                             readBootClock());
+    if (const auto *invalid = std::get_if<Node::InvalidOptions>(&node)) {
+        return StartFailure{.reason = invalid->field};
+    }
+    auto implementation = std::make_unique<Implementation>(
+        context, std::move(settings), std::get<std::unique_ptr<Node>>(std::move(node)));
+    if (auto failure = implementation->start()) {
+        return std::move(*failure);
+    }
+    return std::unique_ptr<Daemon>(new Daemon(std::move(implementation)));
+}
+
+void Daemon::drain()
+{
+    m_implementation->drain();
+}
+
+std::uint16_t Daemon::callerPort() const
+{
+    return m_implementation->callerPort();
+}
+
+std::uint16_t Daemon::operatorPort() const
+{
+    return m_implementation->operatorPort();
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/daemon/DaemonSettings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "platform/HostListMessages.h"
+#include "support/Codec.h"
+#include "support/Identifiers.h"
+#include "support/Time.h"
+#include "support/Units.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// One listener's address.
+struct ListenSettings
+{
+    /// IP number.
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+};
+
+/// Everything that a daemon is told at its start, from one JSON file.
+struct DaemonSettings
+{
+    HostId host;
+    FailureDomainId failureDomain;
+    RegionId region;
+    ListenSettings callers;
+    ListenSettings operators;
+    /// nng address that peers send to, for example `tcp://127.0.0.1:7400`.
+    std::string peerAddress;
+    /// Shared by all our hosts.
+    std::string peerKey;
+    /// SHA-256 (hexadecimal) of the operators' token.
+    std::string operatorTokenHash;
+    /// IP number and port of the platform's key-value service and host list.
+    std::string keyValueService;
+    std::string hostListService;
+    /// Hosts to send to before the host list was first read.
+    std::vector<ListedHost> peers;
+    /// Set only when all hosts start together for the first time: the organisations' limits can then be used in full at
+    /// once, since no earlier process can have lent a part of them.
+    bool firstStartOfDeployment = false;
+    ByteCount bodyLimit = ByteCount(1U << 20U);
+    std::uint32_t connectionLimit = 4096;
+    /// How long a shutdown waits for requests in progress.
+    Duration drainTimeout = 300s;
+};
+
+/// The settings cannot be used; `field` is the JSON pointer of what is wrong and `reason` says why.
+struct InvalidSettings
+{
+    std::string field;
+    std::string reason;
+
+    friend bool operator==(const InvalidSettings &, const InvalidSettings &) = default;
+};
+
+/// Reads and checks settings. Unknown fields are refused, so that a misspelt one is noticed.
+[[nodiscard]] Result<DaemonSettings, InvalidSettings> readDaemonSettings(const std::string &text);
+
+} // namespace Carawaymill
--- a/src/lease/tests/LeaseWorld.h
+++ b/src/lease/tests/LeaseWorld.h
@@ -18,6 +18,10 @@
     /// Speed of each host's clock against the service's lies within 1 -/+ this.
     double clockDrift = 0;
     LeaseKeeperOptions keeper;
+    /// Time between two ticks.
+    Duration step = 20ms;
+    /// Whether to look for violations at every step.
+    bool checks = true;
 };
 
 /// Several keepers and one key-value stand-in under virtual time. Checks at every step that no scope has two holders,
@@ -57,14 +61,16 @@
 
     void run(Duration duration)
     {
-        for (const TimePoint end = now + duration; now < end; now += step) {
+        for (const TimePoint end = now + duration; now < end; now += m_options.step) {
             deliver();
             for (std::size_t host = 0; host < m_hosts.size(); ++host) {
                 if (!m_hosts[host].paused) {
                     give(host, Tick{});
                 }
             }
-            check();
+            if (m_options.checks) {
+                check();
+            }
         }
     }
 
@@ -108,8 +114,6 @@
     };
 
 public:
-    static constexpr Duration step = 20ms;
-
     TimePoint now;
     /// Longest time that a call or its answer takes.
     Duration maximumDelay = 5ms;
@@ -174,20 +178,34 @@
 
     void arrive(Travelling travelling)
     {
-        KeyValueResult result = store.apply(travelling.call.request, now);
         const auto *watch = std::get_if<WatchRange>(&travelling.call.request);
+        if (watch == nullptr) {
+            travelling.result = store.apply(travelling.call.request, now);
+        } else if (travelling.watchEnd == TimePoint() || now >= travelling.watchEnd) {
+            travelling.result = startOrEndWatch(travelling, *watch);
+        } else {
+            travelling.result = store.pollWatch(*watch, now);
+        }
+        if (travelling.result) {
+            send(std::move(travelling));
+        } else {
+            m_travelling.emplace(now + m_options.step, std::move(travelling));
+        }
+    }
+
+    [[nodiscard]] std::optional<KeyValueResult> startOrEndWatch(Travelling &travelling, const WatchRange &watch)
+    {
+        if (travelling.watchEnd != TimePoint()) {
+            return RangeChanged{.written = {}, .deletedKeys = {}, .storeRevision = watch.after};
+        }
+        travelling.watchEnd = now + watch.wait;
+        KeyValueResult result = store.apply(watch, now);
         const auto *changes = std::get_if<RangeChanged>(&result);
-        if (watch != nullptr && changes != nullptr && changes->written.empty() && changes->deletedKeys.empty()) {
-            if (travelling.watchEnd == TimePoint()) {
-                travelling.watchEnd = now + watch->wait;
-            }
-            if (now < travelling.watchEnd) {
-                m_travelling.emplace(now + step, std::move(travelling));
-                return;
-            }
+        if (changes != nullptr && changes->written.empty() && changes->deletedKeys.empty()
+            && store.faults().watches == WatchFault::None) {
+            return std::nullopt;
         }
-        travelling.result = std::move(result);
-        send(std::move(travelling));
+        return result;
     }
 
     [[nodiscard]] static std::string hostName(std::size_t host) { return "host-" + std::to_string(host); }
--- /dev/null
+++ b/src/node/ModelJobs.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "node/AcceptedCall.h"
+#include "node/CompletionApi.h"
+#include "node/NodeContext.h"
+#include "node/NodeOutput.h"
+#include "node/TargetTable.h"
+#include "pipeline/PipelineJob.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// An accepted call for a model's answer that is to run now.
+struct ModelJobStart
+{
+    AcceptedCall call;
+    PipelineJobOptions pipeline;
+    /// The job is suspected of crashing targets: it must not share a target with others.
+    bool runAlone = false;
+
+    [[nodiscard]] const CompletionRequest &completion() const { return std::get<CompletionRequest>(call.what); }
+
+    [[nodiscard]] CompletionHead head() const
+    {
+        return {.job = call.job, .entry = call.entry.id, .chat = completion().chat, .created = call.receivedAt};
+    }
+};
+
+/// A job that lost a stage and waits for leave to go on with other targets.
+struct HeldJob
+{
+    JobId job;
+    Fingerprint fingerprint;
+    /// The target of the lost stage.
+    TargetId lost;
+    /// Whether it is known by now if that target's process is gone.
+    bool lossExamined = false;
+    /// A run alone was asked for.
+    bool trialAsked = false;
+};
+
+/// How a job ended; exactly one of `completed` and `failed` is present.
+struct ModelJobEnded
+{
+    ModelJobStart start;
+    std::optional<JobCompleted> completed;
+    std::optional<JobFailed> failed;
+    /// The response that the caller was given; a stream has none.
+    std::optional<HttpResponse> response;
+    std::vector<TargetId> targets;
+};
+
+/// All model jobs in progress on this host: gives each its chain, its engines' answers and, in the end, its caller's
+/// answer.
+class ModelJobs
+{
+public:
+    void start(ModelJobStart start, NodeContext &context);
+
+    void stepReturned(const StepReturned &event, NodeContext &context);
+    void streamStatusReturned(const StreamStatusReturned &event, NodeContext &context);
+    void targetDied(const TargetId &target, NodeContext &context);
+    void callerDisconnected(RequestId request, NodeContext &context);
+    void tick(NodeContext &context);
+
+    /// Every poll of a target tells whether it lives: jobs that lost a stage there may be judged.
+    void targetExamined(const TargetId &target);
+
+    [[nodiscard]] bool anyHeld() const { return !m_held.empty(); }
+
+    [[nodiscard]] std::vector<HeldJob> held() const;
+    void noteTrialAsked(const JobId &job);
+    /// The job's turn has not come: it may be judged again.
+    void noteTrialRefused(const JobId &job);
+    /// Lets a held job go on; `runAlone` keeps it apart from others.
+    void release(const JobId &job, bool runAlone, NodeContext &context);
+    /// Ends a job with this problem instead of the pipeline's own.
+    void refuse(const JobId &job, const Problem &problem, NodeContext &context);
+
+    [[nodiscard]] std::size_t inProgress() const { return m_jobs.size(); }
+
+    /// The fingerprints of jobs whose present step runs on the target.
+    [[nodiscard]] std::vector<Fingerprint> runningOn(const TargetId &target) const;
+
+    /// Jobs that ended since the last call.
+    [[nodiscard]] std::vector<ModelJobEnded> takeEnded() { return std::exchange(m_ended, {}); }
+
+private:
+    struct Job
+    {
+        ModelJobStart start;
+        PipelineJob pipeline;
+        bool streaming = false;
+        bool callerPresent = true;
+        /// The stages that the router counts as load of this job.
+        std::vector<ChainStage> counted;
+        std::optional<JobCompleted> completed;
+        std::optional<JobFailed> failed;
+        std::optional<HttpResponse> response;
+        /// A question for a route that is not answered before the quarantine has judged the job.
+        std::optional<std::variant<RequestChain, RequestReplacement>> heldRequest;
+        HeldJob held;
+        /// Ends the job with this instead of the pipeline's own failure.
+        std::optional<Problem> problem;
+    };
+
+    void feed(Job &job, const PipelineEvent &event, NodeContext &context);
+    [[nodiscard]] std::optional<PipelineEvent> perform(Job &job, const PipelineAction &action, NodeContext &context);
+    [[nodiscard]] PipelineEvent route(Job &job, const RequestChain &request, NodeContext &context);
+    [[nodiscard]] PipelineEvent route(Job &job, const RequestReplacement &request, NodeContext &context);
+    void noteIncident(Job &job, const StageIncident &incident, NodeContext &context);
+    void emitToken(Job &job, const TokenAccepted &token, NodeOutput &output);
+    void complete(Job &job, const JobCompleted &completed, NodeOutput &output);
+    void fail(Job &job, const JobFailed &failed, NodeOutput &output);
+    void recount(Job &job, TargetTable &targets);
+    void removeIfEnded(const JobId &id);
+
+    std::map<JobId, Job> m_jobs;
+    std::map<RequestId, JobId> m_byRequest;
+    /// Jobs with a held request.
+    std::set<JobId> m_held;
+    std::vector<ModelJobEnded> m_ended;
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,319 @@
+#include "node/Node.h"
+
+#include "support/Hash.h"
+
+namespace Carawaymill {
+
+/// Told to callers of a host that takes no new work: the balancer sends them to another host.
+static constexpr Duration otherHostRetryAfter = 1s;
+
+Result<Node::Parts, Node::InvalidOptions> Node::createParts(const NodeOptions &options, TimePoint now)
+{
+    auto catalogue = CatalogueReplica::create(
+        {.host = options.host, .failureDomain = options.failureDomain, .seed = stableHash("catalogue", options.seed)});
+    if (const auto *invalid = std::get_if<InvalidCatalogueReplicaOptions>(&catalogue)) {
+        return InvalidOptions{.field = "catalogue." + invalid->field};
+    }
+    auto fleet = Fleet::create(options);
+    if (const auto *invalid = std::get_if<InvalidMembershipOptions>(&fleet)) {
+        return InvalidOptions{.field = "membership." + invalid->option};
+    }
+    auto administration = AdministrationApi::create({.tokenHash = options.operatorTokenHash});
+    if (const auto *invalid = std::get_if<InvalidAdministrationOptions>(&administration)) {
+        return InvalidOptions{.field = "administration." + invalid->field};
+    }
+    auto scopes = ScopeDesk::create(options);
+    if (const auto *invalid = std::get_if<InvalidLeaseOptions>(&scopes)) {
+        return InvalidOptions{.field = "lease." + invalid->option};
+    }
+    auto ledger = LedgerDesk::create(options);
+    if (const auto *invalid = std::get_if<LedgerDesk::InvalidOptions>(&ledger)) {
+        return InvalidOptions{.field = "ledger." + invalid->field};
+    }
+    auto calls = CallDesk::create(options, now);
+    if (const auto *invalid = std::get_if<CallDesk::InvalidOptions>(&calls)) {
+        return InvalidOptions{.field = invalid->field};
+    }
+    return Parts{.catalogue = std::get<CatalogueReplica>(std::move(catalogue)),
+                 .fleet = std::get<Fleet>(std::move(fleet)),
+                 .administration = std::get<AdministrationApi>(std::move(administration)),
+                 .scopes = std::get<ScopeDesk>(std::move(scopes)),
+                 .ledger = std::get<LedgerDesk>(std::move(ledger)),
+                 .calls = std::get<CallDesk>(std::move(calls))};
+}
+
+Result<std::unique_ptr<Node>, Node::InvalidOptions> Node::create(NodeOptions options, TimePoint now)
+{
+    auto parts = createParts(options, now);
+    if (auto *invalid = std::get_if<InvalidOptions>(&parts)) {
+        return std::move(*invalid);
+    }
+    return std::unique_ptr<Node>(new Node(std::move(options), std::get<Parts>(std::move(parts))));
+}
+
+Node::Node(NodeOptions options, Parts parts)
+    : m_options(std::move(options))
+    , m_catalogue(std::move(parts.catalogue))
+    , m_editor(CatalogueEditorOptions{})
+    , m_fleet(std::move(parts.fleet))
+    , m_administration(std::move(parts.administration))
+    , m_scopes(std::move(parts.scopes))
+    , m_ledger(std::move(parts.ledger))
+    , m_calls(std::move(parts.calls))
+    , m_targets({.seed = stableHash("routing", m_options.seed),
+                 .ownFailureDomain = m_options.failureDomain,
+                 .ownRegion = m_options.region},
+                {})
+{
+}
+
+std::vector<NodeAction> Node::handle(const NodeEvent &event, TimePoint now)
+{
+    NodeOutput output(m_decisions);
+    NodeContext context{.now = now,
+                        .output = output,
+                        .catalogue = m_catalogue,
+                        .fleet = m_fleet,
+                        .targets = m_targets,
+                        .keyValue = m_keyValue};
+    std::visit([&](const auto &concrete) { on(concrete, context); }, event);
+    passScopeChanges(context);
+    m_calls.takeVerdicts(m_ledger, context);
+    return output.take();
+}
+
+bool Node::ready(TimePoint now) const
+{
+    return !m_draining && m_catalogue.takesNewJobs(now);
+}
+
+bool Node::drained() const
+{
+    return m_draining && m_calls.inProgress() == 0 && m_ledger.unrecordedBills() == 0 && m_ledger.waitingReports() == 0;
+}
+
+void Node::on(const Tick &, NodeContext &context)
+{
+    if (m_fleet.tick(context.now, context.output)) {
+        membersChanged(context);
+    }
+    feedCatalogue(Tick{}, context);
+    feedEditor(Tick{}, context);
+    feedAdministration(Tick{}, context);
+    m_scopes.tick(context);
+    m_ledger.tick(context);
+    targetsDied(m_targets.tick(context.now, context.output), context);
+    m_calls.tick(m_ledger, context);
+}
+
+void Node::on(const CallerRequest &event, NodeContext &context)
+{
+    if (event.request.target == "/healthz" || event.request.target == "/readyz" || !ready(context.now)) {
+        answerHealth(event, context);
+    } else {
+        m_calls.accept(event, m_ledger, context);
+    }
+}
+
+void Node::answerHealth(const CallerRequest &event, NodeContext &context)
+{
+    if (event.request.target == "/healthz" || ready(context.now)) {
+        context.output.respond(event.id, {.status = 200, .headers = {{"Content-Type", "text/plain"}}, .body = "ok\n"});
+        return;
+    }
+    context.output.refuse(event.id,
+                          {.type = m_draining ? ProblemType::Draining : ProblemType::NotReady,
+                           .ran = Ran::No,
+                           .detail = "This host takes no new requests.",
+                           .retryAfter = otherHostRetryAfter});
+}
+
+void Node::on(const CallerDisconnected &event, NodeContext &context)
+{
+    m_calls.callerDisconnected(event.id, m_ledger, context);
+    std::erase_if(m_operatorRequests, [&](const auto &entry) { return entry.second == event.id; });
+}
+
+void Node::on(const OperatorRequest &event, NodeContext &context)
+{
+    m_lastOperatorCall = m_lastOperatorCall.next();
+    m_operatorRequests.emplace(m_lastOperatorCall, event.id);
+    feedAdministration(AdministrationRequest{.id = m_lastOperatorCall, .request = event.request}, context);
+}
+
+void Node::on(const StepReturned &event, NodeContext &context)
+{
+    m_calls.stepReturned(event, m_ledger, context);
+}
+
+void Node::on(const StreamStatusReturned &event, NodeContext &context)
+{
+    m_calls.streamStatusReturned(event, m_ledger, context);
+}
+
+void Node::on(const TargetReported &event, NodeContext &context)
+{
+    targetsDied(m_targets.reported(event, context.now, context.output), context);
+    m_calls.targetExamined(event.target, m_ledger, context);
+}
+
+void Node::on(const TargetReturned &event, NodeContext &context)
+{
+    m_calls.targetReturned(event, m_ledger, context);
+}
+
+void Node::on(const OrderReturned &, NodeContext &) { }
+
+void Node::on(const KeyValueReply &event, NodeContext &context)
+{
+    const std::optional<KeyValueCallOrigin> origin = m_keyValue.resolve(event.id);
+    if (!origin) {
+        return;
+    }
+    const KeyValueReply reply{.id = origin->id, .result = event.result};
+    switch (origin->caller) {
+    case KeyValueCaller::Catalogue:
+        feedCatalogue(reply, context);
+        break;
+    case KeyValueCaller::CatalogueEditor:
+        feedEditor(reply, context);
+        break;
+    case KeyValueCaller::Lease:
+        m_scopes.reply(reply, context);
+        break;
+    case KeyValueCaller::LedgerShard:
+        m_ledger.reply(origin->number, reply, context);
+        break;
+    case KeyValueCaller::Quarantine:
+        m_calls.quarantineReply(reply, m_ledger, context);
+        break;
+    case KeyValueCaller::Usage:
+        feedAdministration(usageAnswer(reply), context);
+        break;
+    }
+}
+
+void Node::on(const HostListRead &event, NodeContext &context)
+{
+    if (m_fleet.hostListRead(event, context.now, context.output)) {
+        membersChanged(context);
+    }
+    targetsDied(m_targets.hostListRead(event, context.now, context.output), context);
+}
+
+void Node::on(const PeerMessage &event, NodeContext &context)
+{
+    const std::optional<ChannelMessage> message = readEnvelope(event.message);
+    if (!message) {
+        return;
+    }
+    switch (message->channel) {
+    case PeerChannel::Membership:
+        if (m_fleet.membershipReceived(event.from, message->body, context.now, context.output)) {
+            membersChanged(context);
+        }
+        break;
+    case PeerChannel::Catalogue:
+        if (auto read = decode<CatalogueMessage>(message->body); std::holds_alternative<CatalogueMessage>(read)) {
+            feedCatalogue(
+                CatalogueMessageReceived{.from = event.from, .message = std::get<CatalogueMessage>(std::move(read))},
+                context);
+        }
+        break;
+    case PeerChannel::Ledger:
+        m_ledger.received(event.from, message->body, context);
+        break;
+    case PeerChannel::Limits:
+        m_calls.limitsReceived(event.from, message->body, context);
+        break;
+    case PeerChannel::Quarantine:
+        m_calls.quarantineReceived(message->body, m_ledger, context);
+        break;
+    }
+}
+
+void Node::on(const DrainRequested &, NodeContext &context)
+{
+    if (std::exchange(m_draining, true)) {
+        return;
+    }
+    context.output.log("Node: drains.");
+    m_fleet.leave(context.now, context.output);
+    membersChanged(context);
+}
+
+void Node::membersChanged(NodeContext &context)
+{
+    CataloguePeersChanged peers;
+    for (const Member &member : m_fleet.members()) {
+        if (member.host != m_options.host) {
+            peers.peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
+        }
+    }
+    feedCatalogue(peers, context);
+    m_scopes.refresh(m_ledger.scopes(), m_fleet.membership().aliveHosts(), context);
+    m_ledger.membersChanged(context);
+    m_calls.membersChanged(context);
+}
+
+void Node::feedCatalogue(const CatalogueReplicaEvent &event, NodeContext &context)
+{
+    for (CatalogueReplicaAction &action : m_catalogue.handle(event, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  m_keyValue.issue(KeyValueCaller::Catalogue, 0, std::move(call), context.output);
+                              },
+                              [&](SendCatalogueMessage &send) {
+                                  m_fleet.send(send.to, PeerChannel::Catalogue, send.message, context.output);
+                              },
+                              [&](const CatalogueChanged &changed) {
+                                  context.output.log(describe(changed));
+                                  m_targets.declare(m_catalogue, context.now, context.output);
+                                  m_calls.catalogueChanged(context);
+                              },
+                              [&](const CatalogueVersionIgnored &ignored) { context.output.log(describe(ignored)); }},
+                   action);
+    }
+}
+
+void Node::feedEditor(const CatalogueEditorEvent &event, NodeContext &context)
+{
+    for (CatalogueEditorAction &action : m_editor.handle(event, m_catalogue, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  m_keyValue.issue(KeyValueCaller::CatalogueEditor, 0, std::move(call), context.output);
+                              },
+                              [&](CatalogueVersionsAccepted &accepted) { feedCatalogue(std::move(accepted), context); },
+                              [&](EditFinished &finished) { feedAdministration(std::move(finished), context); }},
+                   action);
+    }
+}
+
+void Node::feedAdministration(const AdministrationEvent &event, NodeContext &context)
+{
+    for (AdministrationAction &action : m_administration.handle(event, m_catalogue, context.now)) {
+        std::visit(Overloaded{[&](AdministrationReply &reply) {
+                                  if (const auto request = m_operatorRequests.extract(reply.id); !request.empty()) {
+                                      context.output.respond(request.mapped(), std::move(reply.response));
+                                  }
+                              },
+                              [&](const AdministrationQuery &query) { answerQuery(query, context); },
+                              [&](EditAsked &asked) { feedEditor(std::move(asked), context); },
+                              [&](InForceAsked asked) { feedCatalogue(asked, context); }},
+                   action);
+    }
+}
+
+void Node::targetsDied(const std::vector<TargetDied> &died, NodeContext &context)
+{
+    for (const TargetDied &target : died) {
+        m_calls.targetDied(target, m_ledger, context);
+    }
+}
+
+void Node::passScopeChanges(NodeContext &context)
+{
+    for (const ScopeChange &change : m_scopes.takeChanges()) {
+        m_ledger.scopeChanged(change, context);
+    }
+}
+
+} // namespace Carawaymill
