Catalogue: Test the reread after a long gap and the freshness bound

Cause: two guards could be removed without a test failing (full reread when more than the head lists is missing; the head alone does not make a host fresher).

--- a/src/catalogue/tests/CatalogueEditorTest.cpp
+++ b/src/catalogue/tests/CatalogueEditorTest.cpp
@@ -205,6 +205,23 @@
     CHECK(layersOn(world, 0) == 0);
 }
 
+TEST_CASE("a host without peers that missed more than the head lists reads everything again, also without a watch")
+{
+    CatalogueWorld world(4);
+    world.run(5s);
+    world.host(3).reachesPeers = false;
+    world.host(3).isFrozen = true;
+    world.store().faults().watches = WatchFault::Silent;
+    Revision revision = acceptedAt(world.edit(0, modelEdit("e1", "m", 5, 0)));
+    for (std::size_t count = 0; count <= maxHeadChanges; ++count) {
+        const std::string id = std::to_string(count);
+        revision = acceptedAt(world.edit(0, modelEdit("f" + id, "other" + id, 6, 0)));
+    }
+    world.host(3).isFrozen = false;
+    CHECK(world.runUntilInForce(revision, inForceTarget) < inForceTarget);
+    CHECK(layersOn(world, 3) == 5);
+}
+
 TEST_CASE("an invalid record is refused with its field and never stored")
 {
     CatalogueWorld world(4);
--- a/src/catalogue/tests/CatalogueReplicaTest.cpp
+++ b/src/catalogue/tests/CatalogueReplicaTest.cpp
@@ -112,12 +112,17 @@
     const std::string head = encodeCatalogueHead(headAfterChange({}, key));
     const RangeRead read{.records = {{.key = catalogueHeadKey, .value = head, .revision = Revision(9)}},
                          .storeRevision = Revision(9)};
-    (void)replica.handle(KeyValueReply{.id = callsOf<ReadRange>(actions).front().id, .result = read}, start);
+    (void)replica.handle(KeyValueReply{.id = callsOf<ReadRange>(actions).front().id, .result = read}, start + 5ms);
     CHECK(replica.revision() == Revision(7));
-    const auto fetches = callsOf<ReadRange>(replica.handle(Tick{}, start + 10ms));
+    // The head alone does not make the host any fresher.
+    const auto nextPoll = callsOf<ReadRange>(replica.handle(Tick{}, start + 2s));
+    REQUIRE(std::get<ReadRange>(nextPoll.front().request).prefix == catalogueHeadKey);
+    (void)replica.handle(KeyValueReply{.id = nextPoll.front().id, .result = read}, start + 2s);
+    CHECK(replica.staleness(start + 2s) == Duration(2s));
+    const std::vector<KeyValueCall> fetches(nextPoll.begin() + 1, nextPoll.end());
     REQUIRE(fetches.size() == 1);
     CHECK(std::get<ReadRange>(fetches.front().request).prefix == key);
-    (void)replica.handle(KeyValueReply{.id = fetches.front().id, .result = readOf(6, 9, 9)}, start + 20ms);
+    (void)replica.handle(KeyValueReply{.id = fetches.front().id, .result = readOf(6, 9, 9)}, start + 2s);
     CHECK(layersOf(replica) == 6);
     CHECK(replica.revision() == Revision(9));
 }
--- a/src/catalogue/tests/CatalogueScaleTest.cpp
+++ b/src/catalogue/tests/CatalogueScaleTest.cpp
@@ -8,11 +8,22 @@
 static constexpr double maxBytesPerHostAndSecond = 1024;
 static constexpr double maxCallsPerSecond = 200;
 
+namespace {
+
+struct Fleet
+{
+    std::size_t hosts = 0;
+    std::size_t failureDomains = 0;
+};
+
+} // namespace
+
 TEST_CASE("the catalogue's load per host stays small as the fleet grows, and a change still reaches all in time")
 {
-    for (const auto &[hosts, failureDomains] : {std::pair<std::size_t, std::size_t>{4, 3}, {37, 6}, {370, 24}}) {
+    for (const Fleet fleet : {Fleet{4, 3}, Fleet{37, 6}, Fleet{370, 24}}) {
+        const std::size_t hosts = fleet.hosts;
         CAPTURE(hosts);
-        CatalogueWorld world(hosts, 1, failureDomains);
+        CatalogueWorld world(hosts, 1, fleet.failureDomains);
         world.run(5s);
         (void)world.edit(0, modelEdit("e0", "first", 5, 0));
         world.run(5s);
