Catalogue: Claim nothing about hosts that are not known yet

Cause: in the demo a host that had not yet met the others reported edits as in force on 1 of 1 hosts, and a host whose list of peers ran empty while it was cut off would have stayed ready. Change: inForceOn has no value before the first CataloguePeersChanged; a host that ever had peers is bound by the isolation.

--- a/src/administration/AdministrationApi.cpp
+++ b/src/administration/AdministrationApi.cpp
@@ -239,9 +239,12 @@
     if (!revision) {
         return {badRequest(id, "revision", "is not a revision.")};
     }
-    const InForceCount count = catalogue.inForceOn(*revision);
-    return {InForceAsked{.revision = *revision},
-            reply(id, jsonResponse({{"revision", *revision}, {"confirmed", count.confirmed}, {"hosts", count.hosts}}))};
+    nlohmann::json body = {{"revision", *revision}, {"confirmed", nullptr}, {"hosts", nullptr}};
+    if (const std::optional<InForceCount> count = catalogue.inForceOn(*revision)) {
+        body["confirmed"] = count->confirmed;
+        body["hosts"] = count->hosts;
+    }
+    return {InForceAsked{.revision = *revision}, reply(id, jsonResponse(body))};
 }
 
 AdministrationApi::Actions
--- a/src/administration/AdministrationReplies.cpp
+++ b/src/administration/AdministrationReplies.cpp
@@ -45,9 +45,9 @@
         members["present"] = *conflict.present;
     }
     return administrationProblemResponse({.status = 412,
-                            .type = "edit-conflict",
-                            .detail = "The record was changed by somebody else. Nothing was written.",
-                            .members = std::move(members)});
+                                          .type = "edit-conflict",
+                                          .detail = "The record was changed by somebody else. Nothing was written.",
+                                          .members = std::move(members)});
 }
 
 HttpResponse editResponse(const EditOutcome &outcome)
@@ -58,21 +58,24 @@
             [](const EditAlreadyApplied &applied) { return acceptedResponse("already-applied", applied.revision); },
             [](const EditConflict &conflict) { return conflictResponse(conflict); },
             [](const EditRefused &refused) {
-                return administrationProblemResponse({.status = 422,
-                                        .type = "invalid-record",
-                                        .detail = refused.reason.field + " " + describe(refused.reason.fault),
-                                        .members = {{"field", refused.reason.field}}});
+                return administrationProblemResponse(
+                    {.status = 422,
+                     .type = "invalid-record",
+                     .detail = refused.reason.field + " " + describe(refused.reason.fault),
+                     .members = {{"field", refused.reason.field}}});
             },
             [](const EditNotMade &) {
-                return administrationProblemResponse({.status = 503,
-                                        .type = "service-unavailable",
-                                        .detail = "The key-value service does not answer. Nothing was written."});
+                return administrationProblemResponse(
+                    {.status = 503,
+                     .type = "service-unavailable",
+                     .detail = "The key-value service does not answer. Nothing was written."});
             },
             [](const EditOutcomeUnknown &) {
-                return administrationProblemResponse({.status = 504,
-                                        .type = "outcome-unknown",
-                                        .detail = "The edit may have taken effect. Repeat it with the same Edit-Id.",
-                                        .ran = TookEffect::Unknown});
+                return administrationProblemResponse(
+                    {.status = 504,
+                     .type = "outcome-unknown",
+                     .detail = "The edit may have taken effect. Repeat it with the same Edit-Id.",
+                     .ran = TookEffect::Unknown});
             }},
         outcome);
 }
--- a/src/administration/tests/AdministrationApiTest.cpp
+++ b/src/administration/tests/AdministrationApiTest.cpp
@@ -143,5 +143,9 @@
     const auto actions = fixture.ask({.method = "GET", .target = "in-force/8"});
     REQUIRE(actions.size() == 2);
     CHECK(std::get<InForceAsked>(actions.front()).revision == Revision(8));
-    CHECK(nlohmann::json::parse(std::get<AdministrationReply>(actions.back()).response.body).at("confirmed") == 1);
+    CHECK(nlohmann::json::parse(std::get<AdministrationReply>(actions.back()).response.body).at("hosts").is_null());
+    (void)fixture.catalogue.handle(CataloguePeersChanged{.peers = {{.host = HostId("b")}}}, start);
+    const auto body = nlohmann::json::parse(fixture.get("in-force/8").body);
+    CHECK(body.at("confirmed") == 1);
+    CHECK(body.at("hosts") == 2);
 }
--- a/src/catalogue/CatalogueGossip.cpp
+++ b/src/catalogue/CatalogueGossip.cpp
@@ -111,6 +111,8 @@
 void CatalogueGossip::setPeers(std::vector<CataloguePeer> peers)
 {
     m_peers = std::move(peers);
+    m_arePeersKnown = true;
+    m_hadPeers = m_hadPeers || !m_peers.empty();
     std::erase_if(m_peerRevisions, [this](const auto &known) {
         return std::ranges::find(m_peers, known.first, &CataloguePeer::host) == m_peers.end();
     });
@@ -199,8 +201,11 @@
     m_askUntil = now + askDuration;
 }
 
-InForceCount CatalogueGossip::inForceOn(Revision revision, const CatalogueProgress &progress) const
+std::optional<InForceCount> CatalogueGossip::inForceOn(Revision revision, const CatalogueProgress &progress) const
 {
+    if (!m_arePeersKnown) {
+        return std::nullopt;
+    }
     InForceCount count{.confirmed = progress.loaded && progress.revision >= revision ? 1U : 0U,
                        .hosts = m_peers.size() + 1};
     count.confirmed += static_cast<std::size_t>(
--- a/src/catalogue/CatalogueGossip.h
+++ b/src/catalogue/CatalogueGossip.h
@@ -75,7 +75,11 @@
     /// For some seconds asks every peer that has not yet confirmed the revision.
     void askInForce(Revision revision, TimePoint now);
 
-    [[nodiscard]] InForceCount inForceOn(Revision revision, const CatalogueProgress &progress) const;
+    /// Nothing while the hosts are not known, that is until the first `setPeers`.
+    [[nodiscard]] std::optional<InForceCount> inForceOn(Revision revision, const CatalogueProgress &progress) const;
+
+    /// Whether there have ever been other hosts.
+    [[nodiscard]] bool hadPeers() const { return m_hadPeers; }
 
     /// When a peer last answered a digest.
     [[nodiscard]] std::optional<TimePoint> peerAnsweredAt() const { return m_peerAnsweredAt; }
@@ -95,6 +99,8 @@
                          CatalogueProgress &progress);
 
     std::vector<CataloguePeer> m_peers;
+    bool m_arePeersKnown = false;
+    bool m_hadPeers = false;
     Random m_random;
     Duration m_digestInterval;
     TimePoint m_nextDigest;
--- a/src/catalogue/CatalogueReplica.cpp
+++ b/src/catalogue/CatalogueReplica.cpp
@@ -225,7 +225,7 @@
     if (!loaded()) {
         return false;
     }
-    if (m_gossip.peers().empty()) {
+    if (!m_gossip.hadPeers()) {
         // A single host cannot tell its own isolation from an outage of the service, through which it must serve.
         return true;
     }
--- a/src/catalogue/CatalogueReplica.h
+++ b/src/catalogue/CatalogueReplica.h
@@ -129,7 +129,11 @@
     [[nodiscard]] bool takesNewJobs(TimePoint now) const;
 
     /// How many hosts have confirmed that the revision is in force. Send `InForceAsked` first to have them asked.
-    [[nodiscard]] InForceCount inForceOn(Revision revision) const { return m_gossip.inForceOn(revision, m_progress); }
+    /// Nothing until the first `CataloguePeersChanged`, because a part must not pass for all.
+    [[nodiscard]] std::optional<InForceCount> inForceOn(Revision revision) const
+    {
+        return m_gossip.inForceOn(revision, m_progress);
+    }
 
     /// Whether this host watches the service for its failure domain, or because it learns too little from others.
     [[nodiscard]] bool watches(TimePoint now) const;
--- a/src/catalogue/tests/CatalogueEditorTest.cpp
+++ b/src/catalogue/tests/CatalogueEditorTest.cpp
@@ -30,7 +30,7 @@
     }
     world.run(1s);
     CHECK(world.host(0).replica.inForceOn(revision) == InForceCount{.confirmed = 4, .hosts = 4});
-    CHECK(world.host(0).replica.inForceOn(revision.next()).confirmed == 0);
+    CHECK(world.host(0).replica.inForceOn(revision.next())->confirmed == 0);
 }
 
 TEST_CASE("of two operators who race one wins, and the other gets the present state")
--- a/src/catalogue/tests/CatalogueReplicaTest.cpp
+++ b/src/catalogue/tests/CatalogueReplicaTest.cpp
@@ -146,6 +146,17 @@
     CHECK(!replica.takesNewJobs(start + 31s));
 }
 
+TEST_CASE("a host that does not know the others yet does not claim that a revision is in force on all")
+{
+    CatalogueReplica replica = makeLoadedReplica();
+    CHECK(!replica.inForceOn(Revision(7)));
+    (void)replica.handle(CataloguePeersChanged{.peers = {{HostId("b"), FailureDomainId("d")}}}, start);
+    CHECK(replica.inForceOn(Revision(7)) == InForceCount{.confirmed = 1, .hosts = 2});
+    // A host that is cut off may in the end believe that there are no others.
+    (void)replica.handle(CataloguePeersChanged{}, start + 31s);
+    CHECK(!replica.takesNewJobs(start + 31s));
+}
+
 TEST_CASE("two hosts of each failure domain watch, and the others when nobody tells them anything")
 {
     std::size_t watchers = 0;
--- a/src/catalogue/tests/CatalogueScaleTest.cpp
+++ b/src/catalogue/tests/CatalogueScaleTest.cpp
@@ -42,7 +42,7 @@
         const Duration known = world.runUntilInForce(revision, 4s);
         CHECK(known < 4s);
         Duration confirmed{};
-        while (confirmed < 4s && world.host(0).replica.inForceOn(revision).confirmed < hosts) {
+        while (confirmed < 4s && world.host(0).replica.inForceOn(revision)->confirmed < hosts) {
             (void)world.host(0).replica.handle(InForceAsked{.revision = revision}, world.now());
             world.run(10ms);
             confirmed += 10ms;
--- a/src/tool/ToolCommands.cpp
+++ b/src/tool/ToolCommands.cpp
@@ -279,7 +279,8 @@
     nlohmann::json body;
     for (Duration waited{};; waited += inForceInterval) {
         const Answer answer = request("GET", "in-force/" + revision.dump());
-        if (answer.exit == ToolExit::Done) {
+        // Hosts are null while the asked host does not know the others yet.
+        if (answer.exit == ToolExit::Done && answer.body.at("hosts").is_number()) {
             body = answer.body;
         }
         const bool isInForce = !body.is_null() && body.at("confirmed") == body.at("hosts");
