--- a/src/admission/SharedLimitsOptions.h
+++ b/src/admission/SharedLimitsOptions.h
@@ -19,7 +19,7 @@
     /// Shares are renewed so often at least; see `SharedLimits` for the times that follow from it.
     Duration shortestRenewal = 500ms;
     /// In a large fleet the time between renewals is so much for each host, which bounds an allocator's load.
-    Duration renewalPerHost = 15ms;
+    Duration renewalPerHost = 40ms;
     /// New demand is reported at once, but not to the same allocator again within this time.
     Duration urgentInterval = 100ms;
     /// A host may have lent its portion in a former life, so it lends nothing for one loan time after its start. Set
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -94,6 +94,7 @@
     if (!supersedes(update, record)) {
         return;
     }
+    const bool firstWord = record.incarnation == IncarnationNumber(0);
     record.incarnation = update.incarnation;
     record.leaving = update.leaving;
     if (update.profile) {
@@ -102,6 +103,10 @@
     }
     // Another's dead verdict is a suspicion here: the subject gets the whole timeout to refute to this host too.
     const MemberLiveness liveness = std::min(update.liveness, MemberLiveness::Suspect);
+    if (firstWord && !update.leaving && liveness == MemberLiveness::Alive && record.liveness == liveness) {
+        // A host that has just started learns the incarnations of all others, which is news to nobody else.
+        return;
+    }
     setLiveness(update.host, record, liveness, suspicionTimeout, now);
 }
 
