--- a/src/placement/PlacementPlanner.cpp
+++ b/src/placement/PlacementPlanner.cpp
@@ -9,6 +9,9 @@
 
 using Positions = std::vector<std::size_t>;
 
+/// A move that takes so long to load counts half.
+static constexpr double halvingLoadSeconds = 10;
+
 /// The slot that a target's present layers stand for; empty when nobody wants them or they don't fit.
 static std::optional<PlacementSlot>
 slotFor(const PlacementTarget &target, const std::vector<PlacementDemand> &demands, const PlacementPlan &current)
@@ -39,7 +42,21 @@
     }
 }
 
-static void moveFew(PlacementWorkspace &workspace, const Positions &placed, const PlacementPlannerOptions &options)
+/// What a gain is worth that comes only after the layers have been loaded through the target's link.
+static double discounted(double gain, const PlacementTarget &target, const PlacementDemand &demand, LayerRange layers)
+{
+    if (target.linkBytesPerSecond <= 0) {
+        return gain;
+    }
+    const auto bytes = static_cast<double>(demand.bytesPerLayer.value() * layers.size());
+    return gain / (1 + bytes / target.linkBytesPerSecond / halvingLoadSeconds);
+}
+
+static void moveFew(PlacementWorkspace &workspace,
+                    const Positions &placed,
+                    const std::vector<PlacementTarget> &targets,
+                    const std::vector<PlacementDemand> &demands,
+                    const PlacementPlannerOptions &options)
 {
     for (std::uint32_t move = 0; move < options.maximumMoves; ++move) {
         double mostGained = 0;
@@ -52,9 +69,13 @@
             const double presentGain = workspace.gain(target, *present);
             const auto better = workspace.best(target);
             workspace.put(target, *present);
-            if (better && better->gain > presentGain * options.moveThreshold
-                && better->gain - presentGain > mostGained) {
-                mostGained = better->gain - presentGain;
+            if (!better || better->gain <= presentGain * options.moveThreshold) {
+                continue;
+            }
+            if (const double gained =
+                    discounted(better->gain - presentGain, targets[target], demands[better->demand], better->layers);
+                gained > mostGained) {
+                mostGained = gained;
                 chosen = {target, *better};
             }
         }
@@ -105,7 +126,7 @@
         workspace.put(target, workspace.best(target, kept).value_or(*kept));
     }
     placeFree(workspace, free, m_options.passes);
-    moveFew(workspace, placed, m_options);
+    moveFew(workspace, placed, targets, demands, m_options);
     if (!workspace.complete() && !placed.empty()) {
         // What is held stands in the way of a whole model: service goes before few moves.
         PlacementWorkspace fresh(targets, demands);
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -6,8 +6,12 @@
 namespace Carawaymill {
 
 /// Weight of the newest measurement in the running average of the slowdown.
-static constexpr double newestWeight = 0.1;
-static constexpr double leastSlowdown = 0.5;
+static constexpr double newestWeight = 0.02;
+/// Weight of the newest load report. Hosts that all follow the newest one at once would herd.
+static constexpr double newestReportWeight = 0.2;
+static constexpr double leastSlowdown = 1;
+/// Waiting that the load estimate misses makes sound targets look slower by up to this factor.
+static constexpr double toleratedSlowdown = 4;
 static constexpr double mostSlowdown = 1000;
 
 static double seconds(Duration duration)
@@ -44,7 +48,8 @@
 {
     const double reported = report.queuedSteps + report.runningSteps;
     // Our own streams are counted exactly, so that only the others' are taken from the report.
-    m_otherStreams = std::max(0.0, reported - m_ownStreams);
+    const double others = std::max(0.0, reported - m_ownStreams);
+    m_otherStreams += newestReportWeight * (others - m_otherStreams);
     m_reportedAt = now;
 }
 
@@ -97,7 +102,7 @@
 StageCost RoutingTarget::cost(const StageWork &work, TimePoint now) const
 {
     StageCost cost = nominalCost(work, now);
-    const double factor = slowdown(now);
+    const double factor = std::max(1.0, slowdown(now) / toleratedSlowdown);
     cost.secondsPerLayer *= factor;
     cost.secondsPerStage *= factor;
     return cost;
--- a/src/routing/RoutingTarget.h
+++ b/src/routing/RoutingTarget.h
@@ -33,7 +33,7 @@
     /// A load report older than this counts for nothing.
     Duration loadReportLifetime = std::chrono::seconds(10);
     /// In this time a measured slowdown loses half of its effect, so that a target that recovered is tried again.
-    Duration slowdownHalfLife = std::chrono::seconds(10);
+    Duration slowdownHalfLife = std::chrono::seconds(30);
 };
 
 /// One target as the router knows it: its speed, its load as far as it can be told, and how it has done of late.
