--- a/bench/admission/AdmissionBench.cpp
+++ b/bench/admission/AdmissionBench.cpp
@@ -1,13 +1,14 @@
 /// Measures the error, the speed and the load of shared limits in virtual time.
 ///
-/// Each result is one line: `limits-<what> key=value ...`. Bytes are those of the packed messages, without the headers
-/// of the transport.
+/// Usage: admissionBench [SIZE ...]; with sizes, only the load is measured. Each result is one line: `limits-<what>
+/// key=value ...`. Bytes are those of the packed messages, without the headers of the transport.
 
 #include "admission/tests/ShareFleet.h"
 
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 
 using namespace Carawaymill;
@@ -128,8 +129,9 @@
     fleet.run(10s);
     const std::vector<std::size_t> sentBefore = fleet.sentBytes;
     const std::vector<std::size_t> receivedBefore = fleet.receivedBytes;
-    constexpr double seconds = 20;
-    fleet.run(20s);
+    // Four renewals of the largest fleet.
+    const double seconds = hosts <= 100 ? 20 : 60;
+    fleet.run(hosts <= 100 ? Duration(20s) : Duration(60s));
     double sent = 0;
     double busiest = 0;
     for (std::size_t index = 0; index < hosts; ++index) {
@@ -160,9 +162,17 @@
     std::printf("limits-decision organisations=2200 microsecondsPerReserveAndSettle=%.3f\n", seconds / decisions * 1e6);
 }
 
-int main()
+int main(int argumentCount, char **arguments)
 {
     std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    for (int argument = 1; argument < argumentCount; ++argument) {
+        const std::size_t hosts = std::strtoul(arguments[argument], nullptr, 10);
+        measureLoad(hosts, 0);
+        measureLoad(hosts, 40);
+    }
+    if (argumentCount > 1) {
+        return 0;
+    }
     measureDecision();
     for (const std::size_t hosts : {4, 50, 370}) {
         measureArrival(hosts);
