Node: Admit by class and fairness, and run suspects alone on reserved targets

Change: calls pass the admission queue; a held job prepares its route, asks for a trial on its first target and waits until that is idle and reserved; the first lone death makes a suspect, the second condemns; a request that the whole limit could not carry before its deadline is refused on arrival; 'suspects' answers an object, which the tool can read; 'peers' of the wrong kind is a typed failure.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -124,7 +124,12 @@
             start(queue, offer, std::move(*reservation));
             return true;
         }
-        if (const auto *reached = std::get_if<LimitReached>(&reserved)) {
+        const auto *reached = std::get_if<LimitReached>(&reserved);
+        if (reached != nullptr && now + reached->leastWait > offer.deadline - offer.serviceTime) {
+            // It can never start in time, so its caller is told so now.
+            forget(offer.job);
+            refuse(offer.job, RefusalReason::LimitReached, reached->leastWait);
+        } else if (reached != nullptr) {
             queue.holdBack(*organisation, now + std::min(reached->retryAfter, longestHoldBack));
         } else {
             forget(offer.job);
--- a/src/admission/LimitAllowance.cpp
+++ b/src/admission/LimitAllowance.cpp
@@ -166,6 +166,15 @@
     return fromSeconds(std::max({missingRequests / requestRate, missingTokens / tokenRate, 1e-6}));
 }
 
+Duration LimitAllowance::leastTimeUntilFit(TokenCount tokens) const
+{
+    const double missing = static_cast<double>(tokens.value()) - m_tokens;
+    if (missing <= 0) {
+        return Duration(0);
+    }
+    return m_limits.tokensPerSecond > 0 ? fromSeconds(missing / m_limits.tokensPerSecond) : unknownWait;
+}
+
 void LimitAllowance::take(TokenCount tokens, TimePoint now)
 {
     advance(now);
--- a/src/admission/LimitAllowance.h
+++ b/src/admission/LimitAllowance.h
@@ -40,6 +40,8 @@
     /// How long until a request of so many tokens may fit; 0 if it fits now. A request that does not fit counts as
     /// waiting for a second.
     [[nodiscard]] Duration timeUntilFit(TokenCount tokens, TimePoint now);
+    /// How long the request would have to wait at least if this host had the whole limit from now on.
+    [[nodiscard]] Duration leastTimeUntilFit(TokenCount tokens) const;
     /// Takes a request that fits.
     void take(TokenCount tokens, TimePoint now);
     /// Ends a job and returns the reserved tokens that it did not use.
--- a/src/admission/SharedLimits.cpp
+++ b/src/admission/SharedLimits.cpp
@@ -317,6 +317,7 @@
 {
     const std::vector<LimitName> names{limitName(request.organisation), limitName(request.entry)};
     std::optional<LimitReached> reached;
+    Duration leastWait{};
     std::vector<Limit *> limits;
     for (const LimitName &name : names) {
         Limit *limit = find(name);
@@ -332,12 +333,14 @@
         const Duration wait = limit->allowance.timeUntilFit(request.tokens, now);
         if (wait > Duration(0)) {
             askSoon(*limit);
+            leastWait = std::max(leastWait, limit->allowance.leastTimeUntilFit(request.tokens));
             if (!reached || wait > reached->retryAfter) {
                 reached = LimitReached{.limit = limit->name, .retryAfter = wait};
             }
         }
     }
     if (reached) {
+        reached->leastWait = leastWait;
         return *reached;
     }
     for (Limit *limit : limits) {
--- a/src/admission/SharedLimits.h
+++ b/src/admission/SharedLimits.h
@@ -81,6 +81,8 @@
     LimitName limit;
     /// When it may fit, as far as this host knows.
     Duration retryAfter{};
+    /// It cannot fit sooner, even if this host were given the whole limit.
+    Duration leastWait{};
 };
 
 /// The catalogue has no such organisation or entry, or allows it nothing.
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -114,6 +114,10 @@
 {
     std::vector<ListedHost> peers;
     const nlohmann::json &list = parent.child("peers");
+    if (!list.is_null() && !list.is_array()) {
+        parent.note("peers", "A list is needed.");
+        return peers;
+    }
     for (std::size_t index = 0; index < list.size(); ++index) {
         SettingsReader reader(list[index], "/peers/" + std::to_string(index));
         peers.push_back({.host = HostId(reader.text("host")),
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -50,6 +50,10 @@
     settings["drainTimeout"] = 5;
     CHECK(wrongField(settings) == "/drainTimeout");
 
+    settings = goodSettings();
+    settings["peers"] = "entry-2";
+    CHECK(wrongField(settings) == "/peers");
+
     settings = goodSettings();
     settings["peers"] = {{{"host", "entry-2"}}};
     CHECK(wrongField(settings) == "/peers/0/peerAddress");
--- a/src/node/AcceptedCall.h
+++ b/src/node/AcceptedCall.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "admission/SharedLimits.h"
 #include "catalogue/Records.h"
 #include "http/HttpMessages.h"
 #include "node/CompletionApi.h"
@@ -35,7 +34,6 @@
     /// Present when the caller gave an idempotency key for a call that may not be repeated.
     std::optional<IdempotencyKey> key;
     Fingerprint fingerprint;
-    LimitReservation reservation;
     WallClockSeconds receivedAt;
     /// The ledger's and the driver's number for the call.
     CallId call;
--- a/src/node/CallDesk.cpp
+++ b/src/node/CallDesk.cpp
@@ -12,6 +12,8 @@
 static constexpr Duration companionWindow = 250ms;
 /// A call to a plain service counts as one token towards the limits.
 static constexpr TokenCount serviceCallTokens(1);
+/// A call that could not run for so long before its deadline is not started any more.
+static constexpr Duration expectedServiceTime = 1s;
 
 Result<CallDesk, CallDesk::InvalidOptions> CallDesk::create(const NodeOptions &options, TimePoint now)
 {
@@ -33,8 +35,11 @@
 CallDesk::CallDesk(const NodeOptions &options, SharedLimits limits, Quarantine quarantine)
     : m_options(options)
     , m_limits(std::move(limits))
+    , m_admission({.seed = stableHash("admission", options.seed)})
     , m_quarantine(std::move(quarantine))
 {
+    // Nothing waits yet, so that no action can follow.
+    (void)m_admission.handle(CapacityChanged{.jobs = options.jobsAtOnce}, m_limits, TimePoint());
 }
 
 void CallDesk::accept(const CallerRequest &request, LedgerDesk &ledger, NodeContext &context)
@@ -53,13 +58,9 @@
                                .retryAfter = 5s});
         return;
     }
-    if (const auto problem = reserve(call, context)) {
-        context.output.refuse(request.id, *problem);
-        return;
-    }
     call.job = nextJobId();
     call.call = CallId(m_lastJob);
-    examine(std::move(call), ledger, context);
+    offer(std::move(call), ledger, context);
     settleEnded(ledger, context);
 }
 
@@ -120,7 +121,6 @@
                         .model = *model,
                         .key = keyOf(request.request),
                         .fingerprint = fingerprintOf(record.owner, record.id, request.request.body),
-                        .reservation = {},
                         .receivedAt = request.receivedAt};
 }
 
@@ -156,37 +156,58 @@
                         .model = std::nullopt,
                         .key = idempotent ? std::nullopt : keyOf(request.request),
                         .fingerprint = Fingerprint(),
-                        .reservation = {},
                         .receivedAt = request.receivedAt};
 }
 
-/// Takes room in the limits for all that the call may use.
-std::optional<Problem> CallDesk::reserve(AcceptedCall &call, NodeContext &context)
+void CallDesk::offer(AcceptedCall call, LedgerDesk &ledger, NodeContext &context)
 {
-    TokenCount tokens = serviceCallTokens;
+    JobOffered offered{.job = call.job,
+                       .organisation = call.organisation,
+                       .entry = call.entry.id,
+                       .jobClass = call.entry.jobClass,
+                       .tokens = serviceCallTokens,
+                       .deadline = context.now + m_options.jobTimeout,
+                       .serviceTime = expectedServiceTime};
     if (const auto *completion = std::get_if<CompletionRequest>(&call.what)) {
-        // A token of a prompt has at least one byte; what was not used is given back at the end.
-        tokens = TokenCount(completion->prompt.size() / 4 + 1) + completion->maximumTokens;
-    }
-    const auto reserved =
-        m_limits.reserve({.organisation = call.organisation, .entry = call.entry.id, .tokens = tokens}, context.now);
-    return std::visit(Overloaded{[&](const LimitReservation &reservation) -> std::optional<Problem> {
-                                     call.reservation = reservation;
-                                     return std::nullopt;
-                                 },
-                                 [](const LimitReached &reached) -> std::optional<Problem> {
-                                     return Problem{.type = ProblemType::LimitReached,
-                                                    .ran = Ran::No,
-                                                    .detail = "The limit " + reached.limit.value() + " is reached.",
-                                                    .retryAfter = reached.retryAfter};
-                                 },
-                                 [](const LimitMissing &missing) -> std::optional<Problem> {
-                                     return Problem{.type = ProblemType::LimitReached,
-                                                    .ran = Ran::No,
-                                                    .detail =
-                                                        "The limit " + missing.limit.value() + " allows nothing."};
-                                 }},
-                      reserved);
+        // A token of a prompt has about four bytes; what was not used is given back at the end.
+        offered.tokens = TokenCount(completion->prompt.size() / 4 + 1) + completion->maximumTokens;
+    }
+    m_offered.emplace(call.job, std::move(call));
+    feedAdmission(offered, ledger, context);
+}
+
+void CallDesk::feedAdmission(const AdmissionEvent &event, LedgerDesk &ledger, NodeContext &context)
+{
+    for (const AdmissionAction &action : m_admission.handle(event, m_limits, context.now)) {
+        if (const auto *start = std::get_if<StartJob>(&action)) {
+            if (auto offered = m_offered.extract(start->job); !offered.empty()) {
+                examine(std::move(offered.mapped()), ledger, context);
+            }
+            continue;
+        }
+        context.output.log(describe(action));
+        refuse(std::get<RefuseJob>(action), context);
+    }
+}
+
+void CallDesk::refuse(const RefuseJob &refusal, NodeContext &context)
+{
+    const auto offered = m_offered.extract(refusal.job);
+    if (offered.empty()) {
+        return;
+    }
+    const bool limited = refusal.reason == RefusalReason::LimitReached || refusal.reason == RefusalReason::NotAllowed;
+    context.output.refuse(offered.mapped().request,
+                          {.type = limited ? ProblemType::LimitReached : ProblemType::Overloaded,
+                           .ran = Ran::No,
+                           .detail = limited ? "A limit of the organisation or of the entry leaves no room."
+                                             : "There is more work than this host can do in time.",
+                           .retryAfter = refusal.retryAfter});
+}
+
+void CallDesk::endAdmission(const JobId &job, TokenCount used, LedgerDesk &ledger, NodeContext &context)
+{
+    feedAdmission(JobEnded{.job = job, .used = used}, ledger, context);
 }
 
 static Problem quarantineProblem(const RefuseRequest &refused)
@@ -209,15 +230,10 @@
     if (const auto *refused = std::get_if<RefuseRequest>(&verdict)) {
         Problem problem = quarantineProblem(*refused);
         problem.ran = Ran::No;
-        turnAway(call, problem, context);
-    } else if (std::holds_alternative<RunAlone>(verdict)) {
-        const Fingerprint fingerprint = call.fingerprint;
-        const CallId id = call.call;
-        m_waiting.emplace(id, WaitingCall{.call = std::move(call), .wait = Wait::Trial});
-        feedQuarantine(TrialWanted{fingerprint}, ledger, context);
-    } else {
-        claim(std::move(call), false, ledger, context);
+        turnAway(call, problem, ledger, context);
+        return;
     }
+    claim(std::move(call), std::holds_alternative<RunAlone>(verdict), ledger, context);
 }
 
 /// Claims the idempotency key, if there is one, so that no repeat of the call runs as well.
@@ -239,7 +255,7 @@
                              .key = *call.key,
                              .request = requestHash(call.http.method, call.http.target, call.http.body),
                              .targetsHonourKey = targetsHonourKey};
-    m_waiting.emplace(call.call, WaitingCall{.call = std::move(call), .wait = Wait::Claim, .runAlone = runAlone});
+    m_claiming.emplace(call.call, ClaimingCall{.call = std::move(call), .runAlone = runAlone});
     ledger.want(wanted, context);
     takeVerdicts(ledger, context);
 }
@@ -282,7 +298,7 @@
 
 void CallDesk::decided(const CallDecided &decided, LedgerDesk &ledger, NodeContext &context)
 {
-    auto waiting = m_waiting.extract(decided.call);
+    auto waiting = m_claiming.extract(decided.call);
     if (waiting.empty()) {
         // The caller left while the claim was made: the call did not run.
         if (std::holds_alternative<ClaimGranted>(decided.verdict)) {
@@ -294,7 +310,7 @@
     std::visit(Overloaded{[&](const ClaimGranted &) { run(std::move(call), waiting.mapped().runAlone, context); },
                           [&](const ClaimWaived &) { run(std::move(call), waiting.mapped().runAlone, context); },
                           [&](const AlreadyClaimed &claimed) {
-                              m_limits.settle(call.reservation, TokenCount(0), context.now);
+                              endAdmission(call.job, TokenCount(0), ledger, context);
                               context.output.respond(call.request, repeatedResponse(claimed));
                           },
                           [&](const KeyMismatch &) {
@@ -303,6 +319,7 @@
                                         .ran = Ran::No,
                                         .detail = "The key was used for another request.",
                                         .field = "Idempotency-Key"},
+                                       ledger,
                                        context);
                           },
                           [&](const ClaimUnavailable &unavailable) {
@@ -311,14 +328,15 @@
                                         .ran = Ran::No,
                                         .detail = "The key could not be claimed.",
                                         .retryAfter = unavailable.retryAfter},
+                                       ledger,
                                        context);
                           }},
                decided.verdict);
 }
 
-void CallDesk::turnAway(const AcceptedCall &call, const Problem &problem, NodeContext &context)
+void CallDesk::turnAway(const AcceptedCall &call, const Problem &problem, LedgerDesk &ledger, NodeContext &context)
 {
-    m_limits.settle(call.reservation, TokenCount(0), context.now);
+    endAdmission(call.job, TokenCount(0), ledger, context);
     context.output.logDecision(call.job,
                                "Node: job " + call.job.value() + " of " + call.organisation.value()
                                    + " is turned away: " + problemName(problem.type) + ".");
@@ -369,7 +387,7 @@
 {
     if (died.processGone) {
         if (const std::vector<Fingerprint> running = m_modelJobs.runningOn(died.target); !running.empty()) {
-            feedQuarantine(TargetCrashed{.target = died.target, .inFlight = running}, ledger, context);
+            feedQuarantine(TargetCrashed{.target = died.target, .inFlight = running}, context);
         }
     }
     m_modelJobs.targetExamined(died.target);
@@ -387,16 +405,12 @@
 {
     m_modelJobs.callerDisconnected(request, context);
     m_serviceJobs.callerDisconnected(request, context);
-    const auto waiting =
-        std::ranges::find_if(m_waiting, [&](const auto &entry) { return entry.second.call.request == request; });
-    if (waiting != m_waiting.end()) {
-        const AcceptedCall call = std::move(waiting->second.call);
-        const Wait wait = waiting->second.wait;
-        m_waiting.erase(waiting);
-        m_limits.settle(call.reservation, TokenCount(0), context.now);
-        if (wait == Wait::Trial) {
-            feedQuarantine(TrialEnded{call.fingerprint}, ledger, context);
-        }
+    const auto claiming =
+        std::ranges::find_if(m_claiming, [&](const auto &entry) { return entry.second.call.request == request; });
+    if (claiming != m_claiming.end()) {
+        const JobId job = claiming->second.call.job;
+        m_claiming.erase(claiming);
+        endAdmission(job, TokenCount(0), ledger, context);
     }
     settleEnded(ledger, context);
 }
@@ -404,77 +418,88 @@
 void CallDesk::tick(LedgerDesk &ledger, NodeContext &context)
 {
     feedLimits(Tick{}, context);
-    feedQuarantine(Tick{}, ledger, context);
+    feedAdmission(Tick{}, ledger, context);
+    feedQuarantine(Tick{}, context);
+    reserveTargets(context);
     m_modelJobs.tick(context);
     m_serviceJobs.tick(context);
     settleEnded(ledger, context);
 }
 
 /// Lets jobs that lost a stage go on, once it is known whether they are to blame.
-void CallDesk::judgeHeldJobs(LedgerDesk &ledger, NodeContext &context)
+void CallDesk::judgeHeldJobs(NodeContext &context)
 {
     if (!m_modelJobs.anyHeld()) {
         return;
     }
     for (const HeldJob &held : m_modelJobs.held()) {
-        if (held.lossExamined && !held.trialAsked) {
-            judge(held, ledger, context);
+        if (held.trialGranted) {
+            tryTrial(held, context);
+        } else if (held.lossExamined && !held.trialTarget) {
+            judge(held, context);
         }
     }
 }
 
-void CallDesk::judge(const HeldJob &held, LedgerDesk &ledger, NodeContext &context)
+void CallDesk::judge(const HeldJob &held, NodeContext &context)
 {
     const QuarantineVerdict verdict = m_quarantine.verdict(held.fingerprint, context.now);
-    std::visit(Overloaded{[&](const RunFreely &) { m_modelJobs.release(held.job, false, context); },
-                          [&](const RunAlone &) {
-                              m_modelJobs.noteTrialAsked(held.job);
-                              feedQuarantine(TrialWanted{held.fingerprint}, ledger, context);
-                          },
-                          [&](const RefuseRequest &refused) {
-                              // Only a condemned job ends; one whose turn has not come keeps waiting.
-                              if (refused.condemned) {
-                                  m_modelJobs.refuse(held.job, quarantineProblem(refused), context);
-                              }
-                          }},
-               verdict);
+    if (std::holds_alternative<RunFreely>(verdict)) {
+        m_modelJobs.release(held.job, context);
+    } else if (std::holds_alternative<RunAlone>(verdict)) {
+        if (const auto target = m_modelJobs.prepareTrial(held.job, context)) {
+            feedQuarantine(TrialWanted{.fingerprint = held.fingerprint, .target = *target}, context);
+        }
+    } else if (const auto &refused = std::get<RefuseRequest>(verdict); refused.condemned) {
+        // Only a condemned job ends; one whose turn has not come keeps waiting.
+        m_modelJobs.refuse(held.job, quarantineProblem(refused), context);
+    }
+}
+
+void CallDesk::tryTrial(const HeldJob &held, NodeContext &context)
+{
+    if (!m_quarantine.targetReserved(*held.trialTarget, context.now)) {
+        m_modelJobs.noteTrialRefused(held.job);
+        return;
+    }
+    const bool idle = m_modelJobs.runningOn(*held.trialTarget).empty() && context.targets.idle(*held.trialTarget);
+    if (idle) {
+        m_modelJobs.release(held.job, context);
+    }
 }
 
-void CallDesk::trialDecided(const TrialDecided &decided, LedgerDesk &ledger, NodeContext &context)
+void CallDesk::reserveTargets(NodeContext &context)
+{
+    const bool anySuspect = m_quarantine.anySuspect();
+    if (!anySuspect && !std::exchange(m_targetsReserved, anySuspect)) {
+        return;
+    }
+    m_targetsReserved = anySuspect;
+    for (const TargetId &target : context.targets.targets()) {
+        context.targets.setReserved(target, m_quarantine.targetReserved(target, context.now));
+    }
+}
+
+void CallDesk::trialDecided(const TrialDecided &decided)
 {
     const bool granted = std::holds_alternative<TrialGranted>(decided.result);
     for (const HeldJob &held : m_modelJobs.held()) {
-        if (held.fingerprint != decided.fingerprint || !held.trialAsked) {
+        if (held.fingerprint != decided.fingerprint || !held.trialTarget || held.trialGranted) {
             continue;
         }
         if (granted) {
-            m_modelJobs.release(held.job, true, context);
+            m_modelJobs.noteTrialGranted(held.job);
             return;
         }
         m_modelJobs.noteTrialRefused(held.job);
     }
-    const auto waiting = std::ranges::find_if(m_waiting, [&](const auto &entry) {
-        return entry.second.wait == Wait::Trial && entry.second.call.fingerprint == decided.fingerprint;
-    });
-    if (waiting == m_waiting.end()) {
-        return;
-    }
-    AcceptedCall call = std::move(waiting->second.call);
-    m_waiting.erase(waiting);
-    if (granted) {
-        claim(std::move(call), true, ledger, context);
-        return;
-    }
-    Problem problem = quarantineProblem(std::get<RefuseRequest>(decided.result));
-    problem.ran = Ran::No;
-    turnAway(call, problem, context);
 }
 
-void CallDesk::feedQuarantine(const QuarantineEvent &event, LedgerDesk &ledger, NodeContext &context)
+void CallDesk::feedQuarantine(const QuarantineEvent &event, NodeContext &context)
 {
     for (QuarantineAction &action : m_quarantine.handle(event, context.now)) {
         std::visit(
-            Overloaded{[&](const TrialDecided &decided) { trialDecided(decided, ledger, context); },
+            Overloaded{[&](const TrialDecided &decided) { trialDecided(decided); },
                        [&](const BroadcastQuarantineMessage &broadcast) {
                            for (const HostId &host : context.fleet.membership().aliveHosts()) {
                                context.fleet.send(host, PeerChannel::Quarantine, broadcast.message, context.output);
@@ -508,14 +533,14 @@
 {
     auto message = decode<QuarantineMessage>(body);
     if (auto *read = std::get_if<QuarantineMessage>(&message)) {
-        feedQuarantine(QuarantineMessageReceived{std::move(*read)}, ledger, context);
+        feedQuarantine(QuarantineMessageReceived{std::move(*read)}, context);
         settleEnded(ledger, context);
     }
 }
 
 void CallDesk::quarantineReply(const KeyValueReply &reply, LedgerDesk &ledger, NodeContext &context)
 {
-    feedQuarantine(reply, ledger, context);
+    feedQuarantine(reply, context);
     settleEnded(ledger, context);
 }
 
@@ -540,7 +565,7 @@
 
 std::size_t CallDesk::inProgress() const
 {
-    return m_modelJobs.inProgress() + m_serviceJobs.inProgress() + m_waiting.size();
+    return m_modelJobs.inProgress() + m_serviceJobs.inProgress() + m_claiming.size() + m_offered.size();
 }
 
 nlohmann::json CallDesk::suspects() const
@@ -551,7 +576,7 @@
         suspect["id"] = fingerprint;
         suspects.push_back(std::move(suspect));
     }
-    return suspects;
+    return {{"suspects", suspects}};
 }
 
 bool CallDesk::liftSuspect(const std::string &fingerprint, LedgerDesk &ledger, NodeContext &context)
@@ -560,7 +585,7 @@
     const bool known =
         std::ranges::any_of(listed, [&](const auto &entry) { return entry.first.value() == fingerprint; });
     if (known) {
-        feedQuarantine(LiftRequested{Fingerprint(fingerprint)}, ledger, context);
+        feedQuarantine(LiftRequested{Fingerprint(fingerprint)}, context);
         settleEnded(ledger, context);
     }
     return known;
@@ -568,12 +593,17 @@
 
 void CallDesk::settleEnded(LedgerDesk &ledger, NodeContext &context)
 {
-    judgeHeldJobs(ledger, context);
-    for (const ModelJobEnded &ended : m_modelJobs.takeEnded()) {
-        settle(ended, ledger, context);
+    judgeHeldJobs(context);
+    // Each end may let a waiting call start, and that may end at once.
+    for (auto ended = m_modelJobs.takeEnded(); !ended.empty(); ended = m_modelJobs.takeEnded()) {
+        for (const ModelJobEnded &job : ended) {
+            settle(job, ledger, context);
+        }
     }
-    for (const ServiceJobEnded &ended : m_serviceJobs.takeEnded()) {
-        settle(ended, ledger, context);
+    for (auto ended = m_serviceJobs.takeEnded(); !ended.empty(); ended = m_serviceJobs.takeEnded()) {
+        for (const ServiceJobEnded &job : ended) {
+            settle(job, ledger, context);
+        }
     }
     for (const ServiceJobAnsweredLate &late : m_serviceJobs.takeLateAnswers()) {
         ledger.ended(late.call, recordableAnswer(late.response.status, late.response.body), context);
@@ -609,12 +639,11 @@
             call.job, "Node: job " + call.job.value() + " is billed " + std::to_string(used.value()) + " tokens.");
         feedQuarantine(RequestCompleted{.fingerprint = call.fingerprint,
                                         .target = ended.targets.empty() ? TargetId() : ended.targets.back()},
-                       ledger,
                        context);
     } else if (ended.start.runAlone) {
-        feedQuarantine(TrialEnded{call.fingerprint}, ledger, context);
+        feedQuarantine(TrialEnded{call.fingerprint}, context);
     }
-    m_limits.settle(call.reservation, used, context.now);
+    endAdmission(call.job, used, ledger, context);
     if (!call.key) {
         return;
     }
@@ -631,7 +660,7 @@
 
 void CallDesk::settle(const ServiceJobEnded &ended, LedgerDesk &ledger, NodeContext &context)
 {
-    m_limits.settle(ended.call.reservation, serviceCallTokens, context.now);
+    endAdmission(ended.call.job, serviceCallTokens, ledger, context);
     if (!ended.call.key) {
         return;
     }
--- a/src/node/CallDesk.h
+++ b/src/node/CallDesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/AdmissionQueue.h"
 #include "admission/SharedLimits.h"
 #include "node/AcceptedCall.h"
 #include "node/LedgerDesk.h"
@@ -55,16 +56,10 @@
     [[nodiscard]] bool liftSuspect(const std::string &fingerprint, LedgerDesk &ledger, NodeContext &context);
 
 private:
-    /// What an accepted call waits for before it runs.
-    enum class Wait {
-        Trial,
-        Claim,
-    };
-
-    struct WaitingCall
+    /// A call that waits for its claim.
+    struct ClaimingCall
     {
         AcceptedCall call;
-        Wait wait = Wait::Claim;
         bool runAlone = false;
     };
 
@@ -75,16 +70,25 @@
     readCompletion(const CallerRequest &request, bool chat, NodeContext &context) const;
     [[nodiscard]] Result<AcceptedCall, Problem> readServiceCall(const CallerRequest &request,
                                                                 NodeContext &context) const;
-    [[nodiscard]] std::optional<Problem> reserve(AcceptedCall &call, NodeContext &context);
+    /// Lets the call wait for its turn by class, deadline, limits and fairness.
+    void offer(AcceptedCall call, LedgerDesk &ledger, NodeContext &context);
+    void feedAdmission(const AdmissionEvent &event, LedgerDesk &ledger, NodeContext &context);
+    void refuse(const RefuseJob &refusal, NodeContext &context);
+    /// The call does not run, or has ended, having used so many tokens.
+    void endAdmission(const JobId &job, TokenCount used, LedgerDesk &ledger, NodeContext &context);
     void examine(AcceptedCall call, LedgerDesk &ledger, NodeContext &context);
     void claim(AcceptedCall call, bool runAlone, LedgerDesk &ledger, NodeContext &context);
     void run(AcceptedCall call, bool runAlone, NodeContext &context);
     void decided(const CallDecided &decided, LedgerDesk &ledger, NodeContext &context);
-    void turnAway(const AcceptedCall &call, const Problem &problem, NodeContext &context);
-    void judgeHeldJobs(LedgerDesk &ledger, NodeContext &context);
-    void judge(const HeldJob &held, LedgerDesk &ledger, NodeContext &context);
-    void trialDecided(const TrialDecided &decided, LedgerDesk &ledger, NodeContext &context);
-    void feedQuarantine(const QuarantineEvent &event, LedgerDesk &ledger, NodeContext &context);
+    void turnAway(const AcceptedCall &call, const Problem &problem, LedgerDesk &ledger, NodeContext &context);
+    void judgeHeldJobs(NodeContext &context);
+    void judge(const HeldJob &held, NodeContext &context);
+    /// Begins a granted run alone once its target has nothing else to do.
+    void tryTrial(const HeldJob &held, NodeContext &context);
+    /// Keeps other work off targets that are reserved for a run alone.
+    void reserveTargets(NodeContext &context);
+    void trialDecided(const TrialDecided &decided);
+    void feedQuarantine(const QuarantineEvent &event, NodeContext &context);
     void feedLimits(const SharedLimitsEvent &event, NodeContext &context);
     /// Settles everything that ended while the present event was handled.
     void settleEnded(LedgerDesk &ledger, NodeContext &context);
@@ -94,10 +98,14 @@
 
     NodeOptions m_options;
     SharedLimits m_limits;
+    AdmissionQueue m_admission;
+    /// Calls that wait for their turn.
+    std::map<JobId, AcceptedCall> m_offered;
     Quarantine m_quarantine;
     ModelJobs m_modelJobs;
     ServiceJobs m_serviceJobs;
-    std::map<CallId, WaitingCall> m_waiting;
+    std::map<CallId, ClaimingCall> m_claiming;
+    bool m_targetsReserved = false;
     std::uint64_t m_lastJob = 0;
 };
 
--- a/src/node/ModelJobs.cpp
+++ b/src/node/ModelJobs.cpp
@@ -16,6 +16,10 @@
     PipelineJob pipeline(start.pipeline);
     auto [job, isNew] = m_jobs.emplace(id, Job{.start = std::move(start), .pipeline = std::move(pipeline)});
     assert(isNew);
+    if (job->second.start.runAlone) {
+        job->second.held = {.job = id, .fingerprint = job->second.start.call.fingerprint, .lossExamined = true};
+        job->second.holdNext = true;
+    }
     feed(job->second, JobStarted{}, context);
     removeIfEnded(id);
 }
@@ -110,28 +114,48 @@
     return held;
 }
 
-void ModelJobs::noteTrialAsked(const JobId &id)
+std::optional<TargetId> ModelJobs::prepareTrial(const JobId &id, NodeContext &context)
+{
+    Job &job = m_jobs.at(id);
+    job.start.runAlone = true;
+    PipelineEvent routed = std::visit([&](const auto &asked) { return route(job, asked, context); }, *job.heldRequest);
+    std::optional<TargetId> target;
+    if (const auto *chain = std::get_if<ChainRouted>(&routed)) {
+        target = chain->chain.stages.front().target;
+    } else if (const auto *replacement = std::get_if<ReplacementRouted>(&routed)) {
+        target = replacement->stages.front().target;
+    }
+    if (target) {
+        job.held.trialTarget = target;
+        job.trialRoute = std::move(routed);
+    }
+    return target;
+}
+
+void ModelJobs::noteTrialGranted(const JobId &id)
 {
-    m_jobs.at(id).held.trialAsked = true;
+    m_jobs.at(id).held.trialGranted = true;
 }
 
 void ModelJobs::noteTrialRefused(const JobId &id)
 {
-    m_jobs.at(id).held.trialAsked = false;
+    Job &job = m_jobs.at(id);
+    job.held.trialTarget.reset();
+    job.held.trialGranted = false;
+    job.trialRoute.reset();
 }
 
-void ModelJobs::release(const JobId &id, bool runAlone, NodeContext &context)
+void ModelJobs::release(const JobId &id, NodeContext &context)
 {
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || !found->second.heldRequest) {
-        return;
-    }
-    Job &job = found->second;
-    job.start.runAlone = runAlone;
-    job.held.lost = TargetId();
+    Job &job = m_jobs.at(id);
     m_held.erase(id);
     const auto request = *std::exchange(job.heldRequest, std::nullopt);
-    const PipelineEvent answer = std::visit([&](const auto &asked) { return route(job, asked, context); }, request);
+    job.holdNext = false;
+    job.start.runAlone = job.trialRoute.has_value();
+    if (!job.trialRoute) {
+        job.trialRoute = std::visit([&](const auto &asked) { return route(job, asked, context); }, request);
+    }
+    const PipelineEvent answer = *std::exchange(job.trialRoute, std::nullopt);
     feed(job, answer, context);
     removeIfEnded(id);
 }
@@ -169,7 +193,7 @@
 {
     std::optional<PipelineEvent> answer;
     const auto askRoute = [&](const auto &request) {
-        if (job.held.lost.value().empty()) {
+        if (!job.holdNext) {
             answer = route(job, request, context);
         } else {
             job.heldRequest = request;
@@ -208,6 +232,7 @@
     if (incident.kind == StageIncidentKind::StageLost) {
         // Whether the target died, and the job with it is to blame, is found out before the job goes on elsewhere.
         const bool known = context.targets.availability(incident.target) == TargetAvailability::Dead;
+        job.holdNext = true;
         job.held = {.job = job.start.call.job,
                     .fingerprint = job.start.call.fingerprint,
                     .lost = incident.target,
--- a/src/node/ModelJobs.h
+++ b/src/node/ModelJobs.h
@@ -41,8 +41,10 @@
     TargetId lost;
     /// Whether it is known by now if that target's process is gone.
     bool lossExamined = false;
-    /// A run alone was asked for.
-    bool trialAsked = false;
+    /// The target on which a run alone was asked for, from then until the job goes on.
+    std::optional<TargetId> trialTarget = std::nullopt;
+    /// The run alone may begin once the target has finished all other work.
+    bool trialGranted = false;
 };
 
 /// How a job ended; exactly one of `completed` and `failed` is present.
@@ -75,11 +77,13 @@
     [[nodiscard]] bool anyHeld() const { return !m_held.empty(); }
 
     [[nodiscard]] std::vector<HeldJob> held() const;
-    void noteTrialAsked(const JobId &job);
-    /// The job's turn has not come: it may be judged again.
+    /// Chooses the target of a held job's run alone; nothing when no target can be had now.
+    [[nodiscard]] std::optional<TargetId> prepareTrial(const JobId &job, NodeContext &context);
+    void noteTrialGranted(const JobId &job);
+    /// The job's turn has not come, or is over: it may be judged again.
     void noteTrialRefused(const JobId &job);
-    /// Lets a held job go on; `runAlone` keeps it apart from others.
-    void release(const JobId &job, bool runAlone, NodeContext &context);
+    /// Lets a held job go on: alone where that was prepared, else anywhere.
+    void release(const JobId &job, NodeContext &context);
     /// Ends a job with this problem instead of the pipeline's own.
     void refuse(const JobId &job, const Problem &problem, NodeContext &context);
 
@@ -105,7 +109,11 @@
         std::optional<HttpResponse> response;
         /// A question for a route that is not answered before the quarantine has judged the job.
         std::optional<std::variant<RequestChain, RequestReplacement>> heldRequest;
+        /// The next question for a route is held.
+        bool holdNext = false;
         HeldJob held;
+        /// The route of the run alone.
+        std::optional<PipelineEvent> trialRoute;
         /// Ends the job with this instead of the pipeline's own failure.
         std::optional<Problem> problem;
     };
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -29,6 +29,8 @@
     CompletionLimits completions;
     /// Set only when the whole deployment starts for the first time; see `SharedLimitsOptions`.
     bool firstStartOfDeployment = false;
+    /// Jobs that run at once on this host; more wait for their turn.
+    std::size_t jobsAtOnce = 256;
     /// A job that isn't answered after this is given up.
     Duration jobTimeout = 120s;
 };
--- a/src/node/TargetTable.cpp
+++ b/src/node/TargetTable.cpp
@@ -59,6 +59,7 @@
     }
     const bool changed = !known.state || known.state->held != state.held;
     known.state = state;
+    known.load = report.report.load;
     if (changed) {
         updateRouter(known);
     }
@@ -76,6 +77,20 @@
     (void)perform(m_monitor.handle(TargetSuspected{target}, now), output);
 }
 
+void TargetTable::setReserved(const TargetId &target, bool reserved)
+{
+    Known &known = m_known.at(target);
+    if (std::exchange(known.reserved, reserved) != reserved) {
+        updateAvailability(known);
+    }
+}
+
+bool TargetTable::idle(const TargetId &target) const
+{
+    const auto found = m_known.find(target);
+    return found != m_known.end() && found->second.load.runningSteps + found->second.load.queuedSteps == 0;
+}
+
 std::string TargetTable::address(const TargetId &target) const
 {
     const auto found = m_known.find(target);
@@ -109,7 +124,9 @@
         }
         const auto &change = std::get<TargetAvailabilityChanged>(action);
         output.log(describe(change));
-        m_router.setAvailable(change.target, change.availability);
+        if (const auto known = m_known.find(change.target); known != m_known.end()) {
+            updateAvailability(known->second);
+        }
         if (change.availability == TargetAvailability::Dead) {
             died.push_back({.target = change.target});
         }
@@ -117,6 +134,13 @@
     return died;
 }
 
+void TargetTable::updateAvailability(const Known &known)
+{
+    const TargetAvailability seen = m_monitor.availability(known.record.id);
+    const bool holdBack = known.reserved && seen == TargetAvailability::Available;
+    m_router.setAvailable(known.record.id, holdBack ? TargetAvailability::Suspect : seen);
+}
+
 void TargetTable::updateRouter(const Known &known)
 {
     std::vector<HeldRange> held;
@@ -136,7 +160,7 @@
                            .failureDomain = known.record.failureDomain,
                            .region = known.record.region},
                           std::move(held));
-    m_router.setAvailable(known.record.id, m_monitor.availability(known.record.id));
+    updateAvailability(known);
 }
 
 } // namespace Carawaymill
--- a/src/node/TargetTable.h
+++ b/src/node/TargetTable.h
@@ -35,6 +35,11 @@
     /// A job had trouble with the target.
     void suspect(const TargetId &target, TimePoint now, NodeOutput &output);
 
+    /// A reserved target is used only for layers that no other holds.
+    void setReserved(const TargetId &target, bool reserved);
+    /// Whether the engine had nothing to do when it last reported.
+    [[nodiscard]] bool idle(const TargetId &target) const;
+
     [[nodiscard]] ChainRouter &router() { return m_router; }
 
     [[nodiscard]] TargetAvailability availability(const TargetId &target) const
@@ -53,10 +58,13 @@
     {
         TargetRecord record;
         std::optional<EngineState> state;
+        LoadReport load;
+        bool reserved = false;
     };
 
     std::vector<TargetDied> perform(const std::vector<TargetMonitorAction> &actions, NodeOutput &output);
     void updateRouter(const Known &known);
+    void updateAvailability(const Known &known);
 
     ChainRouter m_router;
     TargetMonitor m_monitor;
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -149,10 +149,8 @@
 
 std::optional<Fingerprint> Quarantine::culpritOf(const Crash &crash) const
 {
-    if (crash.inFlight.size() == 1) {
-        return *crash.inFlight.begin();
-    }
-    // Suspects run apart, so the only one that was in an earlier crash as well explains both.
+    // Suspects run apart, so the only one that was in an earlier crash as well explains both. A first crash explains
+    // nothing, even of a request that was alone: targets also die by themselves, and its caller is to be answered.
     std::optional<Fingerprint> culprit;
     for (const Fingerprint &fingerprint : crash.inFlight) {
         const QuarantineRecord &record = m_entries.at(fingerprint).record;
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -158,6 +158,9 @@
     /// Whether the target is held free for a run alone: it is sent no other work.
     [[nodiscard]] bool targetReserved(const TargetId &target, TimePoint now) const;
 
+    /// Whether any request is known that may not run freely.
+    [[nodiscard]] bool anySuspect() const { return !m_entries.empty(); }
+
     /// Every request that does not run freely, for operators.
     [[nodiscard]] std::vector<std::pair<Fingerprint, QuarantineRecord>> list() const;
 
--- a/src/servicestandin/ServiceStandInMain.cpp
+++ b/src/servicestandin/ServiceStandInMain.cpp
@@ -68,7 +68,7 @@
     return port;
 }
 
-}
+} // namespace
 
 int main(int argc, const char **argv)
 {
