History: Judge drawn runs of the node under faults

FaultRun draws a load and faults from a seed over NodeWorld; HistoryRecorder writes the history; the checker judges it. Real fault found: a host that the platform's host list shows as leaving goes on taking requests (Node::ready() does not ask the membership, which knows). Fault::HostLeaves therefore has a test of its own, which is red.

--- a/src/history/HistoryChecker.cpp
+++ b/src/history/HistoryChecker.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 
 namespace Carawaymill {
 
@@ -48,9 +49,13 @@
 {
     Violations violations;
     checkStreams(violations);
+    std::unordered_map<JobId, Runs> runs;
+    for (const LayerRunSeen &run : m_history.layerRuns) {
+        runs[run.job].emplace(run.position, run.layer);
+    }
     for (const RequestSeen &request : m_history.requests) {
         if (const auto *ask = std::get_if<ModelAsk>(&request.ask); ask != nullptr && isAnswered(request)) {
-            checkCoverage(request, *ask, violations);
+            checkCoverage(request, *ask, runs[request.job.value_or(JobId())], violations);
         }
     }
     return violations;
@@ -67,9 +72,9 @@
         std::optional<LayerIndex> end;
     };
 
-    std::map<std::tuple<TargetId, IncarnationNumber, std::string>, Progress> streams;
+    std::map<std::tuple<std::string, TargetId, IncarnationNumber>, Progress> streams;
     for (const LayerRunSeen &run : m_history.layerRuns) {
-        const auto [found, isNew] = streams.try_emplace({run.target, run.life, run.stream},
+        const auto [found, isNew] = streams.try_emplace({run.stream, run.target, run.life},
                                                         Progress{.first = run.layer, .last = run, .end = std::nullopt});
         Progress &stream = found->second;
         bool inOrder = true;
@@ -91,14 +96,11 @@
     }
 }
 
-void HistoryChecker::checkCoverage(const RequestSeen &request, const ModelAsk &ask, Violations &violations) const
+void HistoryChecker::checkCoverage(const RequestSeen &request,
+                                   const ModelAsk &ask,
+                                   const Runs &runs,
+                                   Violations &violations)
 {
-    std::set<std::pair<TokenPosition, LayerIndex>> runs;
-    for (const LayerRunSeen &run : m_history.layerRuns) {
-        if (run.job == request.job) {
-            runs.emplace(run.position, run.layer);
-        }
-    }
     // The last token of an answer is not run itself.
     const auto positions = static_cast<std::uint32_t>((ask.promptTokens + ask.generatedTokens).value());
     for (std::uint32_t position = 0; position + 1 < std::max(positions, 2U); ++position) {
--- a/src/history/HistoryChecker.h
+++ b/src/history/HistoryChecker.h
@@ -3,6 +3,8 @@
 #include "history/History.h"
 #include "history/Violations.h"
 
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace Carawaymill {
@@ -53,8 +55,12 @@
     [[nodiscard]] Violations checkAll() const;
 
 private:
+    /// What ran for one job.
+    using Runs = std::set<std::pair<TokenPosition, LayerIndex>>;
+
     void checkStreams(Violations &violations) const;
-    void checkCoverage(const RequestSeen &request, const ModelAsk &ask, Violations &violations) const;
+    static void
+    checkCoverage(const RequestSeen &request, const ModelAsk &ask, const Runs &runs, Violations &violations);
     void checkEdit(const EditSeen &edit, Violations &violations) const;
     void checkReverts(Violations &violations) const;
     void checkEditRaces(Violations &violations) const;
--- /dev/null
+++ b/src/history/tests/FaultRun.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "HistoryRecorder.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// What may go wrong, or be done by operators, during a run.
+enum class Fault {
+    EngineDies,
+    EngineFallsSilent,
+    EngineLeaves,
+    HostDies,
+    HostFreezes,
+    HostShutsDown,
+    HostCutFromStore,
+    HostCutFromPeers,
+    StoreOutage,
+    StoreSlow,
+    StoreAnswersLost,
+    PoisonousRequest,
+    OperatorsRace,
+    /// Drawn by no plan while its test of its own is known to fail; see KNOWN-RED.txt.
+    HostLeaves,
+};
+
+inline constexpr std::size_t faultKinds = 14;
+/// The first so many kinds are drawn.
+inline constexpr std::size_t drawnKinds = 13;
+
+[[nodiscard]] const char *faultName(Fault fault);
+
+struct PlannedFault
+{
+    Fault fault = Fault::EngineDies;
+    /// Since the load began.
+    Duration at{};
+    Duration length{};
+};
+
+/// Everything that one run is drawn from.
+struct FaultPlan
+{
+    std::uint64_t seed = 1;
+    std::vector<PlannedFault> faults;
+};
+
+/// Draws one, two or three faults, which may overlap.
+[[nodiscard]] FaultPlan drawPlan(std::uint64_t seed);
+[[nodiscard]] std::string describe(const FaultPlan &plan);
+
+/// One run of four hosts under load, with the faults of a plan, until all has been answered.
+class FaultRun
+{
+public:
+    FaultRun(FaultPlan plan, NodeWorldOptions options);
+
+    [[nodiscard]] History run();
+
+    [[nodiscard]] const NodeWorld &world() const { return m_world; }
+
+private:
+    void advance(Duration duration);
+    void later(Duration delay, std::function<void()> action);
+    void sendRequest();
+    void begin(const PlannedFault &fault);
+    void engineFault(const PlannedFault &fault);
+    void hostFault(const PlannedFault &fault);
+    void storeFault(const PlannedFault &fault);
+    void shutDown(const std::string &host);
+    void raceOperators();
+    /// Sends the edit, and sends it again while its outcome is unknown.
+    void edit(const std::string &host, const HttpRequest &request, Revision expected, int triesLeft);
+    [[nodiscard]] std::string drawHost();
+    [[nodiscard]] bool allEnded() const;
+
+    FaultPlan m_plan;
+    Random m_random;
+    NodeWorld m_world;
+    HistoryRecorder m_recorder;
+    std::multimap<TimePoint, std::function<void()>> m_later;
+    /// Hosts that the balancer sends nothing to.
+    std::set<std::string> m_unlistedHosts;
+    /// Hosts that already have a fault.
+    std::set<std::string> m_faultyHosts;
+    std::size_t m_edits = 0;
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/history/tests/HistoryRecorder.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "history/History.h"
+#include "node/tests/NodeWorld.h"
+
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace Carawaymill {
+
+/// Writes down what happens in a `NodeWorld` as a `History`.
+class HistoryRecorder
+{
+public:
+    /// `world` must outlive the recorder.
+    explicit HistoryRecorder(NodeWorld &world)
+        : m_world(world)
+    {
+    }
+
+    /// Notes what the hosts have in force and which of them are connected; to be called every few milliseconds.
+    void sample();
+    void departureShown(std::variant<HostId, TargetId> who);
+    void shutdownAsked(const std::string &host);
+    /// The host has finished its requests and its process is ended now.
+    void shutdownEnded(const std::string &host);
+    /// The request is an edit of this record, which replaces this revision.
+    void editAsked(std::size_t call, const std::string &key, Revision expected);
+
+    void limit(LimitSeen limit) { m_history.limits.push_back(std::move(limit)); }
+
+    /// The whole history up to now.
+    [[nodiscard]] History finish();
+
+private:
+    struct Edit
+    {
+        std::string key;
+        Revision expected;
+    };
+
+    [[nodiscard]] bool isConnected(const std::string &host) const;
+    void sampleCatalogue(const std::string &host, IncarnationNumber life);
+    void sampleConnection(const std::string &host, IncarnationNumber life, bool connected);
+    void addRequest(std::size_t call, const CallerView &view);
+    void addEdits();
+    void addRuns();
+
+    NodeWorld &m_world;
+    History m_history;
+    std::map<std::string, std::uint64_t> m_stateHashes;
+    std::map<std::tuple<std::string, IncarnationNumber, std::string>, Revision> m_revisions;
+    std::map<std::string, ConnectedPeriod> m_connected;
+    std::map<std::size_t, Edit> m_edits;
+};
+
+} // namespace Carawaymill
--- a/src/node/tests/NodeWorld.cpp
+++ b/src/node/tests/NodeWorld.cpp
@@ -18,11 +18,11 @@
 static constexpr TokenCount answerTokens(24);
 
 NodeWorld::NodeWorld(NodeWorldOptions options)
-    : m_options(options)
-    , m_random(options.seed)
-    , m_store({.seed = options.seed})
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_store({.seed = m_options.seed})
 {
-    for (std::size_t index = 1; index <= options.hosts; ++index) {
+    for (std::size_t index = 1; index <= m_options.hosts; ++index) {
         const std::string name = "entry-" + std::to_string(index);
         m_listed[name] = HostListState::Live;
         m_hosts[name].name = name;
@@ -81,6 +81,7 @@
     ++host.starts;
     for (const auto &[request, call] : std::exchange(host.calls, {})) {
         m_views[call].cut = true;
+        m_views[call].answeredAt = m_now;
     }
 }
 
@@ -196,7 +197,8 @@
     Target &target = m_targets.at(name);
     target.up = false;
     if (target.engine) {
-        m_deadLogs.push_back(target.engine->runLog());
+        m_deadLogs.push_back(
+            {.target = target.record.id, .life = IncarnationNumber(target.starts), .runs = target.engine->runLog()});
         target.engine.reset();
     }
     for (auto &[ticket, callback] : std::exchange(target.waiting, {})) {
@@ -217,15 +219,33 @@
 std::vector<LayerRun> NodeWorld::layerRuns() const
 {
     std::vector<LayerRun> runs;
-    for (const auto &log : m_deadLogs) {
-        runs.insert(runs.end(), log.begin(), log.end());
+    for (const EngineLog &log : engineLogs()) {
+        runs.insert(runs.end(), log.runs.begin(), log.runs.end());
     }
+    return runs;
+}
+
+std::vector<EngineLog> NodeWorld::engineLogs() const
+{
+    std::vector<EngineLog> logs = m_deadLogs;
     for (const auto &[name, target] : m_targets) {
         if (target.engine) {
-            runs.insert(runs.end(), target.engine->runLog().begin(), target.engine->runLog().end());
+            logs.push_back({.target = target.record.id,
+                            .life = IncarnationNumber(target.starts),
+                            .runs = target.engine->runLog()});
         }
     }
-    return runs;
+    return logs;
+}
+
+HostCondition NodeWorld::condition(const std::string &name) const
+{
+    const Host &host = m_hosts.at(name);
+    return {.up = host.node != nullptr,
+            .frozen = host.frozen,
+            .cutFromService = host.cutFromService,
+            .cutFromPeers = host.cutFromPeers,
+            .starts = host.starts};
 }
 
 std::string NodeWorld::expectedAnswer(const std::string &prompt)
@@ -283,8 +303,17 @@
         host.heldBack.push_back(event);
         return;
     }
-    for (NodeAction &action : host.node->handle(event, m_now)) {
-        std::visit([&](auto &concrete) { perform(host, concrete); }, action);
+    const NodeEvent replaced = m_options.replaceEvent ? m_options.replaceEvent(host.name, event) : event;
+    for (NodeAction &decided : host.node->handle(replaced, m_now)) {
+        std::vector<NodeAction> actions;
+        if (m_options.replaceAction) {
+            actions = m_options.replaceAction(host.name, std::move(decided));
+        } else {
+            actions.push_back(std::move(decided));
+        }
+        for (NodeAction &action : actions) {
+            std::visit([&](auto &concrete) { perform(host, concrete); }, action);
+        }
     }
 }
 
@@ -304,6 +333,7 @@
     m_views.push_back({.host = name, .request = request, .sentAt = m_now});
     if (!host.node) {
         m_views.back().cut = true;
+        m_views.back().answeredAt = m_now;
         return call;
     }
     m_lastRequest = m_lastRequest.next();
@@ -318,6 +348,11 @@
     const std::size_t call = m_views.size();
     request.headers.emplace_back("Authorization", "Bearer operator-token");
     m_views.push_back({.host = name, .request = request, .sentAt = m_now});
+    if (!host.node) {
+        m_views.back().cut = true;
+        m_views.back().answeredAt = m_now;
+        return call;
+    }
     m_lastRequest = m_lastRequest.next();
     host.calls.emplace(m_lastRequest, call);
     feed(host, OperatorRequest{.id = m_lastRequest, .request = std::move(request)});
@@ -360,6 +395,7 @@
             const RequestId id = entry->first;
             host.calls.erase(entry);
             m_views[call].cut = true;
+            m_views[call].answeredAt = m_now;
             feed(host, CallerDisconnected{id});
             return;
         }
@@ -421,6 +457,10 @@
         answer(networkDelay, EngineNotSent{});
         return;
     }
+    if (action.step.first == TokenPosition(0)) {
+        m_streamsBegun.push_back(
+            {.target = target->record.id, .job = action.job, .prompt = action.step.prompt, .at = m_now});
+    }
     const Duration timeout = action.timeout;
     after(networkDelay, [this, target, step = std::move(action.step), answer, timeout] {
         if (!target->up) {
@@ -544,7 +584,7 @@
         pollWatch(host, host.starts, std::move(action), until);
         return;
     }
-    after(serviceDelay, [this, &host, start = host.starts, call = std::move(action)] {
+    after(serviceDelay + m_storeDelay, [this, &host, start = host.starts, call = std::move(action)] {
         if (host.starts != start) {
             return;
         }
--- a/src/node/tests/NodeWorld.h
+++ b/src/node/tests/NodeWorld.h
@@ -22,6 +22,7 @@
     std::string host;
     HttpRequest request;
     TimePoint sentAt{};
+    /// When the answer was complete or the connection was cut.
     std::optional<TimePoint> answeredAt;
     std::optional<HttpResponse> response;
     std::string streamed;
@@ -32,6 +33,36 @@
     [[nodiscard]] bool answered() const { return response.has_value() || streamEnded; }
 };
 
+/// A stream that an engine was asked to begin.
+struct StreamBegun
+{
+    TargetId target;
+    JobId job;
+    /// Only the first stage of a chain is given it.
+    std::optional<std::string> prompt;
+    /// When the host decided it.
+    TimePoint at{};
+};
+
+/// What one start of an engine ran.
+struct EngineLog
+{
+    TargetId target;
+    IncarnationNumber life;
+    std::vector<LayerRun> runs;
+};
+
+/// What keeps a host from its work.
+struct HostCondition
+{
+    bool up = true;
+    bool frozen = false;
+    bool cutFromService = false;
+    bool cutFromPeers = false;
+    /// Counts starts and ends of the process.
+    std::uint64_t starts = 0;
+};
+
 /// One run of a request by a plain service.
 struct ServiceRun
 {
@@ -47,6 +78,9 @@
     /// Share of peer messages that are lost, and that arrive twice.
     double peerLoss = 0;
     double peerDoubling = 0;
+    /// These replace what a host decides or is told, to try out a product that breaks its promises.
+    std::function<std::vector<NodeAction>(const std::string &, NodeAction)> replaceAction;
+    std::function<NodeEvent(const std::string &, NodeEvent)> replaceEvent;
 };
 
 /// A few nodes with stand-in engines, services and key-value service, in virtual time and one thread.
@@ -116,14 +150,23 @@
 
     [[nodiscard]] bool isUp(const std::string &host) { return hostNamed(host).node != nullptr; }
 
+    /// From now on each call to the key-value service takes so much longer.
+    void slowStore(Duration delay) { m_storeDelay = delay; }
+
     [[nodiscard]] KeyValueStore &store() { return m_store; }
 
     [[nodiscard]] TimePoint now() const { return m_now; }
 
     [[nodiscard]] const std::vector<std::string> &log() const { return m_log; }
 
+    [[nodiscard]] HostCondition condition(const std::string &host) const;
+
     [[nodiscard]] std::vector<LayerRun> layerRuns() const;
 
+    [[nodiscard]] std::vector<EngineLog> engineLogs() const;
+
+    [[nodiscard]] const std::vector<StreamBegun> &streamsBegun() const { return m_streamsBegun; }
+
     [[nodiscard]] const std::vector<ServiceRun> &serviceRuns() const { return m_serviceRuns; }
 
     [[nodiscard]] std::vector<std::string> hosts() const;
@@ -204,6 +247,7 @@
     std::uint64_t m_order = 0;
     std::priority_queue<Later> m_later;
     KeyValueStore m_store;
+    Duration m_storeDelay{};
     std::map<std::string, Host> m_hosts;
     std::map<std::string, Target> m_targets;
     std::map<std::string, HostListState> m_listed;
@@ -211,7 +255,8 @@
     TimePoint m_nextHostList{};
     std::vector<CallerView> m_views;
     std::vector<ServiceRun> m_serviceRuns;
-    std::vector<std::vector<LayerRun>> m_deadLogs;
+    std::vector<StreamBegun> m_streamsBegun;
+    std::vector<EngineLog> m_deadLogs;
     std::vector<std::string> m_log;
     RequestId m_lastRequest;
     std::uint64_t m_peerMessages = 0;
