--- a/src/ledger/tests/LedgerFixture.cpp
+++ b/src/ledger/tests/LedgerFixture.cpp
@@ -9,6 +9,7 @@
     , m_shards(shards)
     , m_random(seed)
 {
+    ownerOptions.groupInterval = 20ms;
     for (unsigned index = 0; index < hostCount; ++index) {
         m_hosts.push_back(std::make_unique<Host>());
         m_hosts.back()->life.host = HostId("host" + std::to_string(index));
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -83,7 +83,8 @@
 using QuarantineVerdict = std::variant<RunFreely, RunAlone, RefuseRequest>;
 
 /// The one request that asked may run on the target that it named, as soon as that has finished all other work.
-/// The target is reserved until `RequestCompleted`, `TrialEnded` or `TargetCrashed`.
+/// The target is reserved until `RequestCompleted`, `TrialEnded` or `TargetCrashed`. While the request waits for the
+/// target, `targetReserved` is asked again: if the reservation has ended, so has the permission.
 struct TrialGranted
 {
 };
@@ -121,7 +122,7 @@
     Duration expiry = 24h;
     /// A cleared request is not suspected again for a crash it shares with others.
     Duration clearedMemory = 10min;
-    /// A trial whose host says nothing for so long may be repeated.
+    /// A trial whose host says nothing for so long may be repeated; longer than the longest run of a request.
     Duration trialLimit = 5min;
     Duration retryAfter = 1s;
     /// A reservation of a target must stand so long against those of other hosts before the trial is granted.
@@ -241,8 +242,8 @@
     std::map<TargetId, Crash> m_crashes;
     std::map<CrashId, TimePoint> m_seenReports;
     std::map<TargetId, Reservation> m_reservations;
-    /// Last reservation of each holder that was seen.
-    std::map<std::string, std::uint64_t> m_lastReservations;
+    /// Last reservation of each holder and target that was seen.
+    std::map<std::pair<std::string, TargetId>, std::uint64_t> m_lastReservations;
     std::uint64_t m_lastReservation = 0;
     std::uint64_t m_lastCrash = 0;
     CallId m_lastCall;
--- a/src/quarantine/QuarantineTrials.cpp
+++ b/src/quarantine/QuarantineTrials.cpp
@@ -60,6 +60,10 @@
 void Quarantine::grantTrials(TimePoint now, Actions &actions)
 {
     for (auto &[fingerprint, entry] : m_entries) {
+        if (entry.trialWanted && entry.record.state != QuarantineState::Suspect) {
+            // It was cleared, condemned or is tried elsewhere: a new verdict is to be asked for.
+            decideTrial(fingerprint, entry, false, actions);
+        }
         if (!entry.grantAt || now < *entry.grantAt) {
             continue;
         }
@@ -92,7 +96,7 @@
             && found->second.number == message.number) {
             m_reservations.erase(found);
         }
-        std::uint64_t &last = m_lastReservations[message.holder];
+        std::uint64_t &last = m_lastReservations[{message.holder, message.target}];
         last = std::max(last, message.number);
         return;
     }
@@ -102,10 +106,10 @@
         found->second.until = now + m_options.reservationHold;
         return;
     }
-    if (message.number <= m_lastReservations[message.holder]) {
+    if (message.number <= m_lastReservations[{message.holder, message.target}]) {
         return;
     }
-    m_lastReservations[message.holder] = message.number;
+    m_lastReservations[{message.holder, message.target}] = message.number;
     // Of two hosts that reserve one target at the same time, the one with the smaller name keeps it.
     const bool held = targetReserved(message.target, now);
     if (!held || message.holder < found->second.holder) {
