Node: Decide placement by region, and take no new work when the host list says leaving

Change: PlacementDesk (one controller for each region, under the region's lease); readiness follows the host's own entry in the host list. The stand-in engine ran a step only within one loaded range; ranges loaded one after the other now serve together. Result: nodeTest 19 of 19: empty engines are given layers, a lost domain's layers move, a dead holder is followed by another.

--- a/Meta/carawaymill.sh
+++ b/Meta/carawaymill.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The one script for people. Usage: Meta/carawaymill.sh demo|test|lint|build|soak [--seeds N] [--from S]
+# The one script for people. Usage: Meta/carawaymill.sh demo|test|lint|bench|soak [--seeds N] [--from S]|build|soak [--seeds N] [--from S]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${CARAWAYMILL_BUILD:-build}
@@ -28,6 +28,13 @@
     buildAll
     Meta/lint.sh "$build"
     ;;
+bench)
+    buildAll
+    for program in "$build"/carawaymill-bench-* "$build"/quarantineBench "$build"/bench/membership/membershipBench "$build"/bench/admission/admissionBench; do
+        echo "== $(basename "$program")"
+        "$program"
+    done
+    ;;
 soak)
     shift
     seeds=1000 from=1
--- a/src/admission/tests/AdmissionQueueTest.cpp
+++ b/src/admission/tests/AdmissionQueueTest.cpp
@@ -185,6 +185,7 @@
 TEST_CASE("a job that the whole limit could not carry before its deadline is refused on arrival")
 {
     QueueRun run({}, {.requestsPerSecond = 10, .tokensPerSecond = 1, .jobsInProgress = 10});
+    run.apply(CapacityChanged{10});
     run.offer("too-much");
     REQUIRE(run.refused.contains(JobId("too-much")));
     CHECK(run.refused.at(JobId("too-much")).reason == RefusalReason::LimitReached);
--- a/src/enginestandin/EngineCore.cpp
+++ b/src/enginestandin/EngineCore.cpp
@@ -82,10 +82,19 @@
 
 bool EngineCore::holds(const StepRequest &step) const
 {
-    return std::any_of(m_held.begin(), m_held.end(), [&](const ModelLayers &held) {
-        return held.model == step.model && held.version == step.version && held.adapter == step.adapter
-               && held.layers.contains(step.layers);
-    });
+    // Ranges that were loaded one after the other serve a step together.
+    LayerIndex next = step.layers.first;
+    while (next < step.layers.end) {
+        const auto range = std::find_if(m_held.begin(), m_held.end(), [&](const ModelLayers &held) {
+            return held.model == step.model && held.version == step.version && held.adapter == step.adapter
+                && held.layers.contains(next);
+        });
+        if (range == m_held.end()) {
+            return false;
+        }
+        next = range->layers.end;
+    }
+    return true;
 }
 
 std::vector<std::uint64_t> EngineCore::inputs(const StepRequest &step) const
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -84,7 +84,9 @@
 
 bool Node::ready(TimePoint now) const
 {
-    return !m_draining && m_catalogue.takesNewJobs(now);
+    // The platform's host list may call this host leaving before anybody has asked it to drain.
+    const bool leaves = m_fleet.membership().state(m_options.host) == MemberState::Leaving;
+    return !m_draining && !leaves && m_catalogue.takesNewJobs(now);
 }
 
 bool Node::drained() const
@@ -92,6 +94,11 @@
     return m_draining && m_calls.inProgress() == 0 && m_ledger.unrecordedBills() == 0 && m_ledger.waitingReports() == 0;
 }
 
+std::size_t Node::placementRegionsHeld(TimePoint now) const
+{
+    return m_placement.regionsHeld(m_scopes.keeper(), now);
+}
+
 void Node::on(const Tick &, NodeContext &context)
 {
     if (m_fleet.tick(context.now, context.output)) {
@@ -102,6 +109,7 @@
     feedAdministration(Tick{}, context);
     m_scopes.tick(context);
     m_ledger.tick(context);
+    m_placement.tick(m_scopes.keeper(), context);
     targetsDied(m_targets.tick(context.now, context.output), context);
     m_calls.tick(m_ledger, context);
 }
@@ -155,6 +163,10 @@
 {
     targetsDied(m_targets.reported(event, context.now, context.output), context);
     m_calls.targetExamined(event.target, m_ledger, context);
+    const EngineState *state = m_targets.state(event.target);
+    if (event.outcome == PollOutcome::Answered && state != nullptr) {
+        m_placement.stateRead(*state, context);
+    }
 }
 
 void Node::on(const TargetReturned &event, NodeContext &context)
@@ -162,7 +174,10 @@
     m_calls.targetReturned(event, m_ledger, context);
 }
 
-void Node::on(const OrderReturned &, NodeContext &) { }
+void Node::on(const OrderReturned &event, NodeContext &context)
+{
+    m_placement.orderReturned(event, context);
+}
 
 void Node::on(const KeyValueReply &event, NodeContext &context)
 {
@@ -251,7 +266,7 @@
         }
     }
     feedCatalogue(peers, context);
-    m_scopes.refresh(m_ledger.scopes(), m_fleet.membership().aliveHosts(), context);
+    refreshScopes(context);
     m_ledger.membersChanged(context);
     m_calls.membersChanged(context);
 }
@@ -269,6 +284,9 @@
                                   context.output.log(describe(changed));
                                   m_targets.declare(m_catalogue, context.now, context.output);
                                   m_calls.catalogueChanged(context);
+                                  if (m_placement.catalogueChanged(context)) {
+                                      refreshScopes(context);
+                                  }
                               },
                               [&](const CatalogueVersionIgnored &ignored) { context.output.log(describe(ignored)); }},
                    action);
@@ -309,10 +327,20 @@
     }
 }
 
+void Node::refreshScopes(NodeContext &context)
+{
+    std::vector<LeaseScopeId> scopes = m_ledger.scopes();
+    for (LeaseScopeId &scope : m_placement.scopes()) {
+        scopes.push_back(std::move(scope));
+    }
+    m_scopes.refresh(scopes, m_fleet.membership().aliveHosts(), context);
+}
+
 void Node::passScopeChanges(NodeContext &context)
 {
     for (const ScopeChange &change : m_scopes.takeChanges()) {
         m_ledger.scopeChanged(change, context);
+        m_placement.scopeChanged(change, context);
     }
 }
 
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -12,6 +12,7 @@
 #include "node/NodeMessages.h"
 #include "node/NodeOptions.h"
 #include "node/NodeOutput.h"
+#include "node/PlacementDesk.h"
 #include "node/ScopeDesk.h"
 #include "node/TargetTable.h"
 
@@ -47,6 +48,9 @@
 
     [[nodiscard]] const CatalogueReplica &catalogue() const { return m_catalogue; }
 
+    /// Regions whose placement this host decides.
+    [[nodiscard]] std::size_t placementRegionsHeld(TimePoint now) const;
+
     [[nodiscard]] const LedgerDesk &ledger() const { return m_ledger; }
 
 private:
@@ -89,6 +93,8 @@
     /// Tells the slices that some host's state changed.
     void membersChanged(NodeContext &context);
     void targetsDied(const std::vector<TargetDied> &died, NodeContext &context);
+    /// The scopes that exist, or the hosts that may hold them, may have changed.
+    void refreshScopes(NodeContext &context);
     /// Hands changes of what this host holds to their slices.
     void passScopeChanges(NodeContext &context);
 
@@ -103,6 +109,7 @@
     LedgerDesk m_ledger;
     CallDesk m_calls;
     TargetTable m_targets;
+    PlacementDesk m_placement;
     /// Operators' requests by the ids that the administration knows them by.
     std::map<CallId, RequestId> m_operatorRequests;
     CallId m_lastOperatorCall;
--- a/src/node/NodeQueries.cpp
+++ b/src/node/NodeQueries.cpp
@@ -58,6 +58,7 @@
             {"draining", m_draining},
             {"requestsInProgress", requestsInProgress()},
             {"unrecordedBills", m_ledger.unrecordedBills()},
+            {"placementRegionsHeld", placementRegionsHeld(now)},
             {"ledgerShardsServed", m_ledger.shardsServed()},
             {"hosts", hosts},
             {"targets", targets}};
--- a/src/node/tests/NodeTest.cpp
+++ b/src/node/tests/NodeTest.cpp
@@ -120,3 +120,56 @@
     world.disconnectCaller(call);
     CHECK(world.node("entry-1").requestsInProgress() == 0);
 }
+
+TEST_CASE("empty engines are given layers, and a lost domain's layers move to those that are left")
+{
+    NodeWorld world({});
+    for (int number = 1; number <= 6; ++number) {
+        world.addEngine("engine-" + std::to_string(number), {}, number <= 3 ? "fukuoka" : "kumamoto");
+    }
+    world.addService("billing-1");
+    world.seedCatalogue();
+    const auto isAnswered = [&] {
+        const std::size_t call = world.complete("entry-2", launchLog);
+        return world.runUntil([&] { return world.view(call).answered(); }, 60s)
+               && world.view(call).response->status == 200
+               && answerText(world.view(call)) == NodeWorld::expectedAnswer(launchLog);
+    };
+    world.run(30s);
+    CHECK(isAnswered());
+    for (int number = 1; number <= 3; ++number) {
+        world.killTarget("engine-" + std::to_string(number));
+    }
+    world.run(30s);
+    CHECK(isAnswered());
+}
+
+TEST_CASE("the placement's holder dies and another host takes over")
+{
+    NodeWorld world({});
+    for (int number = 1; number <= 4; ++number) {
+        world.addEngine("engine-" + std::to_string(number), {}, "fukuoka");
+    }
+    world.addService("billing-1");
+    world.seedCatalogue();
+    world.run(30s);
+    for (const std::string &host : world.hosts()) {
+        if (world.node(host).placementRegionsHeld(world.now()) > 0) {
+            world.killHost(host);
+            break;
+        }
+    }
+    world.killTarget("engine-1");
+    world.run(5s);
+    world.startTarget("engine-1");
+    world.run(60s);
+    std::size_t held = 0;
+    for (const std::string &host : world.hosts()) {
+        held += world.isUp(host) ? world.node(host).placementRegionsHeld(world.now()) : 0;
+    }
+    CHECK(held == 1);
+    const std::string living = world.isUp("entry-1") ? "entry-1" : "entry-2";
+    const std::size_t call = world.complete(living, launchLog);
+    REQUIRE(world.runUntil([&] { return world.view(call).answered(); }, 60s));
+    CHECK(world.view(call).response->status == 200);
+}
