--- a/src/enginestandin/EngineCore.cpp
+++ b/src/enginestandin/EngineCore.cpp
@@ -87,7 +87,7 @@
     while (next < step.layers.end) {
         const auto range = std::find_if(m_held.begin(), m_held.end(), [&](const ModelLayers &held) {
             return held.model == step.model && held.version == step.version && held.adapter == step.adapter
-                && held.layers.contains(next);
+                   && held.layers.contains(next);
         });
         if (range == m_held.end()) {
             return false;
