--- a/bench/node/NodeBenchmarkMain.cpp
+++ b/bench/node/NodeBenchmarkMain.cpp
@@ -41,6 +41,8 @@
     std::size_t targets = 40;
     std::size_t jobs = 100;
     std::size_t activationBytes = 16;
+    /// Whether the node gets every lease that it wants: then it places all regions and owns all shards by itself.
+    bool holder = false;
 };
 
 /// One node whose service, targets and engines answer at once.
@@ -176,7 +178,7 @@
         for (NodeAction &action : waiting) {
             if (const auto *call = std::get_if<KeyValueCall>(&action)) {
                 if (!std::holds_alternative<WatchRange>(call->request)) {
-                    feed(KeyValueReply{.id = call->id, .result = m_store.apply(call->request, m_now)});
+                    feed(KeyValueReply{.id = call->id, .result = answerTo(call->request)});
                 }
                 continue;
             }
@@ -186,6 +188,12 @@
         }
     }
 
+    [[nodiscard]] KeyValueResult answerTo(const KeyValueRequest &request)
+    {
+        const bool isRead = std::holds_alternative<ReadRange>(request);
+        return isRead || m_size.holder ? m_store.apply(request, m_now) : KeyValueResult(ServiceUnavailable{});
+    }
+
     /// Each target holds one quarter of the model.
     [[nodiscard]] static EngineReport reportOf(const TargetId &target)
     {
@@ -246,18 +254,20 @@
     const double spent = bench.answerSteps(steps);
     bench.resetTicks();
     bench.run(1s);
-    std::printf("node organisations=%zu targets=%zu jobs=%zu activationBytes=%zu ready=%d catalogueMegabytes=%.1f "
-                "jobsMegabytes=%.1f microsecondsPerStep=%.2f idleTickMicroseconds=%.1f busyTickMicroseconds=%.1f\n",
-                size.organisations,
-                size.targets,
-                size.jobs,
-                size.activationBytes,
-                bench.ready() ? 1 : 0,
-                loaded - before,
-                withJobs - loaded,
-                spent * 1e6 / static_cast<double>(steps),
-                idleTick * 1e6,
-                bench.secondsPerTick() * 1e6);
+    std::printf(
+        "node holder=%d organisations=%zu targets=%zu jobs=%zu activationBytes=%zu ready=%d catalogueMegabytes=%.1f "
+        "jobsMegabytes=%.1f microsecondsPerStep=%.2f idleTickMicroseconds=%.1f busyTickMicroseconds=%.1f\n",
+        size.holder ? 1 : 0,
+        size.organisations,
+        size.targets,
+        size.jobs,
+        size.activationBytes,
+        bench.ready() ? 1 : 0,
+        loaded - before,
+        withJobs - loaded,
+        spent * 1e6 / static_cast<double>(steps),
+        idleTick * 1e6,
+        bench.secondsPerTick() * 1e6);
 }
 
 /// The JSON of one step there and back, as the engine adapter makes it.
@@ -285,6 +295,8 @@
 int main()
 {
     std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    measureNode({.organisations = 10, .targets = 40, .jobs = 100, .holder = true});
+    measureNode({.organisations = 10, .targets = 157, .jobs = 100, .holder = true});
     measureNode({.organisations = 10, .targets = 40, .jobs = 100});
     measureNode({.organisations = 550, .targets = 275, .jobs = 100});
     measureNode({.organisations = 1100, .targets = 550, .jobs = 200});
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -253,8 +253,8 @@
     void perform(GiveOrder &action)
     {
         m_engines.order(
-            action.address, action.order, [this, order = action.order](std::optional<EngineOrderReply> reply) {
-                feed(OrderReturned{.order = order, .reply = std::move(reply)});
+            action.address, action.order, [this, order = action.order](const std::optional<EngineOrderReply> &reply) {
+                feed(OrderReturned{.order = order, .reply = reply});
             });
     }
 
