Node: Read callers' requests apart from their way through the host

Change: readCall in a file pair of its own; behaviour as before. A setting that is an empty text is refused as before.

--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -26,7 +26,8 @@
     [[nodiscard]] std::string text(const std::string &name)
     {
         m_known.insert(name);
-        if (m_invalid || !m_object.contains(name) || !m_object[name].is_string() || m_object[name].get_ref<const std::string &>().empty()) {
+        if (m_invalid || !m_object.contains(name) || !m_object[name].is_string()
+            || m_object[name].get_ref<const std::string &>().empty()) {
             note(name, "A text is needed.");
             return {};
         }
--- a/src/node/CallDesk.cpp
+++ b/src/node/CallDesk.cpp
@@ -1,13 +1,12 @@
 #include "node/CallDesk.h"
 
-#include "node/CallerGate.h"
+#include "node/CallReader.h"
 #include "node/Fleet.h"
 #include "node/Problem.h"
 #include "support/Hash.h"
 
 namespace Carawaymill {
 
-static constexpr const char *servicePrefix = "/v1/services/";
 /// Hosts near each other report a shared crash within this.
 static constexpr Duration companionWindow = 250ms;
 /// A call to a plain service counts as one token towards the limits.
@@ -44,7 +43,7 @@
 
 void CallDesk::accept(const CallerRequest &request, LedgerDesk &ledger, NodeContext &context)
 {
-    auto accepted = read(request, context);
+    auto accepted = readCall(request, m_options.completions, context.catalogue);
     if (const auto *problem = std::get_if<Problem>(&accepted)) {
         context.output.refuse(request.id, *problem);
         return;
@@ -64,101 +63,6 @@
     settleEnded(ledger, context);
 }
 
-Result<AcceptedCall, Problem> CallDesk::read(const CallerRequest &request, NodeContext &context) const
-{
-    const std::string path = request.request.target.substr(0, request.request.target.find('?'));
-    if (path.starts_with(servicePrefix)) {
-        return readServiceCall(request, context);
-    }
-    const bool chat = path == "/v1/chat/completions";
-    if (!chat && path != "/v1/completions") {
-        return Problem{.type = ProblemType::NotFound, .ran = Ran::No, .detail = "There is no such path."};
-    }
-    if (request.request.method != "POST") {
-        return Problem{.type = ProblemType::MethodNotAllowed, .ran = Ran::No, .detail = "Only POST is answered here."};
-    }
-    return readCompletion(request, chat, context);
-}
-
-/// The idempotency key of a call that may not be repeated.
-static std::optional<IdempotencyKey> keyOf(const HttpRequest &request)
-{
-    const std::string key = headerValue(request.headers, "Idempotency-Key");
-    return key.empty() ? std::nullopt : std::optional(IdempotencyKey(key));
-}
-
-Result<AcceptedCall, Problem>
-CallDesk::readCompletion(const CallerRequest &request, bool chat, NodeContext &context) const
-{
-    const auto organisation = CallerGate::authenticate(request.request, context.catalogue);
-    if (const auto *problem = std::get_if<Problem>(&organisation)) {
-        return *problem;
-    }
-    auto completion = parseCompletion(request.request.body, chat, m_options.completions);
-    if (auto *problem = std::get_if<Problem>(&completion)) {
-        return std::move(*problem);
-    }
-    const auto entry = CallerGate::authorise(*std::get<const OrganisationRecord *>(organisation),
-                                             std::get<CompletionRequest>(completion).entry,
-                                             context.catalogue);
-    if (const auto *problem = std::get_if<Problem>(&entry)) {
-        return *problem;
-    }
-    const EntryRecord &record = *std::get<const EntryRecord *>(entry);
-    const auto *modelEntry = std::get_if<ModelEntry>(&record.backEnd);
-    const ModelRecord *model = modelEntry == nullptr ? nullptr : context.catalogue.model(modelEntry->model);
-    if (model == nullptr) {
-        return Problem{.type = ProblemType::EntryUnknown,
-                       .ran = Ran::No,
-                       .detail = "The entry is not served by a known model.",
-                       .field = "/model"};
-    }
-    return AcceptedCall{.request = request.id,
-                        .organisation = record.owner,
-                        .entry = record,
-                        .http = request.request,
-                        .what = std::get<CompletionRequest>(std::move(completion)),
-                        .model = *model,
-                        .key = keyOf(request.request),
-                        .fingerprint = fingerprintOf(record.owner, record.id, request.request.body),
-                        .receivedAt = request.receivedAt};
-}
-
-Result<AcceptedCall, Problem> CallDesk::readServiceCall(const CallerRequest &request, NodeContext &context) const
-{
-    const auto organisation = CallerGate::authenticate(request.request, context.catalogue);
-    if (const auto *problem = std::get_if<Problem>(&organisation)) {
-        return *problem;
-    }
-    const std::string rest = request.request.target.substr(std::string(servicePrefix).size());
-    const std::size_t end = rest.find_first_of("/?");
-    const auto entry = CallerGate::authorise(
-        *std::get<const OrganisationRecord *>(organisation), EntryId(rest.substr(0, end)), context.catalogue);
-    if (const auto *problem = std::get_if<Problem>(&entry)) {
-        return *problem;
-    }
-    const EntryRecord &record = *std::get<const EntryRecord *>(entry);
-    const auto *service = std::get_if<ServiceEntry>(&record.backEnd);
-    if (service == nullptr) {
-        return Problem{
-            .type = ProblemType::EntryUnknown, .ran = Ran::No, .detail = "The entry is not a plain service."};
-    }
-    const bool idempotent = std::ranges::count(service->idempotentMethods, request.request.method) > 0;
-    std::string path = end == std::string::npos ? "" : rest.substr(end);
-    if (!path.starts_with('/')) {
-        path.insert(0, "/");
-    }
-    return AcceptedCall{.request = request.id,
-                        .organisation = record.owner,
-                        .entry = record,
-                        .http = request.request,
-                        .what = ServiceCallRequest{.path = path},
-                        .model = std::nullopt,
-                        .key = idempotent ? std::nullopt : keyOf(request.request),
-                        .fingerprint = Fingerprint(),
-                        .receivedAt = request.receivedAt};
-}
-
 void CallDesk::offer(AcceptedCall call, LedgerDesk &ledger, NodeContext &context)
 {
     JobOffered offered{.job = call.job,
--- a/src/node/CallDesk.h
+++ b/src/node/CallDesk.h
@@ -65,11 +65,6 @@
 
     CallDesk(const NodeOptions &options, SharedLimits limits, Quarantine quarantine);
 
-    [[nodiscard]] Result<AcceptedCall, Problem> read(const CallerRequest &request, NodeContext &context) const;
-    [[nodiscard]] Result<AcceptedCall, Problem>
-    readCompletion(const CallerRequest &request, bool chat, NodeContext &context) const;
-    [[nodiscard]] Result<AcceptedCall, Problem> readServiceCall(const CallerRequest &request,
-                                                                NodeContext &context) const;
     /// Lets the call wait for its turn by class, deadline, limits and fairness.
     void offer(AcceptedCall call, LedgerDesk &ledger, NodeContext &context);
     void feedAdmission(const AdmissionEvent &event, LedgerDesk &ledger, NodeContext &context);
--- /dev/null
+++ b/src/node/CallReader.cpp
@@ -0,0 +1,105 @@
+#include "node/CallReader.h"
+
+#include "node/CallerGate.h"
+
+namespace Carawaymill {
+
+static constexpr const char *servicePrefix = "/v1/services/";
+
+/// The idempotency key of a call that may not be repeated.
+static std::optional<IdempotencyKey> keyOf(const HttpRequest &request)
+{
+    const std::string key = headerValue(request.headers, "Idempotency-Key");
+    return key.empty() ? std::nullopt : std::optional(IdempotencyKey(key));
+}
+
+static Result<AcceptedCall, Problem> readCompletion(const CallerRequest &request,
+                                                    bool chat,
+                                                    const CompletionLimits &limits,
+                                                    const CatalogueReplica &catalogue)
+{
+    const auto organisation = CallerGate::authenticate(request.request, catalogue);
+    if (const auto *problem = std::get_if<Problem>(&organisation)) {
+        return *problem;
+    }
+    auto completion = parseCompletion(request.request.body, chat, limits);
+    if (auto *problem = std::get_if<Problem>(&completion)) {
+        return std::move(*problem);
+    }
+    const auto entry = CallerGate::authorise(
+        *std::get<const OrganisationRecord *>(organisation), std::get<CompletionRequest>(completion).entry, catalogue);
+    if (const auto *problem = std::get_if<Problem>(&entry)) {
+        return *problem;
+    }
+    const EntryRecord &record = *std::get<const EntryRecord *>(entry);
+    const auto *modelEntry = std::get_if<ModelEntry>(&record.backEnd);
+    const ModelRecord *model = modelEntry == nullptr ? nullptr : catalogue.model(modelEntry->model);
+    if (model == nullptr) {
+        return Problem{.type = ProblemType::EntryUnknown,
+                       .ran = Ran::No,
+                       .detail = "The entry is not served by a known model.",
+                       .field = "/model"};
+    }
+    return AcceptedCall{.request = request.id,
+                        .organisation = record.owner,
+                        .entry = record,
+                        .http = request.request,
+                        .what = std::get<CompletionRequest>(std::move(completion)),
+                        .model = *model,
+                        .key = keyOf(request.request),
+                        .fingerprint = fingerprintOf(record.owner, record.id, request.request.body),
+                        .receivedAt = request.receivedAt};
+}
+
+static Result<AcceptedCall, Problem> readServiceCall(const CallerRequest &request, const CatalogueReplica &catalogue)
+{
+    const auto organisation = CallerGate::authenticate(request.request, catalogue);
+    if (const auto *problem = std::get_if<Problem>(&organisation)) {
+        return *problem;
+    }
+    const std::string rest = request.request.target.substr(std::string(servicePrefix).size());
+    const std::size_t end = rest.find_first_of("/?");
+    const auto entry = CallerGate::authorise(
+        *std::get<const OrganisationRecord *>(organisation), EntryId(rest.substr(0, end)), catalogue);
+    if (const auto *problem = std::get_if<Problem>(&entry)) {
+        return *problem;
+    }
+    const EntryRecord &record = *std::get<const EntryRecord *>(entry);
+    const auto *service = std::get_if<ServiceEntry>(&record.backEnd);
+    if (service == nullptr) {
+        return Problem{
+            .type = ProblemType::EntryUnknown, .ran = Ran::No, .detail = "The entry is not a plain service."};
+    }
+    const bool idempotent = std::ranges::count(service->idempotentMethods, request.request.method) > 0;
+    const std::string tail = end == std::string::npos ? std::string() : rest.substr(end);
+    std::string path = tail.starts_with('/') ? std::string() : std::string("/");
+    path.append(tail);
+    return AcceptedCall{.request = request.id,
+                        .organisation = record.owner,
+                        .entry = record,
+                        .http = request.request,
+                        .what = ServiceCallRequest{.path = path},
+                        .model = std::nullopt,
+                        .key = idempotent ? std::nullopt : keyOf(request.request),
+                        .fingerprint = Fingerprint(),
+                        .receivedAt = request.receivedAt};
+}
+
+Result<AcceptedCall, Problem>
+readCall(const CallerRequest &request, const CompletionLimits &limits, const CatalogueReplica &catalogue)
+{
+    const std::string path = request.request.target.substr(0, request.request.target.find('?'));
+    if (path.starts_with(servicePrefix)) {
+        return readServiceCall(request, catalogue);
+    }
+    const bool chat = path == "/v1/chat/completions";
+    if (!chat && path != "/v1/completions") {
+        return Problem{.type = ProblemType::NotFound, .ran = Ran::No, .detail = "There is no such path."};
+    }
+    if (request.request.method != "POST") {
+        return Problem{.type = ProblemType::MethodNotAllowed, .ran = Ran::No, .detail = "Only POST is answered here."};
+    }
+    return readCompletion(request, chat, limits, catalogue);
+}
+
+} // namespace Carawaymill
