Node: Claim nothing about other hosts before they are known

Cause: right after a start 'in force on 1 of 1 hosts' was told, since the membership first knows only the host itself. Change: the catalogue is given its peers once the settings or the platform's host list name them; a key is copied before its call is moved (found by the linter).

--- a/src/node/CallDesk.cpp
+++ b/src/node/CallDesk.cpp
@@ -76,7 +76,8 @@
         // A token of a prompt has about four bytes; what was not used is given back at the end.
         offered.tokens = TokenCount(completion->prompt.size() / 4 + 1) + completion->maximumTokens;
     }
-    m_offered.emplace(call.job, std::move(call));
+    const JobId job = call.job;
+    m_offered.emplace(job, std::move(call));
     feedAdmission(offered, ledger, context);
 }
 
@@ -159,7 +160,8 @@
                              .key = *call.key,
                              .request = requestHash(call.http.method, call.http.target, call.http.body),
                              .targetsHonourKey = targetsHonourKey};
-    m_claiming.emplace(call.call, ClaimingCall{.call = std::move(call), .runAlone = runAlone});
+    const CallId id = call.call;
+    m_claiming.emplace(id, ClaimingCall{.call = std::move(call), .runAlone = runAlone});
     ledger.want(wanted, context);
     takeVerdicts(ledger, context);
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -64,6 +64,7 @@
                  .ownFailureDomain = m_options.failureDomain,
                  .ownRegion = m_options.region},
                 {})
+    , m_hostsKnown(!m_options.configuredMembers.empty())
 {
 }
 
@@ -210,7 +211,9 @@
 
 void Node::on(const HostListRead &event, NodeContext &context)
 {
-    if (m_fleet.hostListRead(event, context.now, context.output)) {
+    const bool changed = m_fleet.hostListRead(event, context.now, context.output);
+    const bool first = !std::exchange(m_hostsKnown, m_hostsKnown || !event.hosts.empty()) && m_hostsKnown;
+    if (changed || first) {
         membersChanged(context);
     }
     targetsDied(m_targets.hostListRead(event, context.now, context.output), context);
@@ -265,7 +268,10 @@
             peers.peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
         }
     }
-    feedCatalogue(peers, context);
+    // Before that, "in force on 1 of 1 hosts" would be claimed though there are others.
+    if (m_hostsKnown) {
+        feedCatalogue(peers, context);
+    }
     refreshScopes(context);
     m_ledger.membersChanged(context);
     m_calls.membersChanged(context);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -116,6 +116,8 @@
     /// Operators' questions about usage by the call that reads it.
     std::map<CallId, CallId> m_usageQueries;
     CallId m_lastUsageCall;
+    /// Whether our other hosts are known: from the settings, or from the platform's host list.
+    bool m_hostsKnown = false;
     bool m_draining = false;
 };
 
