Node: Name the ledger's scopes by the ledger's own function

Cause: a read of the whole change. LedgerDesk built the scope's name a second time beside shardScope(), so that a change of one would have left the owners without their lease; reserveTargets() read a flag by exchanging it. Change: shardScope() serves both; the flag is read plainly. Behaviour as before. Left: the JSON of a layer range stands in EngineMessages and EngineOrders; one codec beside LayerRange would serve both.

--- a/src/node/CallDesk.cpp
+++ b/src/node/CallDesk.cpp
@@ -377,7 +377,7 @@
 void CallDesk::reserveTargets(NodeContext &context)
 {
     const bool anySuspect = m_quarantine.anySuspect();
-    if (!anySuspect && !std::exchange(m_targetsReserved, anySuspect)) {
+    if (!anySuspect && !m_targetsReserved) {
         return;
     }
     m_targetsReserved = anySuspect;
--- a/src/node/LedgerDesk.cpp
+++ b/src/node/LedgerDesk.cpp
@@ -11,16 +11,11 @@
 /// Parts of the ledger, each with an owner of its own. The same on all hosts, and fixed for good.
 static constexpr std::uint32_t ledgerShards = 8;
 
-static LeaseScopeId ledgerScope(std::uint32_t shard)
-{
-    return LeaseScopeId("ledger/" + std::to_string(shard));
-}
-
 /// The shard of a ledger scope; nothing for another scope.
 static std::optional<std::uint32_t> shardOfScope(const LeaseScopeId &scope)
 {
     for (std::uint32_t shard = 0; shard < ledgerShards; ++shard) {
-        if (ledgerScope(shard) == scope) {
+        if (shardScope(ShardNumber(shard)) == scope) {
             return shard;
         }
     }
@@ -64,7 +59,7 @@
     std::vector<LeaseScopeId> scopes;
     scopes.reserve(ledgerShards);
     for (std::uint32_t shard = 0; shard < ledgerShards; ++shard) {
-        scopes.push_back(ledgerScope(shard));
+        scopes.push_back(shardScope(ShardNumber(shard)));
     }
     return scopes;
 }
@@ -108,7 +103,7 @@
 {
     const std::vector<HostId> living = context.fleet.membership().aliveHosts();
     for (std::uint32_t shard = 0; shard < ledgerShards; ++shard) {
-        const HostId owner = firstRanked(ledgerScope(shard).value(), living);
+        const HostId owner = firstRanked(shardScope(ShardNumber(shard)).value(), living);
         const ShardOwnerLearned learned{.shard = ShardNumber(shard),
                                         .owner = owner.value().empty() ? std::nullopt : std::optional(owner)};
         feedClient(learned, context);
