HTTP: Pass responses on as they arrive

Cause: forwarded event streams must reach callers while their target still writes, and a caller's leaving must close the target's connection at once. Change: HttpClient::open calls back for head, parts and end over the parser of Beast's basic_parser; answers to earlier requests of a connection are told apart by a repeated header; sessions join writes, wait for a first byte under the idle timeout, and take new limits while they run. Conclusion: send() stays, on top of the same exchange.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,18 +1,15 @@
 #include "http/HttpClient.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "http/HttpConnectionPool.h"
+#include "http/HttpResponseParser.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/beast/http/error.hpp>
 
-#include <chrono>
-#include <deque>
-#include <map>
-#include <optional>
+#include <charconv>
 
 namespace Carawaymill {
 
@@ -20,66 +17,13 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// A connection that waits to be used again.
-struct IdleConnection
-{
-    std::unique_ptr<boost::beast::tcp_stream> stream;
-    std::chrono::steady_clock::time_point since;
-};
+static constexpr std::size_t readSize = 4096;
+static constexpr unsigned firstFinalStatus = 200;
 
-/// The pools of idle connections and what all exchanges share.
-class HttpClient::Implementation
+class HttpClient::Implementation : public HttpConnectionPool
 {
 public:
-    Implementation(boost::asio::io_context &context, HttpClientOptions options)
-        : m_context(context)
-        , m_options(options)
-    {
-    }
-
-    [[nodiscard]] boost::asio::io_context &context() { return m_context; }
-
-    [[nodiscard]] const HttpClientOptions &options() const { return m_options; }
-
-    /// A usable idle connection, or null.
-    [[nodiscard]] std::unique_ptr<boost::beast::tcp_stream> takeIdle(const std::string &address)
-    {
-        auto &pool = m_idle[address];
-        while (!pool.empty()) {
-            IdleConnection connection = std::move(pool.back());
-            pool.pop_back();
-            const bool fresh = std::chrono::steady_clock::now() - connection.since < m_options.idleLimit;
-            if (fresh && isQuiet(*connection.stream)) {
-                return std::move(connection.stream);
-            }
-        }
-        return nullptr;
-    }
-
-    void putIdle(const std::string &address, std::unique_ptr<boost::beast::tcp_stream> stream)
-    {
-        auto &pool = m_idle[address];
-        if (pool.size() >= m_options.idleConnectionsPerAddress) {
-            pool.pop_front();
-        }
-        stream->expires_never();
-        pool.push_back({.stream = std::move(stream), .since = std::chrono::steady_clock::now()});
-    }
-
-private:
-    /// Whether the other end has neither closed the connection nor sent what nobody asked for.
-    [[nodiscard]] static bool isQuiet(boost::beast::tcp_stream &stream)
-    {
-        error_code error;
-        char byte = 0;
-        stream.socket().non_blocking(true, error);
-        stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error == boost::asio::error::would_block;
-    }
-
-    boost::asio::io_context &m_context;
-    HttpClientOptions m_options;
-    std::map<std::string, std::deque<IdleConnection>> m_idle;
+    using HttpConnectionPool::HttpConnectionPool;
 };
 
 namespace {
@@ -93,128 +37,360 @@
     }
     error_code error;
     const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    const unsigned long port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
-    constexpr unsigned long largestPort = 65535;
-    if (error || port == 0 || port > largestPort) {
+    std::uint16_t port = 0;
+    const char *end = address.data() + address.size();
+    const auto [stopped, failure] = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || failure != std::errc() || stopped != end || port == 0) {
         return std::nullopt;
     }
-    return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+    return tcp::endpoint(ip, port);
+}
+
+std::string serialise(const HttpRequest &request, const std::string &address)
+{
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    if (headerValue(request.headers, "Host").empty()) {
+        text += "Host: " + address + "\r\n";
+    }
+    for (const auto &[name, value] : request.headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n" + request.body;
 }
 
-HttpResponse toResponse(http::response<http::string_body> message)
+/// The idle timeout that the other end states in `Keep-Alive: timeout=N`.
+std::optional<std::chrono::seconds> statedKeepAlive(const HttpHeaders &headers)
 {
-    HttpResponse response{.status = message.result_int(), .headers = {}, .body = std::move(message.body())};
-    for (const auto &field : message) {
-        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    static constexpr std::string_view parameter = "timeout=";
+    const std::string value = headerValue(headers, "Keep-Alive");
+    const auto found = value.find(parameter);
+    if (found == std::string::npos) {
+        return std::nullopt;
     }
-    return response;
+    unsigned timeout = 0;
+    (void)std::from_chars(value.data() + found + parameter.size(), value.data() + value.size(), timeout);
+    return std::chrono::seconds(timeout);
 }
 
-/// One request and its answer.
-template<typename Pools>
-class Exchange : public std::enable_shared_from_this<Exchange<Pools>>
+/// One request and its response.
+class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::shared_ptr<Pools> pools,
+    Exchange(std::shared_ptr<HttpConnectionPool> pool,
              std::string address,
-             HttpRequest request,
+             const HttpRequest &request,
              HttpSendOptions options,
-             HttpCallback callback)
-        : m_pools(std::move(pools))
+             HttpStreamCallback callback)
+        : m_pool(std::move(pool))
         , m_address(std::move(address))
-        , m_options(options)
+        , m_options(std::move(options))
         , m_callback(std::move(callback))
-        , m_message(http::string_to_verb(request.method), request.target, 11)
+        , m_request(serialise(request, m_address))
+        , m_headOnly(request.method == "HEAD")
+        , m_socket(m_pool->context())
+        , m_timer(m_pool->context())
     {
-        m_message.set(http::field::host, m_address);
-        for (const auto &[name, value] : request.headers) {
-            m_message.set(name, value);
-        }
-        m_message.body() = std::move(request.body);
-        m_message.prepare_payload();
-        m_parser.body_limit(m_pools->options().bodyLimit.value());
-        if (m_message.method() == http::verb::head) {
-            m_parser.skip(true);
-        }
     }
 
     void start()
     {
         if (!m_options.freshConnection) {
-            m_stream = m_pools->takeIdle(m_address);
-        }
-        if (m_stream) {
-            write();
-        } else {
-            connect();
+            if (auto idle = m_pool->take(m_address)) {
+                m_socket = std::move(*idle);
+                m_reused = true;
+                write();
+                return;
+            }
         }
+        connect();
+    }
+
+    /// Ends the exchange without another callback.
+    void cancel()
+    {
+        m_callback = nullptr;
+        close();
     }
 
 private:
+    void limitTime(Duration limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error) {
+                self->fail();
+            }
+        });
+    }
+
     void connect()
     {
         const auto endpoint = parseEndpoint(m_address);
-        m_stream = std::make_unique<boost::beast::tcp_stream>(m_pools->context());
         if (!endpoint) {
             // The callback must never run inside the call that sends.
-            boost::asio::post(m_pools->context(), [self = this->shared_from_this()] { self->finish(HttpNotSent{}); });
+            boost::asio::post(m_pool->context(), [self = shared_from_this()] { self->fail(); });
             return;
         }
-        m_stream->expires_after(m_pools->options().connectTimeout);
-        m_stream->async_connect(*endpoint, [self = this->shared_from_this()](error_code error) {
-            if (error) {
-                self->finish(HttpNotSent{});
+        limitTime(m_pool->options().connectTimeout);
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
+            if (error || self->m_ended) {
+                self->fail();
                 return;
             }
             error_code ignored;
-            self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+            self->m_socket.set_option(tcp::no_delay(true), ignored);
             self->write();
         });
     }
 
     void write()
     {
-        m_stream->expires_after(m_options.timeout);
-        http::async_write(
-            *m_stream, m_message, [self = this->shared_from_this()](error_code error, std::size_t written) {
-                if (error) {
-                    self->finish(written == 0 && self->m_options.freshConnection ? HttpResult(HttpNotSent{})
-                                                                                 : HttpResult(HttpNoAnswer{}));
-                    return;
-                }
-                self->read();
-            });
+        limitTime(m_options.timeout);
+        m_parser.emplace();
+        prepareParser();
+        m_writeStarted = true;
+        boost::asio::async_write(m_socket,
+                                 boost::asio::buffer(m_request),
+                                 [self = shared_from_this()](error_code error, std::size_t written) {
+                                     self->m_written = !error;
+                                     if (error && written == 0 && !self->m_reused) {
+                                         self->m_writeStarted = false;
+                                     }
+                                     if (error) {
+                                         self->fail();
+                                     }
+                                 });
+        read();
+    }
+
+    void prepareParser()
+    {
+        m_parser->body_limit(m_pool->options().bodyLimit.value());
+        m_parser->skip(m_headOnly);
+        m_headPassed = false;
     }
 
     void read()
     {
-        http::async_read(
-            *m_stream, m_buffer, m_parser, [self = this->shared_from_this()](error_code error, std::size_t) {
-                if (error) {
-                    self->finish(HttpNoAnswer{});
+        m_socket.async_read_some(m_buffer.prepare(readSize),
+                                 [self = shared_from_this()](error_code error, std::size_t received) {
+                                     if (self->m_ended) {
+                                         return;
+                                     }
+                                     self->m_buffer.commit(received);
+                                     if (!error) {
+                                         self->parse();
+                                     } else if (error == boost::asio::error::eof) {
+                                         self->connectionEnded();
+                                     } else {
+                                         self->fail();
+                                     }
+                                 });
+    }
+
+    void connectionEnded()
+    {
+        error_code error;
+        if (m_parser->got_some()) {
+            m_parser->put_eof(error);
+        }
+        if (m_parser->is_done() && !error && m_headPassed) {
+            m_reusable = false;
+            finish();
+        } else {
+            fail();
+        }
+    }
+
+    void parse()
+    {
+        while (m_buffer.size() > 0 && !m_ended) {
+            error_code error;
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            if (error && error != http::error::need_more) {
+                fail();
+                return;
+            }
+            if (m_parser->is_header_done() && !m_headPassed && !passHead()) {
+                return;
+            }
+            if (m_parser->is_done()) {
+                if (!m_skipping) {
+                    passBody();
+                    finish();
                     return;
                 }
-                if (self->m_parser.get().keep_alive()) {
-                    self->m_pools->putIdle(self->m_address, std::move(self->m_stream));
-                }
-                self->finish(toResponse(self->m_parser.release()));
-            });
+                beginNextResponse();
+            } else if (error == http::error::need_more) {
+                break;
+            }
+        }
+        if (!m_ended) {
+            passBody();
+        }
+        if (!m_ended) {
+            read();
+        }
+    }
+
+    /// An interim response, or one to an earlier request, has ended.
+    void beginNextResponse()
+    {
+        m_skipping = false;
+        m_parser.emplace();
+        prepareParser();
+    }
+
+    /// False when the exchange has ended.
+    bool passHead()
+    {
+        m_headPassed = true;
+        HttpResponseHead &head = m_parser->head();
+        m_skipping = head.status < firstFinalStatus;
+        if (m_options.echo && !m_skipping) {
+            const std::string value = headerValue(head.headers, m_options.echo->name);
+            m_skipping = !value.empty() && value != m_options.echo->value;
+            if (value.empty() && m_reused) {
+                // It may as well belong to an earlier request of this connection.
+                fail();
+                return false;
+            }
+        }
+        if (!m_skipping) {
+            m_reusable = m_parser->keep_alive();
+            m_keepAlive = statedKeepAlive(head.headers);
+            notify(std::move(head));
+        }
+        return !m_ended;
+    }
+
+    void passBody()
+    {
+        if (!m_parser->hasBody()) {
+            return;
+        }
+        std::string bytes = m_parser->takeBody();
+        if (!m_skipping) {
+            notify(HttpBodyPart{std::move(bytes)});
+        }
+    }
+
+    void finish()
+    {
+        if (m_ended) {
+            return;
+        }
+        m_ended = true;
+        m_timer.cancel();
+        if (m_reusable && m_written && m_buffer.size() == 0) {
+            m_pool->put(m_address, std::move(m_socket), m_keepAlive);
+        } else {
+            error_code ignored;
+            m_socket.close(ignored);
+        }
+        notify(HttpResponseEnd{});
+    }
+
+    void fail()
+    {
+        if (m_ended) {
+            return;
+        }
+        close();
+        if (m_writeStarted) {
+            notify(HttpNoAnswer{});
+        } else {
+            notify(HttpNotSent{});
+        }
+    }
+
+    void close()
+    {
+        m_ended = true;
+        m_timer.cancel();
+        error_code ignored;
+        m_socket.close(ignored);
     }
 
-    void finish(HttpResult result)
+    void notify(HttpStreamEvent event)
     {
-        m_stream.reset();
-        m_callback(std::move(result));
+        if (!m_callback) {
+            return;
+        }
+        // The callback may cancel the exchange, and must outlive that.
+        HttpStreamCallback callback = std::exchange(m_callback, nullptr);
+        callback(std::move(event));
+        if (!m_ended) {
+            m_callback = std::move(callback);
+        }
     }
 
-    std::shared_ptr<Pools> m_pools;
+    std::shared_ptr<HttpConnectionPool> m_pool;
     std::string m_address;
     HttpSendOptions m_options;
-    HttpCallback m_callback;
-    http::request<http::string_body> m_message;
-    http::response_parser<http::string_body> m_parser;
+    HttpStreamCallback m_callback;
+    std::string m_request;
+    bool m_headOnly = false;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
-    std::unique_ptr<boost::beast::tcp_stream> m_stream;
+    std::optional<HttpResponseParser> m_parser;
+    std::optional<std::chrono::seconds> m_keepAlive;
+    bool m_reused = false;
+    bool m_writeStarted = false;
+    bool m_written = false;
+    bool m_headPassed = false;
+    /// The present response is interim, or answers an earlier request.
+    bool m_skipping = false;
+    bool m_reusable = false;
+    bool m_ended = false;
+};
+
+/// Cancels the exchange when its owner drops it.
+class ExchangeHandle final : public HttpExchange
+{
+public:
+    explicit ExchangeHandle(std::shared_ptr<Exchange> exchange)
+        : m_exchange(std::move(exchange))
+    {
+    }
+
+    ExchangeHandle(const ExchangeHandle &) = delete;
+    ExchangeHandle &operator=(const ExchangeHandle &) = delete;
+    ~ExchangeHandle() override { m_exchange->cancel(); }
+
+private:
+    std::shared_ptr<Exchange> m_exchange;
+};
+
+/// Puts a response together for a caller that wants it whole.
+class WholeResponse
+{
+public:
+    explicit WholeResponse(HttpCallback callback)
+        : m_callback(std::move(callback))
+    {
+    }
+
+    void take(HttpStreamEvent event)
+    {
+        std::visit(Overloaded{[this](HttpResponseHead &head) {
+                                  m_response.status = head.status;
+                                  m_response.headers = std::move(head.headers);
+                              },
+                              [this](const HttpBodyPart &part) { m_response.body += part.bytes; },
+                              [this](HttpResponseEnd) { m_callback(std::move(m_response)); },
+                              [this](HttpNotSent notSent) { m_callback(notSent); },
+                              [this](HttpNoAnswer noAnswer) { m_callback(noAnswer); }},
+                   event);
+    }
+
+private:
+    HttpCallback m_callback;
+    HttpResponse m_response;
 };
 
 } // namespace
@@ -226,11 +402,29 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::send(const std::string &address, HttpRequest request, HttpSendOptions options, HttpCallback callback)
+void HttpClient::send(const std::string &address,
+                      const HttpRequest &request,
+                      HttpSendOptions options,
+                      HttpCallback callback)
 {
-    std::make_shared<Exchange<Implementation>>(
-        m_implementation, address, std::move(request), options, std::move(callback))
+    auto whole = std::make_shared<WholeResponse>(std::move(callback));
+    std::make_shared<Exchange>(m_implementation,
+                               address,
+                               request,
+                               std::move(options),
+                               [whole](HttpStreamEvent event) { whole->take(std::move(event)); })
         ->start();
 }
 
+std::unique_ptr<HttpExchange> HttpClient::open(const std::string &address,
+                                               const HttpRequest &request,
+                                               HttpSendOptions options,
+                                               HttpStreamCallback callback)
+{
+    auto exchange =
+        std::make_shared<Exchange>(m_implementation, address, request, std::move(options), std::move(callback));
+    exchange->start();
+    return std::make_unique<ExchangeHandle>(std::move(exchange));
+}
+
 } // namespace Carawaymill
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio {
@@ -24,6 +25,13 @@
     std::size_t idleConnectionsPerAddress = 64;
 };
 
+/// A header that a response repeats from its request.
+struct HttpEcho
+{
+    std::string name;
+    std::string value;
+};
+
 /// How one request is sent.
 struct HttpSendOptions
 {
@@ -31,9 +39,22 @@
     Duration timeout = 5s;
     /// Never uses a connection that was used before, so that a failure to connect is surely `HttpNotSent`.
     bool freshConnection = false;
+    /// A response that repeats another value answers an earlier request of the connection and is skipped.
+    std::optional<HttpEcho> echo = std::nullopt;
 };
 
 using HttpCallback = std::function<void(HttpResult result)>;
+using HttpStreamCallback = std::function<void(HttpStreamEvent event)>;
+
+/// A request under way. Destroying it closes its connection, unless the response was whole, and ends the callbacks.
+class HttpExchange
+{
+public:
+    HttpExchange() = default;
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+    virtual ~HttpExchange() = default;
+};
 
 /// A thin HTTP/1.1 client over Asio and Beast with one pool of connections for each address.
 ///
@@ -47,7 +68,12 @@
     ~HttpClient();
 
     /// Sends to `address` (IP number and port, for example `127.0.0.1:8080`) and calls back exactly once.
-    void send(const std::string &address, HttpRequest request, HttpSendOptions options, HttpCallback callback);
+    void
+    send(const std::string &address, const HttpRequest &request, HttpSendOptions options, HttpCallback callback);
+
+    /// Sends and calls back for each part of the response as it arrives, never inside this call.
+    [[nodiscard]] std::unique_ptr<HttpExchange>
+    open(const std::string &address, const HttpRequest &request, HttpSendOptions options, HttpStreamCallback callback);
 
 private:
     class Implementation;
--- /dev/null
+++ b/src/http/HttpConnectionPool.cpp
@@ -0,0 +1,55 @@
+#include "http/HttpConnectionPool.h"
+
+namespace Carawaymill {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Part of the other end's idle timeout after which a connection isn't used any more, so that a request does not cross
+/// its close.
+static constexpr double usedKeepAliveShare = 0.6;
+
+HttpConnectionPool::HttpConnectionPool(boost::asio::io_context &context, HttpClientOptions options)
+    : m_context(context)
+    , m_options(options)
+{
+}
+
+/// Whether the other end has neither closed the connection nor sent what nobody asked for.
+static bool isQuiet(tcp::socket &socket)
+{
+    error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+std::optional<HttpConnectionPool::Socket> HttpConnectionPool::take(const std::string &address)
+{
+    auto &pool = m_idle[address];
+    while (!pool.empty()) {
+        Idle idle = std::move(pool.back());
+        pool.pop_back();
+        if (std::chrono::steady_clock::now() < idle.until && isQuiet(idle.socket)) {
+            return std::move(idle.socket);
+        }
+    }
+    return std::nullopt;
+}
+
+void HttpConnectionPool::put(const std::string &address, Socket socket, std::optional<std::chrono::seconds> keepAlive)
+{
+    auto &pool = m_idle[address];
+    const auto now = std::chrono::steady_clock::now();
+    while (!pool.empty() && (pool.front().until <= now || pool.size() >= m_options.idleConnectionsPerAddress)) {
+        pool.pop_front();
+    }
+    Duration limit = m_options.idleLimit;
+    if (keepAlive) {
+        limit = std::min(limit, std::chrono::duration_cast<Duration>(*keepAlive * usedKeepAliveShare));
+    }
+    pool.push_back({.socket = std::move(socket), .until = now + limit});
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/http/HttpConnectionPool.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "http/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Carawaymill {
+
+/// The idle connections of one client, by address.
+class HttpConnectionPool
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    HttpConnectionPool(boost::asio::io_context &context, HttpClientOptions options);
+
+    [[nodiscard]] boost::asio::io_context &context() { return m_context; }
+
+    [[nodiscard]] const HttpClientOptions &options() const { return m_options; }
+
+    /// A usable idle connection, or nothing.
+    [[nodiscard]] std::optional<Socket> take(const std::string &address);
+
+    /// Keeps a connection for `idleLimit` at most, or for as long as the options allow.
+    void put(const std::string &address, Socket socket, std::optional<std::chrono::seconds> keepAlive);
+
+private:
+    struct Idle
+    {
+        Socket socket;
+        std::chrono::steady_clock::time_point until;
+    };
+
+    boost::asio::io_context &m_context;
+    HttpClientOptions m_options;
+    std::map<std::string, std::deque<Idle>> m_idle;
+};
+
+} // namespace Carawaymill
--- a/src/http/HttpMessages.cpp
+++ b/src/http/HttpMessages.cpp
@@ -5,7 +5,7 @@
 
 namespace Carawaymill {
 
-static bool sameIgnoringCase(const std::string &left, const std::string &right)
+bool sameHeaderName(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) {
         return std::tolower(a) == std::tolower(b);
@@ -15,7 +15,7 @@
 std::string headerValue(const HttpHeaders &headers, const std::string &name)
 {
     const auto found = std::find_if(
-        headers.begin(), headers.end(), [&](const auto &header) { return sameIgnoringCase(header.first, name); });
+        headers.begin(), headers.end(), [&](const auto &header) { return sameHeaderName(header.first, name); });
     return found == headers.end() ? std::string() : found->second;
 }
 
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -3,7 +3,9 @@
 #include "support/Variant.h"
 
 #include <string>
+#include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 /// HTTP requests and responses as plain values, free of any library, so that decisions about them can be tested alone.
@@ -28,6 +30,9 @@
     std::string body;
 };
 
+/// Whether two header names are the same; case does not matter.
+[[nodiscard]] bool sameHeaderName(std::string_view left, std::string_view right);
+
 /// The value of the first header of that name (case does not matter), or an empty text.
 [[nodiscard]] std::string headerValue(const HttpHeaders &headers, const std::string &name);
 
@@ -43,4 +48,25 @@
 
 using HttpResult = Result<HttpResponse, HttpNotSent, HttpNoAnswer>;
 
+/// Status and headers of a response whose body follows in parts.
+struct HttpResponseHead
+{
+    unsigned status = 200;
+    HttpHeaders headers;
+};
+
+/// Some bytes of the body, without any framing.
+struct HttpBodyPart
+{
+    std::string bytes;
+};
+
+/// The response is whole.
+struct HttpResponseEnd
+{
+};
+
+/// A response as it arrives: one head, any number of parts, and one end; or a failure at any point before the end.
+using HttpStreamEvent = std::variant<HttpResponseHead, HttpBodyPart, HttpResponseEnd, HttpNotSent, HttpNoAnswer>;
+
 } // namespace Carawaymill
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -59,6 +59,13 @@
     {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
+        closeConnections();
+    }
+
+    void setLimits(const HttpCallerLimits &limits) { m_shared->options.limits = limits; }
+
+    void closeConnections()
+    {
         m_shared->draining = true;
         const auto sessions = m_shared->sessions;
         for (HttpSession *session : sessions) {
@@ -106,6 +113,16 @@
     return m_implementation->requestsInProgress();
 }
 
+void HttpServer::setLimits(const HttpCallerLimits &limits)
+{
+    m_implementation->setLimits(limits);
+}
+
+void HttpServer::closeConnections()
+{
+    m_implementation->closeConnections();
+}
+
 void HttpServer::drain()
 {
     m_implementation->drain();
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -17,16 +17,24 @@
 
 namespace Carawaymill {
 
+/// What a caller may send, and how long it may take.
+struct HttpCallerLimits
+{
+    ByteCount headerBytes = ByteCount(16384);
+    ByteCount bodyBytes = ByteCount(1U << 20U);
+    /// A request must be read whole within this time, counted from its first byte.
+    Duration readTimeout = 30s;
+    /// A connection without a request is closed after this time.
+    Duration idleTimeout = 30s;
+};
+
 struct HttpServerOptions
 {
     /// IP number to listen on.
     std::string address = "127.0.0.1";
     /// 0 takes a free port; `HttpServer::port` tells which.
     std::uint16_t port = 0;
-    ByteCount headerLimit = ByteCount(16384);
-    ByteCount bodyLimit = ByteCount(1U << 20U);
-    /// A request must be read whole within this time, counted from its first wait.
-    Duration readTimeout = 30s;
+    HttpCallerLimits limits;
     std::size_t connectionLimit = 4096;
 };
 
@@ -55,6 +63,10 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Requests that were handed to the handler and are not answered yet.
     [[nodiscard]] std::size_t requestsInProgress() const;
+    /// Takes effect with the next request of each connection.
+    void setLimits(const HttpCallerLimits &limits);
+    /// Closes idle connections, and every other one after its next answer; new ones are still accepted.
+    void closeConnections();
     /// Closes the listener and idle connections; requests in progress are answered and their connections closed then.
     void drain();
 
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -5,14 +5,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <cassert>
-#include <sstream>
+#include <charconv>
 
 namespace Carawaymill {
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+static constexpr std::size_t firstReadSize = 4096;
+
 /// Hands the handler's answer to the session; outliving the connection does no harm.
 class SessionResponder final : public HttpResponder
 {
@@ -104,10 +107,34 @@
 
 void HttpSession::readRequest()
 {
+    if (m_buffer.size() == 0) {
+        awaitRequest();
+    } else {
+        readMessage();
+    }
+}
+
+void HttpSession::awaitRequest()
+{
+    m_stream.expires_after(m_shared->options.limits.idleTimeout);
+    m_stream.async_read_some(m_buffer.prepare(firstReadSize),
+                             [self = shared_from_this()](error_code error, std::size_t received) {
+                                 self->m_buffer.commit(received);
+                                 if (error) {
+                                     self->close();
+                                 } else {
+                                     self->readMessage();
+                                 }
+                             });
+}
+
+void HttpSession::readMessage()
+{
+    const HttpCallerLimits &limits = m_shared->options.limits;
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.headerLimit.value()));
-    m_parser->body_limit(m_shared->options.bodyLimit.value());
-    m_stream.expires_after(m_shared->options.readTimeout);
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes.value()));
+    m_parser->body_limit(limits.bodyBytes.value());
+    m_stream.expires_after(limits.readTimeout);
     http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
         if (error == http::error::body_limit) {
             self->refuse(413, "body-too-large", "The request body is larger than the limit.");
@@ -186,18 +213,17 @@
 
 std::string HttpSession::head(const HttpResponse &response, const std::string &framing) const
 {
-    std::ostringstream text;
-    text << "HTTP/1.1 " << response.status << ' ' << http::obsolete_reason(static_cast<http::status>(response.status))
-         << "\r\n";
+    const auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + ' ';
+    text.append(reason.data(), reason.size()).append("\r\n");
     for (const auto &[name, value] : response.headers) {
-        text << name << ": " << value << "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
-    text << framing << "\r\n";
+    text.append(framing).append("\r\n");
     if (!m_keepAlive || m_shared->draining) {
-        text << "Connection: close\r\n";
+        text.append("Connection: close\r\n");
     }
-    text << "\r\n";
-    return text.str();
+    return text.append("\r\n");
 }
 
 void HttpSession::sendWhole(const HttpResponse &response)
@@ -216,9 +242,11 @@
     if (chunk.empty()) {
         return;
     }
-    std::ostringstream text;
-    text << std::hex << chunk.size() << "\r\n" << chunk << "\r\n";
-    enqueue(text.str());
+    std::array<char, 2 * sizeof(std::size_t)> size{};
+    const auto [end, failure] = std::to_chars(size.data(), size.data() + size.size(), chunk.size(), 16);
+    assert(failure == std::errc());
+    std::string framed(size.data(), end);
+    enqueue(framed.append("\r\n").append(chunk).append("\r\n"));
 }
 
 void HttpSession::finishStream()
@@ -232,12 +260,12 @@
     fail();
 }
 
-void HttpSession::enqueue(std::string bytes)
+void HttpSession::enqueue(const std::string &bytes)
 {
     if (m_closed) {
         return;
     }
-    m_outgoing.push_back(std::move(bytes));
+    m_outgoing += bytes;
     if (!m_writing) {
         writeNext();
     }
@@ -246,15 +274,13 @@
 void HttpSession::writeNext()
 {
     m_writing = true;
+    m_inWriting = std::exchange(m_outgoing, {});
     boost::asio::async_write(
-        m_stream, boost::asio::buffer(m_outgoing.front()), [self = shared_from_this()](error_code error, std::size_t) {
+        m_stream, boost::asio::buffer(m_inWriting), [self = shared_from_this()](error_code error, std::size_t) {
             self->m_writing = false;
             if (error || self->m_closed) {
                 self->fail();
-                return;
-            }
-            self->m_outgoing.pop_front();
-            if (!self->m_outgoing.empty()) {
+            } else if (!self->m_outgoing.empty()) {
                 self->writeNext();
             } else if (self->m_answerComplete) {
                 self->finishRequest();
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -8,7 +8,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -24,6 +23,7 @@
     HttpHandler handler;
     std::set<HttpSession *> sessions;
     std::size_t requestsInProgress = 0;
+    /// Every answer is the last one of its connection.
     bool draining = false;
 };
 
@@ -51,10 +51,12 @@
 
 private:
     void readRequest();
+    void awaitRequest();
+    void readMessage();
     void handOver();
     void refuse(unsigned status, const std::string &type, const std::string &detail);
     void watchCaller();
-    void enqueue(std::string bytes);
+    void enqueue(const std::string &bytes);
     void writeNext();
     void finishRequest();
     void fail();
@@ -65,7 +67,9 @@
     std::shared_ptr<HttpSessionShared> m_shared;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
-    std::deque<std::string> m_outgoing;
+    /// Bytes that wait for the write under way to end, and the bytes of that.
+    std::string m_outgoing;
+    std::string m_inWriting;
     std::function<void()> m_callerGone;
     bool m_writing = false;
     bool m_inProgress = false;
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -67,7 +67,7 @@
 
 TEST_CASE("a body over the limit is refused with a typed problem")
 {
-    HttpFixture fixture(echo, {.bodyLimit = ByteCount(10)});
+    HttpFixture fixture(echo, {.limits = {.bodyBytes = ByteCount(10)}});
     const HttpResult result =
         fixture.exchange({.method = "POST", .target = "/", .headers = {}, .body = std::string(11, 'x')});
     REQUIRE(std::holds_alternative<HttpResponse>(result));
