KeyValue: Give the key-value port a slice of its own

Cause: src/platform mixed the product's key-value port, on which six slices stand, with one service's wire format; the operators' platform needs the name. Change: the port and its HTTP client move to keyvalue, the host list to hostlist; the client takes its protocol as a value and reads further pages. Conclusion: one client for every key-value service.

--- a/src/catalogue/CatalogueEditor.h
+++ b/src/catalogue/CatalogueEditor.h
@@ -2,7 +2,7 @@
 
 #include "catalogue/CatalogueReplica.h"
 #include "catalogue/CatalogueValidation.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 
 #include <map>
 #include <optional>
--- a/src/catalogue/CatalogueServiceReader.h
+++ b/src/catalogue/CatalogueServiceReader.h
@@ -2,7 +2,7 @@
 
 #include "catalogue/CatalogueProgress.h"
 #include "catalogue/CatalogueTable.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "support/Random.h"
 
 #include <optional>
--- a/src/enginestandin/EngineStandInMain.cpp
+++ b/src/enginestandin/EngineStandInMain.cpp
@@ -1,6 +1,6 @@
 #include "enginestandin/EngineServer.h"
 #include "http/HttpServer.h"
-#include "platform/BootClock.h"
+#include "support/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -98,7 +98,7 @@
     });
     auto server =
         HttpServer::create(context,
-                           {.port = static_cast<std::uint16_t>(line.port), .bodyLimit = ByteCount(64U << 20U)},
+                           {.port = static_cast<std::uint16_t>(line.port), .limits = {.bodyBytes = ByteCount(64U << 20U)}},
                            [&](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
                                engine.handle(request, std::move(responder), readBootClock());
                            });
--- a/src/platform/HostListCodec.cpp
+++ b/src/hostlist/HostListCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/HostListCodec.h"
+#include "hostlist/HostListCodec.h"
 
 #include "support/Codec.h"
 
--- a/src/platform/HostListHttpClient.cpp
+++ b/src/hostlist/HostListHttpClient.cpp
@@ -1,6 +1,6 @@
-#include "platform/HostListHttpClient.h"
+#include "hostlist/HostListHttpClient.h"
 
-#include "platform/HostListCodec.h"
+#include "hostlist/HostListCodec.h"
 #include "support/Codec.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/platform/HostListHttpClient.h
+++ b/src/hostlist/HostListHttpClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/HttpClient.h"
-#include "platform/HostListMessages.h"
+#include "hostlist/HostListMessages.h"
 
 #include <functional>
 #include <memory>
--- a/src/platform/KeyValueCodec.cpp
+++ b/src/keyvalue/KeyValueCodec.cpp
@@ -1,6 +1,6 @@
-#include "platform/KeyValueCodec.h"
+#include "keyvalue/KeyValueCodec.h"
 
-#include "platform/KeyValueJson.h"
+#include "keyvalue/KeyValueJson.h"
 #include "support/Base64.h"
 
 #include <algorithm>
@@ -246,4 +246,10 @@
     }
 }
 
+KeyValueProtocol gatewayProtocol()
+{
+    return {.encode = [](const KeyValueRequest &request, const std::string &) { return encodeKeyValueRequest(request); },
+            .decode = decodeKeyValueResponse};
+}
+
 } // namespace Carawaymill
--- a/src/platform/KeyValueCodec.h
+++ b/src/keyvalue/KeyValueCodec.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "http/HttpMessages.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueHttpClient.h"
+#include "keyvalue/KeyValueMessages.h"
 
 /// The client's side of the key-value service's JSON over HTTP: the published gateway of etcd's third API.
 namespace Carawaymill {
@@ -13,6 +14,9 @@
 /// `ServiceUnavailable` for reads.
 [[nodiscard]] KeyValueResult decodeKeyValueResponse(const KeyValueRequest &request, const HttpResult &response);
 
+/// The protocol of these two, for the client.
+[[nodiscard]] KeyValueProtocol gatewayProtocol();
+
 /// Whether the call counts as a write and may have taken effect when no answer came.
 [[nodiscard]] bool isKeyValueWrite(const KeyValueRequest &request);
 
--- /dev/null
+++ b/src/keyvalue/KeyValueHttpClient.cpp
@@ -0,0 +1,76 @@
+#include "keyvalue/KeyValueHttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cassert>
+
+namespace Carawaymill {
+
+struct KeyValueHttpClient::State
+{
+    HttpClient &client;
+    KeyValueHttpClientOptions options;
+    /// The address in use.
+    std::size_t addressIndex = 0;
+};
+
+KeyValueHttpClient::KeyValueHttpClient(HttpClient &client, KeyValueHttpClientOptions options)
+    : m_state(std::make_shared<State>(State{.client = client, .options = std::move(options)}))
+{
+    assert(!m_state->options.addresses.empty());
+}
+
+void KeyValueHttpClient::carryOut(const KeyValueCall &call, KeyValueReplyCallback callback)
+{
+    send(m_state, call, {}, std::move(callback));
+}
+
+/// Joins a page with those before it.
+static RangeRead joinPages(RangeRead before, RangeRead page)
+{
+    if (before.records.empty()) {
+        return page;
+    }
+    // Changes since the first page are reported by a watch that begins there.
+    page.storeRevision = before.storeRevision;
+    before.records.insert(before.records.end(), page.records.begin(), page.records.end());
+    page.records = std::move(before.records);
+    return page;
+}
+
+void KeyValueHttpClient::send(std::shared_ptr<State> state,
+                              const KeyValueCall &call,
+                              RangeRead before,
+                              KeyValueReplyCallback callback)
+{
+    Duration timeout = call.timeout;
+    if (const auto *watch = std::get_if<WatchRange>(&call.request)) {
+        timeout += watch->wait;
+    }
+    State &used = *state;
+    const std::size_t index = used.addressIndex;
+    const std::string after = before.records.empty() ? std::string() : before.records.back().key;
+    used.client.send(
+        used.options.addresses[index],
+        used.options.protocol.encode(call.request, after),
+        HttpSendOptions{.timeout = timeout},
+        [state = std::move(state), index, call, before = std::move(before), callback = std::move(callback)](
+            const HttpResult &response) mutable {
+            // Several calls that fail at the same address move on once only.
+            if (!std::holds_alternative<HttpResponse>(response) && state->addressIndex == index) {
+                state->addressIndex = (index + 1) % state->options.addresses.size();
+            }
+            KeyValueResult result = state->options.protocol.decode(call.request, response);
+            if (auto *page = std::get_if<RangeRead>(&result)) {
+                RangeRead joined = joinPages(std::move(before), std::move(*page));
+                if (joined.truncated && !joined.records.empty()) {
+                    send(std::move(state), call, std::move(joined), std::move(callback));
+                    return;
+                }
+                result = std::move(joined);
+            }
+            callback(KeyValueReply{.id = call.id, .result = std::move(result)});
+        });
+}
+
+} // namespace Carawaymill
--- a/src/platform/KeyValueJson.cpp
+++ b/src/keyvalue/KeyValueJson.cpp
@@ -1,4 +1,4 @@
-#include "platform/KeyValueJson.h"
+#include "keyvalue/KeyValueJson.h"
 
 #include "support/Base64.h"
 
--- a/src/platform/KeyValueMessages.h
+++ b/src/keyvalue/KeyValueMessages.h
@@ -100,6 +100,8 @@
     std::vector<KeyValueRecord> records;
     /// Revision of the whole store at the time of the read.
     Revision storeRevision;
+    /// More records follow the last one. Only the client of the service sees this: it reads on.
+    bool truncated = false;
 };
 
 /// Answer to `WatchRange`.
--- a/src/platform/tests/KeyValueCodecTest.cpp
+++ b/src/keyvalue/tests/KeyValueCodecTest.cpp
@@ -1,6 +1,6 @@
-#include "platform/KeyValueCodec.h"
-#include "platform/HostListCodec.h"
-#include "platform/KeyValueJson.h"
+#include "keyvalue/KeyValueCodec.h"
+#include "hostlist/HostListCodec.h"
+#include "keyvalue/KeyValueJson.h"
 #include "support/Base64.h"
 
 #include <doctest/doctest.h>
--- a/src/lease/LeaseMessages.h
+++ b/src/lease/LeaseMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "support/Identifiers.h"
 #include "support/Time.h"
 
--- a/src/lease/LeaseSession.h
+++ b/src/lease/LeaseSession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lease/LeaseOptions.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "support/Backoff.h"
 #include "support/Random.h"
 
--- a/src/ledger/ShardStore.h
+++ b/src/ledger/ShardStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ledger/BillBook.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 
 #include <map>
 #include <string>
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "membership/MembershipMessages.h"
-#include "platform/HostListMessages.h"
+#include "hostlist/HostListMessages.h"
 #include "support/Time.h"
 
 #include <map>
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -5,7 +5,7 @@
 #include "membership/MemberTable.h"
 #include "membership/MembershipMessages.h"
 #include "membership/MembershipOptions.h"
-#include "platform/HostListMessages.h"
+#include "hostlist/HostListMessages.h"
 #include "support/Random.h"
 #include "support/Time.h"
 #include "support/Variant.h"
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "quarantine/QuarantineMessages.h"
 
 #include <map>
--- a/src/standins/KeyValueServerCodec.cpp
+++ b/src/standins/KeyValueServerCodec.cpp
@@ -1,6 +1,6 @@
 #include "standins/KeyValueServerCodec.h"
 
-#include "platform/KeyValueJson.h"
+#include "keyvalue/KeyValueJson.h"
 #include "support/Base64.h"
 
 #include <map>
--- a/src/standins/KeyValueServerCodec.h
+++ b/src/standins/KeyValueServerCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/HttpMessages.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "support/Codec.h"
 
 #include <optional>
--- a/src/standins/KeyValueServerMain.cpp
+++ b/src/standins/KeyValueServerMain.cpp
@@ -1,5 +1,5 @@
 #include "http/HttpServer.h"
-#include "platform/BootClock.h"
+#include "support/BootClock.h"
 #include "standins/PlatformServer.h"
 #include "standins/PlatformSettings.h"
 
@@ -73,7 +73,7 @@
     PlatformServer platform(std::move(options));
     auto listening = HttpServer::create(
         context,
-        HttpServerOptions{.port = static_cast<std::uint16_t>(commandLine.port), .bodyLimit = platformBodyLimit},
+        HttpServerOptions{.port = static_cast<std::uint16_t>(commandLine.port), .limits = {.bodyBytes = platformBodyLimit}},
         [&platform](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
             platform.handle(request, std::move(responder), readBootClock());
         });
--- a/src/standins/KeyValueStore.h
+++ b/src/standins/KeyValueStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "standins/KeyValueFaults.h"
 #include "support/Random.h"
 #include "support/Units.h"
--- a/src/standins/PlatformServer.cpp
+++ b/src/standins/PlatformServer.cpp
@@ -1,6 +1,6 @@
 #include "standins/PlatformServer.h"
 
-#include "platform/HostListCodec.h"
+#include "hostlist/HostListCodec.h"
 #include "standins/KeyValueFaultsCodec.h"
 
 namespace Carawaymill {
--- a/src/standins/PlatformSettings.cpp
+++ b/src/standins/PlatformSettings.cpp
@@ -1,6 +1,6 @@
 #include "standins/PlatformSettings.h"
 
-#include "platform/HostListCodec.h"
+#include "hostlist/HostListCodec.h"
 
 namespace Carawaymill {
 
--- a/src/standins/tests/PlatformServerTest.cpp
+++ b/src/standins/tests/PlatformServerTest.cpp
@@ -1,8 +1,9 @@
 #include "standins/PlatformServer.h"
 #include "http/HttpServer.h"
-#include "platform/HostListCodec.h"
-#include "platform/HostListHttpClient.h"
-#include "platform/KeyValueHttpClient.h"
+#include "hostlist/HostListCodec.h"
+#include "hostlist/HostListHttpClient.h"
+#include "keyvalue/KeyValueCodec.h"
+#include "keyvalue/KeyValueHttpClient.h"
 #include "standins/PlatformSettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,13 +19,13 @@
         : platform(std::move(options))
         , server(std::get<std::unique_ptr<HttpServer>>(
               HttpServer::create(context,
-                                 {.bodyLimit = platformBodyLimit},
+                                 {.limits = {.bodyBytes = platformBodyLimit}},
                                  [this](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
                                      platform.handle(request, std::move(responder), now);
                                  })))
         , address("127.0.0.1:" + std::to_string(server->port()))
         , client(context)
-        , keyValue(client, {.addresses = {address}})
+        , keyValue(client, {.protocol = gatewayProtocol(), .addresses = {address}})
     {
     }
 
@@ -104,7 +105,7 @@
     Served served;
     // Nothing listens on port 1; the destroyed client's calls are still answered.
     auto keyValue = std::make_unique<KeyValueHttpClient>(
-        served.client, KeyValueHttpClientOptions{.addresses = {"127.0.0.1:1", served.address}});
+        served.client, KeyValueHttpClientOptions{.protocol = gatewayProtocol(), .addresses = {"127.0.0.1:1", served.address}});
     std::vector<KeyValueResult> results;
     for (std::size_t call = 1; call <= 3; ++call) {
         keyValue->carryOut({.id = CallId(call), .request = ReadRange{.prefix = "a/"}},
--- a/src/platform/BootClock.cpp
+++ b/src/support/BootClock.cpp
@@ -1,4 +1,4 @@
-#include "platform/BootClock.h"
+#include "support/BootClock.h"
 
 #include <cassert>
 #include <ctime>
--- a/src/support/Identifiers.h
+++ b/src/support/Identifiers.h
@@ -26,6 +26,8 @@
 /// Names one edit of an operator, so that a repeat of it is recognised.
 using EditId = StrongType<struct EditIdTag, std::string>;
 
+/// Names one caller's request while it is being answered. Given by the driver.
+using RequestId = StrongCount<struct RequestIdTag, std::uint64_t>;
 /// Counts the attempts of one job; the first is 1.
 using AttemptNumber = StrongCount<struct AttemptNumberTag, std::uint32_t>;
 /// The key-value service's revision of a record or of the whole store. 0 means "does not exist".
