--- a/src/daemon/CarawaymilldMain.cpp
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -6,9 +6,11 @@
 
 #include <popt.h>
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
 using namespace Carawaymill;
@@ -19,10 +21,13 @@
 enum ExitCode {
     ExitSuccess = 0,
     ExitWrongCommandLine = 2,
-    ExitWrongSettings = 3,
+    ExitWrongSettings = 2,
     ExitCannotStart = 4,
 };
 
+/// Names the settings file where the command line does not.
+constexpr const char *settingsVariable = "CARAWAYMILL_CONFIG";
+
 struct CommandLine
 {
     std::string settingsFile;
@@ -34,16 +39,17 @@
 {
     char *settings = nullptr;
     int checkOnly = 0;
+    const char *const fromEnvironment = std::getenv(settingsVariable);
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settings, 0, "JSON file with the daemon's settings", "FILE"},
         {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(nullptr, argc, argv, static_cast<const poptOption *>(options), 0);
-    if (poptGetNextOpt(context) < -1 || settings == nullptr) {
+    if (poptGetNextOpt(context) < -1 || (settings == nullptr && fromEnvironment == nullptr)) {
         poptPrintUsage(context, stderr, 0);
         std::exit(ExitWrongCommandLine);
     }
-    CommandLine line{.settingsFile = settings, .checkOnly = checkOnly != 0};
+    CommandLine line{.settingsFile = settings != nullptr ? settings : fromEnvironment, .checkOnly = checkOnly != 0};
     std::free(settings);
     poptFreeContext(context);
     return line;
@@ -60,7 +66,9 @@
     const std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
     auto settings = readDaemonSettings(text);
     if (const auto *invalid = std::get_if<InvalidSettings>(&settings)) {
-        LOG(ERROR) << "Daemon: setting " << invalid->field << ": " << invalid->reason;
+        for (const SettingFault &fault : invalid->faults) {
+            LOG(ERROR) << "Daemon: setting " << fault.field << ": " << fault.reason;
+        }
         std::exit(ExitWrongSettings);
     }
     return std::get<DaemonSettings>(std::move(settings));
@@ -71,7 +79,10 @@
 int main(int argc, const char **argv)
 {
     google::InitGoogleLogging(argv[0]);
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
+    // A signal that stops the process must not come before it is handled.
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
     const CommandLine line = readCommandLine(argc, argv);
     DaemonSettings settings = readSettings(line.settingsFile);
     if (line.checkOnly) {
@@ -87,12 +98,20 @@
     auto &running = *std::get<std::unique_ptr<Daemon>>(daemon);
     LOG(INFO) << "Daemon: answers callers on port " << running.callerPort() << ", operators on port "
               << running.operatorPort() << ".";
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code &error, int) {
-        if (!error) {
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    std::function<void(const boost::system::error_code &, int)> signalled;
+    signalled = [&](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            running.settingsChanged();
+        } else {
             running.drain();
         }
-    });
+        signals.async_wait(signalled);
+    };
+    signals.async_wait(signalled);
     context.run();
     return ExitSuccess;
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,9 +5,14 @@
 #include "node/Node.h"
 #include "peering/PeerLink.h"
 #include "pipeline/EngineHttpClient.h"
-#include "platform/BootClock.h"
-#include "platform/HostListHttpClient.h"
-#include "platform/KeyValueHttpClient.h"
+#include "platform/CallerCodec.h"
+#include "platform/Publications.h"
+#include "platform/StoreProtocol.h"
+#include "platform/TargetClient.h"
+#include "support/BootClock.h"
+#include "hostlist/HostListHttpClient.h"
+#include "keyvalue/KeyValueCodec.h"
+#include "keyvalue/KeyValueHttpClient.h"
 #include "support/Hash.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +26,8 @@
 namespace Carawaymill {
 
 static constexpr std::chrono::milliseconds tickInterval(10);
+/// No step of a pipeline waits for a tick here, and each wake-up costs.
+static constexpr std::chrono::milliseconds forwardingTickInterval(20);
 
 /// The sockets, timers and clients of one daemon.
 class Daemon::Implementation
@@ -32,17 +39,22 @@
         , m_node(std::move(node))
         , m_client(context)
         , m_engines(m_client)
-        , m_keyValue(m_client, {.addresses = {m_settings.keyValueService}})
+        , m_keyValue(m_client,
+                     {.protocol = m_settings.forwarding ? storeProtocol() : gatewayProtocol(),
+                      .addresses = {m_settings.keyValueService}})
+        , m_targets(m_client, [this](const NodeEvent &event) { feed(event); })
         , m_tick(context)
     {
     }
 
     [[nodiscard]] std::optional<StartFailure> start()
     {
-        if (auto failure = listen(m_settings.callers, false, m_callers)) {
+        if (auto failure = listen(m_settings.callers, &Implementation::takeCallerRequest, m_callers)) {
             return failure;
         }
-        if (auto failure = listen(m_settings.operators, true, m_operators)) {
+        if (auto failure = m_settings.forwarding
+                ? listen(m_settings.forwarding->readiness, &Implementation::answerReadiness, m_readiness)
+                : listen(m_settings.operators, &Implementation::takeOperatorRequest, m_operators)) {
             return failure;
         }
         auto link = PeerLink::create(
@@ -55,11 +67,13 @@
             return StartFailure{.reason = "peer address: " + failure->reason};
         }
         m_peers = std::get<std::unique_ptr<PeerLink>>(std::move(link));
-        m_hostList =
-            std::make_unique<HostListHttpClient>(m_context,
-                                                 m_client,
-                                                 HostListHttpClientOptions{.address = m_settings.hostListService},
-                                                 [this](HostListRead list) { feed(std::move(list)); });
+        if (!m_settings.forwarding) {
+            m_hostList =
+                std::make_unique<HostListHttpClient>(m_context,
+                                                     m_client,
+                                                     HostListHttpClientOptions{.address = m_settings.hostListService},
+                                                     [this](HostListRead list) { feed(std::move(list)); });
+        }
         tick();
         return std::nullopt;
     }
@@ -69,27 +83,36 @@
         if (m_drainUntil) {
             return;
         }
-        m_drainUntil = readBootClock() + m_settings.drainTimeout;
+        const TimePoint now = readBootClock();
+        m_drainUntil = now + m_settings.drainTimeout;
+        m_drainAtLeastUntil = now + m_settings.drainAtLeast;
         feed(DrainRequested{});
+        if (m_settings.forwarding) {
+            m_callers->closeConnections();
+        }
     }
 
     [[nodiscard]] std::uint16_t callerPort() const { return m_callers->port(); }
 
-    [[nodiscard]] std::uint16_t operatorPort() const { return m_operators->port(); }
+    [[nodiscard]] std::uint16_t operatorPort() const { return m_operators ? m_operators->port() : 0; }
+
+    void settingsChanged() { LOG(INFO) << "Daemon: event=reload in_progress=" << m_responders.size(); }
 
 private:
+    using Responder = std::unique_ptr<HttpResponder>;
+    using RequestTaker = void (Implementation::*)(HttpRequest request, Responder responder);
+
     [[nodiscard]] std::optional<StartFailure>
-    listen(const ListenSettings &listen, bool operators, std::unique_ptr<HttpServer> &place)
+    listen(const ListenSettings &listen, RequestTaker taker, std::unique_ptr<HttpServer> &place)
     {
-        auto server =
-            HttpServer::create(m_context,
-                               {.address = listen.address,
-                                .port = listen.port,
-                                .bodyLimit = m_settings.bodyLimit,
-                                .connectionLimit = m_settings.connectionLimit},
-                               [this, operators](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
-                                   takeRequest(std::move(request), std::move(responder), operators);
-                               });
+        auto server = HttpServer::create(m_context,
+                                         {.address = listen.address,
+                                          .port = listen.port,
+                                          .limits = {.bodyBytes = m_settings.bodyLimit},
+                                          .connectionLimit = m_settings.connectionLimit},
+                                         [this, taker](HttpRequest request, Responder responder) {
+                                             (this->*taker)(std::move(request), std::move(responder));
+                                         });
         if (const auto *failure = std::get_if<ListenFailure>(&server)) {
             return StartFailure{.reason = listen.address + ": " + failure->reason};
         }
@@ -97,7 +120,8 @@
         return std::nullopt;
     }
 
-    void takeRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder, bool operators)
+    /// Gives the request an id and keeps its responder.
+    [[nodiscard]] RequestId admit(Responder responder)
     {
         m_lastRequest = m_lastRequest.next();
         const RequestId id = m_lastRequest;
@@ -106,8 +130,19 @@
             feed(CallerDisconnected{id});
         });
         m_responders.emplace(id, std::move(responder));
-        if (operators) {
-            feed(OperatorRequest{.id = id, .request = std::move(request)});
+        return id;
+    }
+
+    void takeOperatorRequest(HttpRequest request, Responder responder)
+    {
+        feed(OperatorRequest{.id = admit(std::move(responder)), .request = std::move(request)});
+    }
+
+    void takeCallerRequest(HttpRequest request, Responder responder)
+    {
+        const RequestId id = admit(std::move(responder));
+        if (m_settings.forwarding) {
+            feed(ForwardRequested{.id = id, .request = readForwardRequest(std::move(request))});
             return;
         }
         const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
@@ -117,6 +152,15 @@
                                WallClockSeconds(std::chrono::duration_cast<std::chrono::seconds>(wallClock).count())});
     }
 
+    // Takes its arguments like the other request takers.
+    void answerReadiness(HttpRequest /*request*/, Responder responder) // NOLINT(performance-unnecessary-value-param)
+    {
+        static constexpr unsigned statusReady = 200;
+        static constexpr unsigned statusNotReady = 503;
+        const bool ready = m_node->ready(readBootClock());
+        responder->send({.status = ready ? statusReady : statusNotReady, .headers = {}, .body = {}});
+    }
+
     void feed(const NodeEvent &event)
     {
         for (NodeAction &action : m_node->handle(event, readBootClock())) {
@@ -130,7 +174,7 @@
         if (m_drainUntil) {
             finishDrain();
         }
-        m_tick.expires_after(tickInterval);
+        m_tick.expires_after(m_settings.forwarding ? forwardingTickInterval : tickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 tick();
@@ -141,8 +185,10 @@
     /// Stops when nothing is in progress any more, or when the time for it is up.
     void finishDrain()
     {
-        const bool idle = m_node->drained() && m_callers->requestsInProgress() == 0;
-        if (!idle && readBootClock() < *m_drainUntil) {
+        const TimePoint now = readBootClock();
+        const bool idle =
+            now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0;
+        if (!idle && now < *m_drainUntil) {
             return;
         }
         LOG(INFO) << "Daemon: stops, " << m_callers->requestsInProgress() << " requests in progress.";
@@ -205,6 +251,10 @@
 
     void perform(AskTarget &action)
     {
+        if (m_settings.forwarding) {
+            m_targets.askTarget(action);
+            return;
+        }
         if (action.kind == TargetKind::Engine) {
             m_engines.report(
                 action.address, action.timeout, [this, target = action.target](EngineSelfReportResult result) {
@@ -252,6 +302,10 @@
 
     void perform(GiveOrder &action)
     {
+        if (m_settings.forwarding) {
+            m_targets.giveOrder(action);
+            return;
+        }
         m_engines.order(
             action.address, action.order, [this, order = action.order](const std::optional<EngineOrderReply> &reply) {
                 feed(OrderReturned{.order = order, .reply = reply});
@@ -265,6 +319,32 @@
 
     void perform(SendToPeer &action) { m_peers->send(action.to, action.address, action.message); }
 
+    void perform(ForwardToTarget &action) { m_targets.forward(action); }
+
+    void perform(AbandonAttempt &action) { m_targets.abandon(action); }
+
+    void perform(AskProgress &action) { m_targets.askProgress(action); }
+
+    void perform(RefuseCaller &action)
+    {
+        Respond respond{.id = action.id, .response = refusalResponse(action)};
+        perform(respond);
+    }
+
+    void perform(BreakStream &action)
+    {
+        // A responder that is dropped closes its connection.
+        const auto responder = m_responders.extract(action.id);
+    }
+
+    void perform(LimitCallers &action)
+    {
+        m_callers->setLimits({.headerBytes = action.limits.headerBytes,
+                              .bodyBytes = action.limits.bodyBytes,
+                              .readTimeout = action.limits.headerTimeout,
+                              .idleTimeout = action.limits.idleTimeout});
+    }
+
     static void perform(WriteLog &action) { LOG(INFO) << action.line; }
 
     boost::asio::io_context &m_context;
@@ -273,13 +353,16 @@
     HttpClient m_client;
     EngineHttpClient m_engines;
     KeyValueHttpClient m_keyValue;
+    TargetClient m_targets;
     boost::asio::steady_timer m_tick;
     std::unique_ptr<PeerLink> m_peers;
     std::unique_ptr<HostListHttpClient> m_hostList;
     std::map<RequestId, std::unique_ptr<HttpResponder>> m_responders;
     RequestId m_lastRequest;
     std::optional<TimePoint> m_drainUntil;
+    TimePoint m_drainAtLeastUntil{};
     std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_operators;
 };
 
@@ -301,6 +384,12 @@
             {.host = peer.host,
              .profile = {.peerAddress = peer.peerAddress, .failureDomain = peer.failureDomain, .region = peer.region}});
     }
+    std::optional<ForwardingOptions> forwarding;
+    if (settings.forwarding) {
+        forwarding = ForwardingOptions{.publications = platformPublications(),
+                                       .retries = settings.forwarding->retries,
+                                       .configurationMaximumAge = settings.forwarding->configurationMaximumAge};
+    }
     auto node = Node::create({.host = settings.host,
                               .failureDomain = settings.failureDomain,
                               .region = settings.region,
@@ -309,7 +398,9 @@
                               .incarnation = IncarnationNumber(incarnation),
                               .seed = stableHash(settings.host.value(), incarnation),
                               .operatorTokenHash = settings.operatorTokenHash,
-                              .firstStartOfDeployment = settings.firstStartOfDeployment},
+                              .firstStartOfDeployment = settings.firstStartOfDeployment,
+                              .leaseTimeToLive = settings.leaseTimeToLive,
+                              .forwarding = std::move(forwarding)},
                              readBootClock());
     if (const auto *invalid = std::get_if<Node::InvalidOptions>(&node)) {
         return StartFailure{.reason = invalid->field};
@@ -327,6 +418,11 @@
     m_implementation->drain();
 }
 
+void Daemon::settingsChanged()
+{
+    m_implementation->settingsChanged();
+}
+
 std::uint16_t Daemon::callerPort() const
 {
     return m_implementation->callerPort();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -33,6 +33,9 @@
     /// Takes no new work, finishes what is in progress, and then stops the context.
     void drain();
 
+    /// The settings file may have changed. What is read at the start stays in force until the next one.
+    void settingsChanged();
+
     [[nodiscard]] std::uint16_t callerPort() const;
     [[nodiscard]] std::uint16_t operatorPort() const;
 
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "platform/HostListMessages.h"
+#include "forwarding/FleetRetryBudget.h"
+#include "hostlist/HostListMessages.h"
 #include "support/Codec.h"
 #include "support/Identifiers.h"
 #include "support/Time.h"
 #include "support/Units.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,16 @@
     std::uint16_t port = 0;
 };
 
+/// Settings of a host that forwards requests by the routes which its platform publishes.
+struct ForwardingSettings
+{
+    /// Where the platform asks whether the host may be given new connections.
+    ListenSettings readiness;
+    FleetRetryBudgetOptions retries;
+    /// A configuration that was not confirmed for so long no longer vouches for any key.
+    Duration configurationMaximumAge = 3500ms;
+};
+
 /// Everything that a daemon is told at its start, from one JSON file.
 struct DaemonSettings
 {
@@ -46,14 +58,27 @@
     std::uint32_t connectionLimit = 4096;
     /// How long a shutdown waits for requests in progress.
     Duration drainTimeout = 300s;
+    /// A shutdown takes at least so long, since callers are still sent here until the balancer has noticed.
+    Duration drainAtLeast{};
+    /// The key-value service ends this host's leases so long after their last renewal.
+    Duration leaseTimeToLive = 10s;
+    std::optional<ForwardingSettings> forwarding;
 };
 
-/// The settings cannot be used; `field` is the JSON pointer of what is wrong and `reason` says why.
-struct InvalidSettings
+/// What is wrong with one setting; `field` is its JSON pointer.
+struct SettingFault
 {
     std::string field;
     std::string reason;
 
+    friend bool operator==(const SettingFault &, const SettingFault &) = default;
+};
+
+/// The settings cannot be used; all that is wrong with them.
+struct InvalidSettings
+{
+    std::vector<SettingFault> faults;
+
     friend bool operator==(const InvalidSettings &, const InvalidSettings &) = default;
 };
 
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -22,7 +22,7 @@
 {
     const auto read = readDaemonSettings(settings.dump());
     const auto *invalid = std::get_if<InvalidSettings>(&read);
-    return invalid == nullptr ? "none" : invalid->field;
+    return invalid == nullptr || invalid->faults.empty() ? "none" : invalid->faults.front().field;
 }
 
 TEST_CASE("good settings are read")
--- /dev/null
+++ b/src/forwarding/ConfigurationKeeper.cpp
@@ -0,0 +1,181 @@
+#include "forwarding/ConfigurationKeeper.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+static constexpr const char *askedKind = "asked";
+static constexpr const char *vouchedKind = "vouched";
+
+void to_json(nlohmann::json &json, const ConfigurationMessage &message)
+{
+    std::visit(Overloaded{[&](const ConfigurationAsked &asked) {
+                              json = {askedKind, asked.number, asked.version.value()};
+                          },
+                          [&](const ConfigurationVouched &vouched) {
+                              json = {vouchedKind, vouched.number, vouched.version.value(), vouched.age.count()};
+                              if (vouched.value) {
+                                  json.push_back(*vouched.value);
+                              }
+                          }},
+               message);
+}
+
+void from_json(const nlohmann::json &json, ConfigurationMessage &message)
+{
+    if (json.at(0) == askedKind) {
+        message = ConfigurationAsked{.number = json.at(1).get<std::uint64_t>(),
+                                     .version = ConfigurationVersion(json.at(2).get<std::uint64_t>())};
+        return;
+    }
+    ConfigurationVouched vouched{.number = json.at(1).get<std::uint64_t>(),
+                                 .version = ConfigurationVersion(json.at(2).get<std::uint64_t>()),
+                                 .age = Duration(json.at(3).get<Duration::rep>()),
+                                 .value = {}};
+    static constexpr std::size_t valuePosition = 4;
+    if (json.size() > valuePosition) {
+        vouched.value = json.at(valuePosition).get<std::string>();
+    }
+    message = std::move(vouched);
+}
+
+ConfigurationKeeper::ConfigurationKeeper(ConfigurationKeeperOptions options)
+    : m_options(std::move(options))
+    , m_watch({.prefix = m_options.format.configurationKey, .seed = m_options.seed})
+{
+}
+
+std::vector<ConfigurationKeeperAction> ConfigurationKeeper::handle(const ConfigurationKeeperEvent &event,
+                                                                   TimePoint now)
+{
+    Actions actions;
+    std::visit([&](const auto &concrete) { on(concrete, now, actions); }, event);
+    noteFreshness(now, actions);
+    return actions;
+}
+
+std::optional<Duration> ConfigurationKeeper::age(TimePoint now) const
+{
+    return m_confirmedAt ? std::optional(now - *m_confirmedAt) : std::nullopt;
+}
+
+bool ConfigurationKeeper::fresh(TimePoint now) const
+{
+    return m_configuration && m_confirmedAt && now - *m_confirmedAt <= m_options.maximumAge;
+}
+
+void ConfigurationKeeper::noteFreshness(TimePoint now, Actions &actions)
+{
+    if (const bool isFresh = fresh(now); isFresh != m_wasFresh) {
+        m_wasFresh = isFresh;
+        actions.emplace_back(ConfigurationFreshnessChanged{.fresh = isFresh, .age = age(now)});
+    }
+}
+
+void ConfigurationKeeper::on(const Tick &, TimePoint now, Actions &actions)
+{
+    if (auto call = m_watch.nextCall(now)) {
+        actions.emplace_back(std::move(*call));
+    }
+    const bool overdue = !m_confirmedAt || now - *m_confirmedAt >= m_options.askPeersAfter;
+    if (overdue && now - m_askedAt >= m_options.askPeersInterval) {
+        m_askedAt = now;
+        ++m_question;
+        const ConfigurationVersion version = m_configuration ? m_configuration->version : ConfigurationVersion();
+        actions.emplace_back(
+            SendConfigurationMessage{.to = {}, .message = ConfigurationAsked{.number = m_question, .version = version}});
+    }
+}
+
+void ConfigurationKeeper::on(const KeyValueReply &event, TimePoint now, Actions &actions)
+{
+    const auto update = m_watch.handle(event, now);
+    if (!update) {
+        return;
+    }
+    for (const KeyValueRecord &record : update->written) {
+        if (record.key == m_options.format.configurationKey) {
+            (void)adopt(record.value, std::nullopt, actions);
+        }
+    }
+    if (m_configuration) {
+        m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), *m_watch.confirmedAt());
+    }
+}
+
+void ConfigurationKeeper::on(const ConfigurationMessageReceived &event, TimePoint now, Actions &actions)
+{
+    std::visit(Overloaded{[&](const ConfigurationAsked &asked) { answer(event.from, asked, now, actions); },
+                          [&](const ConfigurationVouched &vouched) { takeVouched(event.from, vouched, actions); }},
+               event.message);
+}
+
+void ConfigurationKeeper::answer(const HostId &to,
+                                 const ConfigurationAsked &asked,
+                                 TimePoint now,
+                                 Actions &actions) const
+{
+    if (!fresh(now) || m_configuration->version < asked.version) {
+        return;
+    }
+    ConfigurationVouched vouched{
+        .number = asked.number, .version = m_configuration->version, .age = *age(now), .value = {}};
+    if (m_configuration->version > asked.version) {
+        vouched.value = m_value;
+    }
+    actions.emplace_back(SendConfigurationMessage{.to = to, .message = std::move(vouched)});
+}
+
+void ConfigurationKeeper::takeVouched(const HostId &from, const ConfigurationVouched &vouched, Actions &actions)
+{
+    if (vouched.number != m_question || (vouched.value && !adopt(*vouched.value, from, actions))) {
+        return;
+    }
+    if (m_configuration && m_configuration->version == vouched.version) {
+        // The answer was given after the question was asked, so that no delay on the way makes it too young.
+        m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), m_askedAt - vouched.age);
+    }
+}
+
+bool ConfigurationKeeper::adopt(const std::string &value, std::optional<HostId> source, Actions &actions)
+{
+    auto read = m_options.format.readConfiguration(value);
+    if (const auto *failure = std::get_if<DecodeFailure>(&read)) {
+        actions.emplace_back(ConfigurationIgnored{.reason = failure->field});
+        return false;
+    }
+    auto &configuration = std::get<RoutingConfiguration>(read);
+    if (m_configuration && configuration.version <= m_configuration->version) {
+        if (configuration.version < m_configuration->version) {
+            actions.emplace_back(ConfigurationIgnored{
+                .reason = "version " + std::to_string(configuration.version.value()) + " is older than version "
+                          + std::to_string(m_configuration->version.value())});
+        }
+        return configuration.version == m_configuration->version;
+    }
+    m_configuration = std::make_shared<const RoutingConfiguration>(std::move(configuration));
+    m_value = value;
+    actions.emplace_back(ConfigurationChanged{.configuration = m_configuration, .source = std::move(source)});
+    return true;
+}
+
+std::string describe(const ConfigurationChanged &changed)
+{
+    const RoutingConfiguration &configuration = *changed.configuration;
+    return "Configuration: event=in-force version=" + std::to_string(configuration.version.value())
+           + " routes=" + std::to_string(configuration.routes.size())
+           + " source=" + (changed.source ? changed.source->value() : "store");
+}
+
+std::string describe(const ConfigurationIgnored &ignored)
+{
+    return "Configuration: event=ignored reason=\"" + ignored.reason + "\"";
+}
+
+std::string describe(const ConfigurationFreshnessChanged &changed)
+{
+    const std::string age = changed.age ? std::to_string(changed.age->count() / 1000) : "unknown";
+    return std::string("Configuration: event=") + (changed.fresh ? "confirmed" : "unconfirmed") + " age_ms=" + age;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/DirectoryKeeper.cpp
@@ -0,0 +1,117 @@
+#include "forwarding/DirectoryKeeper.h"
+
+#include <set>
+
+namespace Carawaymill {
+
+/// After so many failed calls in a row the service counts as having been away.
+static constexpr std::uint32_t failuresOfAnOutage = 2;
+
+DirectoryKeeper::DirectoryKeeper(DirectoryKeeperOptions options)
+    : m_options(std::move(options))
+    , m_watch({.prefix = m_options.format.directoryPrefix, .seed = m_options.seed})
+{
+}
+
+std::vector<DirectoryKeeperAction> DirectoryKeeper::handle(const std::variant<Tick, KeyValueReply> &event,
+                                                           TimePoint now)
+{
+    Actions actions;
+    const std::uint32_t failures = m_watch.failures();
+    if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
+        if (const auto update = m_watch.handle(*reply, now)) {
+            const TimePoint goneAt = now + (failures >= failuresOfAnOutage ? m_options.returnGrace : Duration::zero());
+            take(*update, goneAt, actions);
+        }
+    }
+    if (auto call = m_watch.nextCall(now)) {
+        actions.emplace_back(std::move(*call));
+    }
+    std::vector<TargetId> gone;
+    for (const auto &[target, goneAt] : m_missing) {
+        if (now >= goneAt) {
+            gone.push_back(target);
+        }
+    }
+    for (const TargetId &target : gone) {
+        unlist(target, actions);
+    }
+    return actions;
+}
+
+TargetId DirectoryKeeper::targetOf(const std::string &key) const
+{
+    return TargetId(key.substr(m_options.format.directoryPrefix.size()));
+}
+
+void DirectoryKeeper::take(const RangeUpdate &update, TimePoint goneAt, Actions &actions)
+{
+    std::set<TargetId> present;
+    for (const KeyValueRecord &record : update.written) {
+        present.insert(targetOf(record.key));
+        list(record, actions);
+    }
+    for (const std::string &key : update.deletedKeys) {
+        m_missing.try_emplace(targetOf(key), goneAt);
+    }
+    if (update.whole) {
+        m_hasRead = true;
+        for (const auto &[id, target] : m_targets) {
+            if (!present.contains(id)) {
+                m_missing.try_emplace(id, goneAt);
+            }
+        }
+    }
+}
+
+void DirectoryKeeper::list(const KeyValueRecord &record, Actions &actions)
+{
+    const TargetId id = targetOf(record.key);
+    auto read = m_options.format.readTarget(id, record.value);
+    if (const auto *failure = std::get_if<DecodeFailure>(&read)) {
+        actions.emplace_back(TargetRecordIgnored{.key = record.key, .reason = failure->field});
+        unlist(id, actions);
+        return;
+    }
+    m_missing.erase(id);
+    auto &target = std::get<DirectoryTarget>(read);
+    const auto [known, isNew] = m_targets.try_emplace(id, target);
+    if (!isNew && known->second == target) {
+        return;
+    }
+    known->second = target;
+    actions.emplace_back(TargetListed{std::move(target)});
+}
+
+void DirectoryKeeper::unlist(const TargetId &target, Actions &actions)
+{
+    m_missing.erase(target);
+    if (m_targets.erase(target) > 0) {
+        actions.emplace_back(TargetUnlisted{target});
+    }
+}
+
+std::string describe(const TargetListed &listed)
+{
+    const DirectoryTarget &target = listed.target;
+    std::string line = "Directory: event=listed target=" + target.id.value() + " address=" + target.address
+                       + " domain=" + target.failureDomain.value() + (target.leaving ? " state=leaving" : " state=ready")
+                       + " kind=" + target.acceleratorKind + " incarnation="
+                       + std::to_string(target.incarnation.value()) + " layers=";
+    for (const ModelLayers &layers : target.held) {
+        line += std::to_string(layers.layers.first.value()) + '-' + std::to_string(layers.layers.end.value()) + ' ';
+    }
+    return line;
+}
+
+std::string describe(const TargetUnlisted &unlisted)
+{
+    return "Directory: event=unlisted target=" + unlisted.target.value();
+}
+
+std::string describe(const TargetRecordIgnored &ignored)
+{
+    return "Directory: event=ignored key=" + ignored.key + " reason=\"" + ignored.reason + "\"";
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/DirectoryKeeper.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "forwarding/PublicationFormat.h"
+#include "forwarding/RangeWatch.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Carawaymill {
+
+struct DirectoryKeeperOptions
+{
+    PublicationFormat format;
+    std::uint64_t seed = 0;
+    /// Records that lapsed while the service was away come back within this time; one that is still missing is gone.
+    Duration returnGrace = 1900ms;
+};
+
+/// Action: the target is new, or something about it has changed.
+struct TargetListed
+{
+    DirectoryTarget target;
+};
+
+/// Action: the target is gone.
+struct TargetUnlisted
+{
+    TargetId target;
+};
+
+/// Action, for the log: a record that names no usable target.
+struct TargetRecordIgnored
+{
+    std::string key;
+    std::string reason;
+};
+
+using DirectoryKeeperAction = std::variant<KeyValueCall, TargetListed, TargetUnlisted, TargetRecordIgnored>;
+
+/// Follows the directory in which targets register themselves.
+class DirectoryKeeper
+{
+public:
+    explicit DirectoryKeeper(DirectoryKeeperOptions options);
+
+    [[nodiscard]] std::vector<DirectoryKeeperAction> handle(const std::variant<Tick, KeyValueReply> &event,
+                                                            TimePoint now);
+
+    [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
+
+    /// Whether the directory has been read at least once.
+    [[nodiscard]] bool hasRead() const { return m_hasRead; }
+
+private:
+    using Actions = std::vector<DirectoryKeeperAction>;
+
+    void take(const RangeUpdate &update, TimePoint now, Actions &actions);
+    void list(const KeyValueRecord &record, Actions &actions);
+    void unlist(const TargetId &target, Actions &actions);
+    [[nodiscard]] TargetId targetOf(const std::string &key) const;
+
+    DirectoryKeeperOptions m_options;
+    RangeWatch m_watch;
+    std::map<TargetId, DirectoryTarget> m_targets;
+    /// Targets that were missing after an outage of the service, and when they count as gone.
+    std::map<TargetId, TimePoint> m_missing;
+    bool m_hasRead = false;
+};
+
+[[nodiscard]] std::string describe(const TargetListed &listed);
+[[nodiscard]] std::string describe(const TargetUnlisted &unlisted);
+[[nodiscard]] std::string describe(const TargetRecordIgnored &ignored);
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -0,0 +1,52 @@
+#include "forwarding/FleetRetryBudget.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+static constexpr int slotsPerWindow = 50;
+/// Part of the burst that the known hosts share.
+static constexpr double usedBurstShare = 0.5;
+/// Part of the ratio that is used: the last slot of a window is counted whole.
+static constexpr double usedRatioShare = 0.9;
+
+FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetOptions options)
+    : m_options(options)
+{
+}
+
+FleetRetryBudget::Slot &FleetRetryBudget::slot(const ServiceId &service, TimePoint now)
+{
+    std::deque<Slot> &slots = m_slots[service];
+    while (!slots.empty() && now - slots.front().begin > m_options.window) {
+        slots.pop_front();
+    }
+    if (slots.empty() || now - slots.back().begin >= m_options.window / slotsPerWindow) {
+        slots.push_back({.begin = now});
+    }
+    return slots.back();
+}
+
+void FleetRetryBudget::recordRequest(const ServiceId &service, TimePoint now)
+{
+    slot(service, now).requests += 1;
+}
+
+bool FleetRetryBudget::tryRetry(const ServiceId &service, TimePoint now)
+{
+    Slot &present = slot(service, now);
+    double requests = 0;
+    double retries = 1;
+    for (const Slot &counted : m_slots.at(service)) {
+        requests += counted.requests;
+        retries += counted.retries;
+    }
+    const double burst = m_options.burst * usedBurstShare / static_cast<double>(std::max<std::size_t>(m_hosts, 1));
+    if (retries > requests * m_options.ratio * usedRatioShare + burst) {
+        return false;
+    }
+    present.retries += 1;
+    return true;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/ForwardTargets.cpp
@@ -0,0 +1,293 @@
+#include "forwarding/ForwardTargets.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Carawaymill {
+
+/// A recent failure weighs as much as so many requests in progress on every place of the target.
+static constexpr double failureWeight = 2;
+/// A target in another failure domain is worth so much more load on one in this host's.
+static constexpr double otherDomainWeight = 0.15;
+/// A pipe between failure domains is shared by all requests, so that each transfer waits for others.
+static constexpr double domainLinkContention = 3;
+/// What an answer loses that comes from a first stage in another failure domain; covers its traffic's price.
+static constexpr double secondsToEnterDomain = 0.01;
+
+static double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double layerTokensPerSecond(const EngineProfile &engine, const AcceleratorKind &kind)
+{
+    const auto prompt = static_cast<double>(engine.usualPromptTokens.value());
+    const auto answer = static_cast<double>(engine.usualAnswerTokens.value());
+    const double reading =
+        engine.promptTokensPerSecond > 0 ? prompt * kind.promptFactor / engine.promptTokensPerSecond : 0;
+    const double writing = answer * engine.stepSeconds * kind.stepFactor;
+    const double whole = reading + writing;
+    return whole > 0 ? (prompt + answer) * engine.layers / whole : 0;
+}
+
+/// How much longer one open request makes each step of the others, as a part of the step.
+static double batchedCost(const EngineProfile &engine, const AcceleratorKind &kind)
+{
+    const auto prompt = static_cast<double>(engine.usualPromptTokens.value());
+    const auto answer = static_cast<double>(engine.usualAnswerTokens.value());
+    const double writing = answer * engine.stepSeconds * kind.stepFactor;
+    if (writing <= 0) {
+        return 1;
+    }
+    const double ownStep =
+        engine.stepSecondsPerRequest + engine.stepSecondsPerContextToken * (prompt + answer / 2);
+    const double reading =
+        engine.promptTokensPerSecond > 0 ? prompt * kind.promptFactor / engine.promptTokensPerSecond : 0;
+    return ownStep / engine.stepSeconds + reading / writing;
+}
+
+/// Tokens times layers whose KV cache fits into the memory that the held layers leave.
+static double cacheLayerTokens(const EngineProfile &engine, ByteCount memory, ByteCount held)
+{
+    if (engine.cacheBytesPerToken.value() == 0 || memory <= held) {
+        return 0;
+    }
+    const double bytesPerLayerToken = static_cast<double>(engine.cacheBytesPerToken.value()) / engine.layers;
+    return static_cast<double>((memory - held).value()) / bytesPerLayerToken;
+}
+
+ModelId routedModel(const ServiceId &service)
+{
+    return ModelId(service.value());
+}
+
+ForwardTargets::ForwardTargets(ForwardTargetsOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+const EngineProfile *ForwardTargets::profile(const ServiceId &service) const
+{
+    if (!m_configuration) {
+        return nullptr;
+    }
+    const auto found = m_configuration->services.find(service);
+    return found != m_configuration->services.end() && found->second.engine ? &*found->second.engine : nullptr;
+}
+
+void ForwardTargets::configurationChanged(const SharedConfiguration &configuration, ChainRouter &router)
+{
+    const bool sameServices = m_configuration && m_configuration->services == configuration->services;
+    m_configuration = configuration;
+    if (sameServices) {
+        return;
+    }
+    for (const auto &[id, target] : m_targets) {
+        updateRouter(target, router);
+    }
+}
+
+void ForwardTargets::listed(const DirectoryTarget &target, ChainRouter &router)
+{
+    const auto known = m_targets.find(target.id);
+    if (known != m_targets.end() && known->second.incarnation != target.incarnation) {
+        m_suspectedUntil.erase(target.id);
+    }
+    m_targets.insert_or_assign(target.id, target);
+    updateRouter(target, router);
+}
+
+void ForwardTargets::unlisted(const TargetId &target, ChainRouter &router)
+{
+    m_targets.erase(target);
+    m_suspectedUntil.erase(target);
+    m_loads.erase(target);
+    router.removeTarget(target);
+}
+
+void ForwardTargets::tick(ChainRouter &router, TimePoint now)
+{
+    for (auto suspect = m_suspectedUntil.begin(); suspect != m_suspectedUntil.end();) {
+        if (now < suspect->second) {
+            ++suspect;
+            continue;
+        }
+        const TargetId target = suspect->first;
+        suspect = m_suspectedUntil.erase(suspect);
+        updateAvailability(target, router);
+    }
+}
+
+void ForwardTargets::suspect(const TargetId &target, ChainRouter &router, TimePoint now)
+{
+    if (m_targets.contains(target)) {
+        m_suspectedUntil.insert_or_assign(target, now + m_options.suspicion);
+        updateAvailability(target, router);
+    }
+}
+
+void ForwardTargets::updateAvailability(const TargetId &target, ChainRouter &router) const
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end()) {
+        return;
+    }
+    TargetAvailability availability = TargetAvailability::Available;
+    if (found->second.leaving) {
+        availability = TargetAvailability::Leaving;
+    } else if (suspected(target)) {
+        availability = TargetAvailability::Dead;
+    }
+    router.setAvailable(target, availability);
+}
+
+void ForwardTargets::updateRouter(const DirectoryTarget &target, ChainRouter &router) const
+{
+    const EngineProfile *engine = profile(target.service);
+    if (engine == nullptr) {
+        return;
+    }
+    const auto kind = engine->kinds.find(target.acceleratorKind);
+    if (kind == engine->kinds.end()) {
+        return;
+    }
+    std::vector<HeldRange> held;
+    std::uint64_t heldBytes = 0;
+    for (const ModelLayers &layers : target.held) {
+        heldBytes += layers.layers.size() * engine->bytesPerLayer.value();
+        held.push_back({.target = target.id,
+                        .model = routedModel(target.service),
+                        .version = layers.version,
+                        .adapter = {},
+                        .layers = layers.layers});
+    }
+    router.updateTarget(target.id,
+                        {.layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
+                         .batchedCost = batchedCost(*engine, kind->second),
+                         .cacheLayerTokens = cacheLayerTokens(*engine, kind->second.memory, ByteCount(heldBytes)),
+                         .linkBytesPerSecond = engine->linkBytesPerSecond,
+                         .linkDelay = {},
+                         .failureDomain = target.failureDomain,
+                         .region = m_options.ownRegion},
+                        std::move(held));
+    updateAvailability(target.id, router);
+}
+
+std::optional<TargetId> ForwardTargets::targetAt(const std::string &address) const
+{
+    const auto found = std::ranges::find_if(
+        m_targets, [&](const auto &entry) { return entry.second.address == address; });
+    return found == m_targets.end() ? std::nullopt : std::optional(found->first);
+}
+
+std::optional<ChosenTargets> ForwardTargets::choose(const ServiceId &service,
+                                                    const ForwardRequest &request,
+                                                    const std::set<TargetId> &excluded,
+                                                    ChainRouter &router,
+                                                    TimePoint now)
+{
+    if (const EngineProfile *engine = profile(service)) {
+        return chooseChain(service, *engine, request, excluded, router, now);
+    }
+    return choosePlain(service, excluded, now);
+}
+
+double ForwardTargets::recentFailures(const Load &load, TimePoint now) const
+{
+    return load.failures * std::exp2(-seconds(now - load.failedAt) / seconds(m_options.failureHalfLife));
+}
+
+std::optional<ChosenTargets>
+ForwardTargets::choosePlain(const ServiceId &service, const std::set<TargetId> &excluded, TimePoint now)
+{
+    const DirectoryTarget *best = nullptr;
+    double lowest = 0;
+    for (const auto &[id, target] : m_targets) {
+        if (target.service != service || target.leaving || suspected(id) || excluded.contains(id)) {
+            continue;
+        }
+        const Load &load = m_loads[id];
+        // The random part spreads requests of hosts that all see idle targets.
+        const double weight = (load.inProgress + m_random.fraction()) / std::max(1U, target.concurrency)
+                              + failureWeight * recentFailures(load, now)
+                              + (target.failureDomain == m_options.ownFailureDomain ? 0 : otherDomainWeight);
+        if (best == nullptr || weight < lowest) {
+            best = &target;
+            lowest = weight;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return ChosenTargets{.target = best->id, .address = best->address, .path = {}};
+}
+
+std::optional<ChosenTargets> ForwardTargets::chooseChain(const ServiceId &service,
+                                                         const EngineProfile &engine,
+                                                         const ForwardRequest &request,
+                                                         const std::set<TargetId> &excluded,
+                                                         ChainRouter &router,
+                                                         TimePoint now) const
+{
+    const auto promptBytes = static_cast<double>(request.promptTokens.value() * engine.activationBytes.value());
+    const double transfer =
+        engine.domainLinkBytesPerSecond > 0 ? promptBytes / engine.domainLinkBytesPerSecond * domainLinkContention : 0;
+    const double delays = seconds(engine.domainDelay) * static_cast<double>(request.expectedTokens.value());
+    const auto routed = router.route({.job = JobId(request.attempt),
+                                      .model = routedModel(service),
+                                      .version = engine.version,
+                                      .adapter = {},
+                                      .layers = engine.layers,
+                                      .promptTokens = request.promptTokens,
+                                      .expectedTokens = request.expectedTokens,
+                                      .activationBytes = engine.activationBytes,
+                                      .secondsToEnterDomain = secondsToEnterDomain,
+                                      .secondsBetweenDomains = transfer + delays,
+                                      .prefixes = {},
+                                      .excludedTargets = excluded},
+                                     now);
+    const auto *chain = std::get_if<RoutedChain>(&routed);
+    if (chain == nullptr) {
+        return std::nullopt;
+    }
+    ChosenTargets chosen;
+    for (const ChainStage &stage : chain->chain.stages) {
+        chosen.path.push_back(
+            {.target = stage.target, .address = m_targets.at(stage.target).address, .layers = stage.layers});
+    }
+    chosen.tokens = request.promptTokens + request.expectedTokens;
+    chosen.crowded =
+        std::ranges::any_of(chain->decision.stages, [](const StageDecision &stage) { return stage.crowded; });
+    chosen.target = chosen.path.front().target;
+    chosen.address = chosen.path.front().address;
+    return chosen;
+}
+
+void ForwardTargets::begun(const ChosenTargets &chosen, ChainRouter &router)
+{
+    for (const PathStage &stage : chosen.path) {
+        router.stepStarted({.target = stage.target, .layers = stage.layers}, chosen.tokens);
+    }
+    m_loads[chosen.target].inProgress += 1;
+}
+
+void ForwardTargets::ended(const ChosenTargets &chosen, ChainRouter &router)
+{
+    for (const PathStage &stage : chosen.path) {
+        router.stepEnded({.target = stage.target, .layers = stage.layers}, chosen.tokens);
+    }
+    if (const auto load = m_loads.find(chosen.target); load != m_loads.end()) {
+        load->second.inProgress = std::max(0.0, load->second.inProgress - 1);
+    }
+}
+
+void ForwardTargets::failed(const TargetId &target, TimePoint now)
+{
+    if (const auto load = m_loads.find(target); load != m_loads.end()) {
+        load->second.failures = recentFailures(load->second, now) + 1;
+        load->second.failedAt = now;
+    }
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/ForwardTargets.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "forwarding/DirectoryTarget.h"
+#include "forwarding/ForwardMessages.h"
+#include "routing/ChainRouter.h"
+#include "support/Random.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+struct ForwardTargetsOptions
+{
+    FailureDomainId ownFailureDomain;
+    RegionId ownRegion;
+    std::uint64_t seed = 0;
+    /// A target that failed is left alone for so long, unless it registers as a new process before: the directory drops
+    /// one that is silent after about this time.
+    Duration suspicion = 4s;
+    /// A failure counts half after this time in the choice between targets.
+    Duration failureHalfLife = 2s;
+};
+
+/// Where one request may go: a single target, or a path through several.
+struct ChosenTargets
+{
+    TargetId target;
+    std::string address;
+    /// Empty where the target serves the request alone.
+    std::vector<PathStage> path;
+    /// What the request takes up of the targets' KV cache.
+    TokenCount tokens;
+    /// Some target has no room for the request beside what it has already.
+    bool crowded = false;
+};
+
+/// The targets of the directory as the forwarding of requests sees them, and the choice between them.
+class ForwardTargets
+{
+public:
+    explicit ForwardTargets(ForwardTargetsOptions options);
+
+    /// Targets' speeds follow from the services' engine profiles.
+    void configurationChanged(const SharedConfiguration &configuration, ChainRouter &router);
+    void listed(const DirectoryTarget &target, ChainRouter &router);
+    void unlisted(const TargetId &target, ChainRouter &router);
+    /// Ends suspicions whose time has passed.
+    void tick(ChainRouter &router, TimePoint now);
+
+    /// Keeps requests off the target for a while.
+    void suspect(const TargetId &target, ChainRouter &router, TimePoint now);
+    [[nodiscard]] bool suspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
+
+    /// The target that has the address now; nothing when none has.
+    [[nodiscard]] std::optional<TargetId> targetAt(const std::string &address) const;
+
+    /// Nothing when no target, or no whole chain of targets, can serve the request now.
+    [[nodiscard]] std::optional<ChosenTargets> choose(const ServiceId &service,
+                                                      const ForwardRequest &request,
+                                                      const std::set<TargetId> &excluded,
+                                                      ChainRouter &router,
+                                                      TimePoint now);
+
+    /// A request was handed to these targets, and later is over there.
+    void begun(const ChosenTargets &chosen, ChainRouter &router);
+    void ended(const ChosenTargets &chosen, ChainRouter &router);
+    /// A plain target failed a request.
+    void failed(const TargetId &target, TimePoint now);
+
+    [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
+
+private:
+    struct Load
+    {
+        double inProgress = 0;
+        /// Weight of recent failures at `failedAt`.
+        double failures = 0;
+        TimePoint failedAt{};
+    };
+
+    [[nodiscard]] const EngineProfile *profile(const ServiceId &service) const;
+    void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
+    void updateAvailability(const TargetId &target, ChainRouter &router) const;
+    [[nodiscard]] std::optional<ChosenTargets>
+    choosePlain(const ServiceId &service, const std::set<TargetId> &excluded, TimePoint now);
+    [[nodiscard]] std::optional<ChosenTargets> chooseChain(const ServiceId &service,
+                                                           const EngineProfile &engine,
+                                                           const ForwardRequest &request,
+                                                           const std::set<TargetId> &excluded,
+                                                           ChainRouter &router,
+                                                           TimePoint now) const;
+    [[nodiscard]] double recentFailures(const Load &load, TimePoint now) const;
+
+    ForwardTargetsOptions m_options;
+    Random m_random;
+    SharedConfiguration m_configuration;
+    std::map<TargetId, DirectoryTarget> m_targets;
+    std::map<TargetId, TimePoint> m_suspectedUntil;
+    std::map<TargetId, Load> m_loads;
+};
+
+/// Layers of the service's model that an accelerator of this kind runs for one token in one second, over a usual
+/// request.
+[[nodiscard]] double layerTokensPerSecond(const EngineProfile &engine, const AcceleratorKind &kind);
+
+/// The name under which chains for a service's model are routed: two services may have models of one name.
+[[nodiscard]] ModelId routedModel(const ServiceId &service);
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/Forwarder.cpp
@@ -0,0 +1,497 @@
+#include "forwarding/Forwarder.h"
+
+#include "support/Hash.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+static constexpr unsigned firstFailureStatus = 500;
+static constexpr unsigned statusOk = 200;
+/// A time to come back is at most this part of what the caller has left, so that a second try still has time.
+static constexpr double retryAfterShare = 0.25;
+/// A stream that made progress this recently is not taken for stopped, though one of its targets is suspected.
+static constexpr Duration recentProgress = 150ms;
+/// The caller's own limit and ours run out together, so that it gets our answer rather than none.
+static constexpr Duration answerLead = 20ms;
+
+const char *forwardFailureName(ForwardFailure failure)
+{
+    switch (failure) {
+    case ForwardFailure::NoConfiguration:
+        return "no-configuration";
+    case ForwardFailure::ConfigurationTooOld:
+        return "configuration-too-old";
+    case ForwardFailure::NoRoute:
+        return "no-route";
+    case ForwardFailure::KeyUnknown:
+        return "key-unknown";
+    case ForwardFailure::NoTarget:
+        return "no-target";
+    case ForwardFailure::Overloaded:
+        return "overloaded";
+    case ForwardFailure::RetryBudgetSpent:
+        return "retry-budget-spent";
+    case ForwardFailure::TargetsRefused:
+        return "targets-refused";
+    case ForwardFailure::TimeoutReached:
+        return "timeout-reached";
+    case ForwardFailure::AnswerLost:
+        return "answer-lost";
+    case ForwardFailure::RequestCrashesTargets:
+        return "request-crashes-targets";
+    }
+    return "";
+}
+
+Forwarder::Forwarder(ForwarderOptions options)
+    : m_options(std::move(options))
+    , m_random(stableHash("forwarder", m_options.targets.seed))
+    , m_targets(m_options.targets)
+    , m_retries(m_options.retries)
+{
+}
+
+std::vector<ForwarderAction>
+Forwarder::handle(const ForwarderEvent &event, bool fresh, ChainRouter &router, TimePoint now)
+{
+    Turn turn{.router = router, .now = now, .fresh = fresh, .actions = {}};
+    std::visit([&](const auto &concrete) { on(concrete, turn); }, event);
+    return std::move(turn.actions);
+}
+
+void Forwarder::configurationChanged(const SharedConfiguration &configuration, ChainRouter &router)
+{
+    m_table = std::make_shared<const RouteTable>(configuration);
+    m_targets.configurationChanged(configuration, router);
+}
+
+void Forwarder::targetListed(const DirectoryTarget &target, ChainRouter &router)
+{
+    m_targets.listed(target, router);
+}
+
+void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
+{
+    m_targets.unlisted(target, router);
+}
+
+Forwarder::Call *Forwarder::present(RequestId id, AttemptNumber attempt)
+{
+    const auto found = m_calls.find(id);
+    const bool isPresent = found != m_calls.end() && found->second.attempt == attempt && found->second.chosen;
+    return isPresent ? &found->second : nullptr;
+}
+
+std::optional<ForwardFailure> Forwarder::admit(const ForwardRequest &request, Call &call, const Turn &turn) const
+{
+    if (!m_table) {
+        return ForwardFailure::NoConfiguration;
+    }
+    call.route = m_table->route(request.host, request.path);
+    if (call.route == nullptr) {
+        return ForwardFailure::NoRoute;
+    }
+    if (m_table->configuration().organisations && !call.route->isPublic) {
+        if (!turn.fresh) {
+            return ForwardFailure::ConfigurationTooOld;
+        }
+        const OrganisationKeys *holder = request.key ? m_table->organisation(*request.key) : nullptr;
+        if (holder == nullptr) {
+            return ForwardFailure::KeyUnknown;
+        }
+        call.organisation = holder->id;
+    }
+    return std::nullopt;
+}
+
+/// By the attempt's name, so that a repeat of an attempt goes to the same service.
+ServiceId Forwarder::drawService(const Route &route, const std::string &attempt)
+{
+    std::uint64_t total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    std::uint64_t drawn = total > 0 ? stableHash(attempt) % total : 0;
+    for (const ServiceShare &share : route.services) {
+        if (drawn < share.weight) {
+            return share.service;
+        }
+        drawn -= share.weight;
+    }
+    return route.services.empty() ? ServiceId() : route.services.front().service;
+}
+
+void Forwarder::on(const ForwardRequested &event, Turn &turn)
+{
+    const auto [entry, isNew] = m_calls.try_emplace(event.id);
+    Call &call = entry->second;
+    call.id = event.id;
+    call.request = std::make_shared<const ForwardRequest>(event.request);
+    call.table = m_table;
+    call.receivedAt = turn.now;
+    call.deadline = turn.now + event.request.timeLeft.value_or(30s);
+    call.relay = EventStreamRelay(event.request.resumeAfter);
+    if (const auto failure = admit(event.request, call, turn)) {
+        refuse(call, *failure, turn);
+        return;
+    }
+    if (event.request.timeLeft) {
+        call.callerDeadline = turn.now + *event.request.timeLeft;
+        call.deadline = *call.callerDeadline - answerLead;
+    }
+    call.deadline = std::min(call.deadline, turn.now + call.route->timeout);
+    call.service = drawService(*call.route, event.request.attempt);
+    m_retries.recordRequest(call.service, turn.now);
+    dispatch(call, ForwardFailure::NoTarget, turn);
+}
+
+void Forwarder::dispatch(Call &call, ForwardFailure otherwise, Turn &turn)
+{
+    auto chosen = m_targets.choose(call.service, *call.request, call.tried, turn.router, turn.now);
+    if (!chosen) {
+        refuse(call, otherwise, turn);
+        return;
+    }
+    call.attempt = call.attempt.next();
+    call.dispatches += 1;
+    call.runs += 1;
+    call.countedRuns += 1;
+    call.head.reset();
+    call.body.clear();
+    call.relay.restart();
+    call.progressAt = turn.now;
+    call.askedAt.reset();
+    m_targets.begun(*chosen, turn.router);
+    ForwardToTarget action{.id = call.id,
+                           .attempt = call.attempt,
+                           .target = chosen->target,
+                           .address = chosen->address,
+                           .path = chosen->path,
+                           .organisation = call.organisation,
+                           .timeLeft = {},
+                           .resumeAfter = call.relay.last(),
+                           .request = call.request,
+                           .freshConnection = call.route->repeat == RepeatPolicy::AtMostOnce};
+    if (call.callerDeadline) {
+        action.timeLeft = *call.callerDeadline - turn.now;
+    }
+    call.chosen = std::move(chosen);
+    turn.actions.emplace_back(std::move(action));
+}
+
+bool Forwarder::mayRunAgain(const Call &call) const
+{
+    return call.route->repeat == RepeatPolicy::Repeatable && call.countedRuns < std::max(1U, call.route->maximumTargets);
+}
+
+void Forwarder::dispatchAgain(Call &call, ForwardFailure otherwise, Turn &turn)
+{
+    if (call.dispatches >= m_options.maximumDispatches || turn.now >= call.deadline) {
+        refuse(call, otherwise, turn);
+        return;
+    }
+    if (!m_retries.tryRetry(call.service, turn.now)) {
+        refuse(call, ForwardFailure::RetryBudgetSpent, turn);
+        return;
+    }
+    turn.actions.emplace_back(
+        ForwardDecision{"Forward: event=again request=" + call.request->attempt + " after=" + forwardFailureName(otherwise)
+                        + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs)});
+    dispatch(call, otherwise, turn);
+}
+
+void Forwarder::leaveAttempt(Call &call, bool abandon, Turn &turn)
+{
+    if (!call.chosen) {
+        return;
+    }
+    m_targets.ended(*call.chosen, turn.router);
+    call.chosen.reset();
+    if (abandon) {
+        turn.actions.emplace_back(AbandonAttempt{.id = call.id, .attempt = call.attempt});
+    }
+}
+
+void Forwarder::on(const CallerLeft &event, Turn &turn)
+{
+    if (const auto found = m_calls.find(event.id); found != m_calls.end()) {
+        leaveAttempt(found->second, true, turn);
+        finish(found->second, "caller-left", turn);
+    }
+}
+
+void Forwarder::on(const TargetAnswerBegan &event, Turn &turn)
+{
+    Call *call = present(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    call->head = event;
+    const bool isStream = call->route->answer == AnswerKind::EventStream && event.head.status == statusOk && event.sealed;
+    if (isStream && !call->streaming) {
+        call->streaming = true;
+        turn.actions.emplace_back(BeginStream{
+            .id = call->id, .head = {.status = event.head.status, .headers = event.head.headers, .body = {}}});
+    }
+}
+
+void Forwarder::on(const TargetAnswerPart &event, Turn &turn)
+{
+    Call *call = present(event.id, event.attempt);
+    if (call == nullptr || !call->head) {
+        return;
+    }
+    const bool isStreamed = call->streaming && call->head->head.status == statusOk && call->head->sealed;
+    if (isStreamed) {
+        passStream(*call, event.bytes, turn);
+    } else {
+        call->body += event.bytes;
+    }
+}
+
+void Forwarder::passStream(Call &call, std::string_view bytes, Turn &turn)
+{
+    std::string events = call.relay.take(bytes);
+    if (events.empty()) {
+        return;
+    }
+    call.progressAt = turn.now;
+    call.askedAt.reset();
+    turn.actions.emplace_back(WriteStream{.id = call.id, .chunk = std::move(events)});
+}
+
+void Forwarder::on(const TargetAnswerEnded &event, Turn &turn)
+{
+    Call *call = present(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    if (!call->head) {
+        answerLost(*call, turn);
+        return;
+    }
+    if (call->head->notRun) {
+        targetTurnedDown(*call, turn);
+        return;
+    }
+    answerWhole(*call, turn);
+}
+
+void Forwarder::targetTurnedDown(Call &call, Turn &turn)
+{
+    call.runs -= 1;
+    call.countedRuns -= 1;
+    const TargetId target = call.chosen->target;
+    TargetId atFault = target;
+    if (call.head->addressAtFault) {
+        atFault = m_targets.targetAt(*call.head->addressAtFault).value_or(target);
+    }
+    call.tried.insert(atFault);
+    m_targets.failed(atFault, turn.now);
+    turn.actions.emplace_back(ForwardDecision{"Forward: event=turned-down request=" + call.request->attempt
+                                              + " target=" + atFault.value()
+                                              + " status=" + std::to_string(call.head->head.status)});
+    leaveAttempt(call, false, turn);
+    dispatchAgain(call, ForwardFailure::TargetsRefused, turn);
+}
+
+void Forwarder::answerWhole(Call &call, Turn &turn)
+{
+    const HttpResponseHead &head = call.head->head;
+    if (call.streaming) {
+        if (!call.head->sealed || head.status != statusOk || call.relay.hasPartialEvent()) {
+            answerLost(call, turn);
+            return;
+        }
+        leaveAttempt(call, false, turn);
+        turn.actions.emplace_back(EndStream{call.id});
+        finish(call, "streamed", turn);
+        return;
+    }
+    const bool success = head.status < firstFailureStatus;
+    if (success && !call.head->sealed && head.status < 400) {
+        answerLost(call, turn);
+        return;
+    }
+    HttpResponse response{.status = head.status, .headers = head.headers, .body = std::move(call.body)};
+    if (!success && mayRunAgain(call)) {
+        call.targetFailure = std::move(response);
+        call.tried.insert(call.chosen->target);
+        m_targets.failed(call.chosen->target, turn.now);
+        leaveAttempt(call, false, turn);
+        dispatchAgain(call, ForwardFailure::AnswerLost, turn);
+        return;
+    }
+    leaveAttempt(call, false, turn);
+    turn.actions.emplace_back(Respond{.id = call.id, .response = std::move(response)});
+    finish(call, "answered", turn);
+}
+
+void Forwarder::on(const TargetAnswerFailed &event, Turn &turn)
+{
+    Call *call = present(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    const TargetId target = call->chosen->target;
+    if (!event.sent) {
+        call->runs -= 1;
+        call->countedRuns -= 1;
+        call->tried.insert(target);
+        m_targets.failed(target, turn.now);
+        m_targets.suspect(target, turn.router, turn.now);
+        leaveAttempt(*call, false, turn);
+        dispatchAgain(*call, ForwardFailure::NoTarget, turn);
+        return;
+    }
+    answerLost(*call, turn);
+}
+
+void Forwarder::answerLost(Call &call, Turn &turn)
+{
+    call.tried.insert(call.chosen->target);
+    m_targets.failed(call.chosen->target, turn.now);
+    leaveAttempt(call, true, turn);
+    if (!mayRunAgain(call)) {
+        refuse(call, ForwardFailure::AnswerLost, turn);
+        return;
+    }
+    dispatchAgain(call, ForwardFailure::AnswerLost, turn);
+}
+
+void Forwarder::on(const Tick &, Turn &turn)
+{
+    m_targets.tick(turn.router, turn.now);
+    std::vector<RequestId> due;
+    for (const auto &[id, call] : m_calls) {
+        due.push_back(id);
+    }
+    for (const RequestId id : due) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end()) {
+            continue;
+        }
+        if (turn.now >= found->second.deadline) {
+            timeOut(found->second, turn);
+        } else {
+            watchStream(found->second, turn);
+        }
+    }
+}
+
+void Forwarder::watchStream(Call &call, Turn &turn)
+{
+    if (!call.chosen || call.route->answer != AnswerKind::EventStream || call.chosen->path.empty()) {
+        return;
+    }
+    const Duration objective = call.streaming ? call.route->pauseObjective : call.route->latencyObjective;
+    const Duration silence =
+        std::max(m_options.leastSilence, std::chrono::duration_cast<Duration>(objective * m_options.silenceOfObjective));
+    const TimePoint since = call.askedAt.value_or(call.progressAt);
+    if (turn.now - since < silence) {
+        return;
+    }
+    call.askedAt = turn.now;
+    turn.actions.emplace_back(AskProgress{.id = call.id,
+                                          .attempt = call.attempt,
+                                          .address = call.chosen->address,
+                                          .callerAttempt = call.request->attempt,
+                                          .timeout = m_options.progressTimeout});
+}
+
+void Forwarder::on(const ProgressReported &event, Turn &turn)
+{
+    Call *call = present(event.id, event.attempt);
+    if (call == nullptr || !call->askedAt) {
+        return;
+    }
+    std::optional<TargetId> atFault;
+    if (!event.answered) {
+        atFault = call->chosen->target;
+    } else if (event.blockedAtAddress) {
+        atFault = m_targets.targetAt(*event.blockedAtAddress);
+    }
+    if (!atFault) {
+        return;
+    }
+    turn.actions.emplace_back(ForwardDecision{"Forward: event=stopped request=" + call->request->attempt
+                                              + " target=" + atFault->value()});
+    m_targets.suspect(*atFault, turn.router, turn.now);
+    moveStreams(*atFault, turn);
+}
+
+void Forwarder::moveStreams(const TargetId &target, Turn &turn)
+{
+    std::vector<RequestId> stopped;
+    for (const auto &[id, call] : m_calls) {
+        const bool passes = call.chosen && std::ranges::any_of(call.chosen->path, [&](const PathStage &stage) {
+                                return stage.target == target;
+                            });
+        const bool died = passes && call.chosen->target == target;
+        if (passes && turn.now - call.progressAt >= recentProgress
+            && (mayRunAgain(call) || (died && call.route->repeat == RepeatPolicy::Repeatable))) {
+            stopped.push_back(id);
+        }
+    }
+    for (const RequestId id : stopped) {
+        Call &call = m_calls.at(id);
+        if (call.chosen->target == target) {
+            call.countedRuns -= 1;
+        }
+        call.tried.insert(target);
+        leaveAttempt(call, true, turn);
+        dispatchAgain(call, ForwardFailure::AnswerLost, turn);
+    }
+}
+
+void Forwarder::timeOut(Call &call, Turn &turn)
+{
+    leaveAttempt(call, true, turn);
+    refuse(call, ForwardFailure::TimeoutReached, turn);
+}
+
+Duration Forwarder::retryAfter(const Call &call, const Turn &turn)
+{
+    Duration longest = m_options.retryAfter;
+    if (call.callerDeadline) {
+        const Duration left = *call.callerDeadline - turn.now;
+        longest = std::min(longest, std::chrono::duration_cast<Duration>(left * retryAfterShare));
+    }
+    // Callers that are refused together come back apart.
+    const double spread = 0.5 + m_random.fraction() / 2;
+    return std::chrono::duration_cast<Duration>(std::max(longest, Duration::zero()) * spread);
+}
+
+void Forwarder::refuse(Call &call, ForwardFailure reason, Turn &turn)
+{
+    if (call.streaming) {
+        turn.actions.emplace_back(BreakStream{call.id});
+    } else if (call.targetFailure) {
+        turn.actions.emplace_back(Respond{.id = call.id, .response = std::move(*call.targetFailure)});
+    } else {
+        RefuseCaller refusal{.id = call.id, .reason = reason, .mayHaveRun = call.runs > 0, .retryAfter = {}};
+        const bool isFinal = reason == ForwardFailure::NoRoute || reason == ForwardFailure::KeyUnknown;
+        if (!refusal.mayHaveRun && !isFinal) {
+            refusal.retryAfter = retryAfter(call, turn);
+        }
+        turn.actions.emplace_back(refusal);
+    }
+    finish(call, std::string("refused:") + forwardFailureName(reason), turn);
+}
+
+void Forwarder::finish(Call &call, const std::string &outcome, Turn &turn)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(turn.now - call.receivedAt);
+    std::string line = "Forward: event=end request=" + call.request->attempt + " outcome=" + outcome
+                       + " route=" + (call.route != nullptr ? call.route->name : "none")
+                       + " ms=" + std::to_string(milliseconds.count())
+                       + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs);
+    if (call.table) {
+        line += " configuration=" + std::to_string(call.table->configuration().version.value());
+    }
+    turn.actions.emplace_back(ForwardDecision{std::move(line)});
+    m_calls.erase(call.id);
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/HostRegistry.cpp
@@ -0,0 +1,151 @@
+#include "forwarding/HostRegistry.h"
+
+#include "support/Codec.h"
+#include "support/Hash.h"
+
+namespace Carawaymill {
+
+static constexpr const char *registryPrefix = "hosts/";
+
+static std::string recordOf(const ListedHost &host)
+{
+    return nlohmann::json{
+        {"peerAddress", host.peerAddress}, {"failureDomain", host.failureDomain}, {"region", host.region}}
+        .dump();
+}
+
+static std::optional<ListedHost> readRecord(const KeyValueRecord &record)
+{
+    const auto parsed = parseJson(record.value);
+    const auto *json = std::get_if<nlohmann::json>(&parsed);
+    if (json == nullptr || !json->is_object()) {
+        return std::nullopt;
+    }
+    return ListedHost{.host = HostId(record.key.substr(std::string_view(registryPrefix).size())),
+                      .state = HostListState::Live,
+                      .peerAddress = json->value("peerAddress", ""),
+                      .failureDomain = FailureDomainId(json->value("failureDomain", "")),
+                      .region = RegionId(json->value("region", ""))};
+}
+
+HostRegistry::HostRegistry(HostRegistryOptions options)
+    : m_options(std::move(options))
+    , m_watch({.prefix = registryPrefix,
+               .seed = stableHash("watch", m_options.seed),
+               .wait = m_options.watchWait,
+               .callTimeout = m_options.callTimeout})
+    , m_random(m_options.seed)
+    , m_backoff({.initial = 150ms, .maximum = m_options.renewInterval})
+{
+}
+
+std::vector<HostRegistryAction> HostRegistry::handle(const std::variant<Tick, KeyValueReply> &event, TimePoint now)
+{
+    Actions actions;
+    if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
+        if (reply->id.value() % 2 == 1) {
+            answered(*reply, now);
+        } else if (const auto update = m_watch.handle({CallId(reply->id.value() / 2), reply->result}, now)) {
+            take(*update, actions);
+        }
+    }
+    if (auto call = m_watch.nextCall(now)) {
+        call->id = CallId(call->id.value() * 2);
+        actions.emplace_back(std::move(*call));
+    }
+    keepRegistered(now, actions);
+    return actions;
+}
+
+void HostRegistry::call(KeyValueRequest request, TimePoint now, Actions &actions)
+{
+    m_lastCall += 2;
+    const CallId id(m_lastCall - 1);
+    m_inFlight = InFlight{.id = id, .deadline = now + 2 * m_options.callTimeout};
+    actions.emplace_back(KeyValueCall{.id = id, .request = std::move(request), .timeout = m_options.callTimeout});
+}
+
+void HostRegistry::keepRegistered(TimePoint now, Actions &actions)
+{
+    if (m_inFlight && now >= m_inFlight->deadline) {
+        m_inFlight.reset();
+    }
+    if (m_inFlight || now < m_nextAt) {
+        return;
+    }
+    if (m_leaving) {
+        if (m_lease) {
+            call(RevokeLease{*m_lease}, now, actions);
+            m_lease.reset();
+        }
+        return;
+    }
+    if (!m_lease) {
+        call(GrantLease{m_options.timeToLive}, now, actions);
+        return;
+    }
+    if (m_recorded) {
+        call(RenewLease{*m_lease}, now, actions);
+        return;
+    }
+    const std::string key = registryPrefix + m_options.self.host.value();
+    // A record that an earlier process of this host left behind is taken over once it has lapsed or is seen.
+    call(Commit{.operations = {WriteOperation{
+                    .key = key, .value = recordOf(m_options.self), .expected = m_recordRevision, .lease = m_lease}}},
+         now,
+         actions);
+}
+
+void HostRegistry::answered(const KeyValueReply &reply, TimePoint now)
+{
+    if (!m_inFlight || reply.id != m_inFlight->id) {
+        return;
+    }
+    m_inFlight.reset();
+    m_nextAt = now + m_options.renewInterval;
+    std::visit(Overloaded{[&](const LeaseGranted &granted) {
+                              m_lease = granted.lease;
+                              m_recorded = false;
+                              m_nextAt = now;
+                          },
+                          [&](const Committed &) { m_recorded = true; },
+                          [&](const LeaseRenewed &) { m_backoff.reset(); },
+                          [&](const LeaseNotFound &) {
+                              m_lease.reset();
+                              m_recorded = false;
+                              m_nextAt = now;
+                          },
+                          [&](const CommitConflict &conflict) {
+                              m_recordRevision =
+                                  conflict.present.empty() ? Revision() : conflict.present.front().revision;
+                              m_nextAt = now;
+                          },
+                          [&](const auto &) { m_nextAt = now + m_backoff.next(m_random); }},
+               reply.result);
+}
+
+void HostRegistry::take(const RangeUpdate &update, Actions &actions)
+{
+    const std::map<HostId, ListedHost> before = m_hosts;
+    if (update.whole) {
+        m_hosts.clear();
+    }
+    for (const KeyValueRecord &record : update.written) {
+        if (auto host = readRecord(record)) {
+            m_hosts.insert_or_assign(host->host, *host);
+        }
+    }
+    for (const std::string &key : update.deletedKeys) {
+        m_hosts.erase(HostId(key.substr(std::string_view(registryPrefix).size())));
+    }
+    if (m_hosts == before) {
+        return;
+    }
+    HostsRegistered registered;
+    for (const auto &[id, host] : m_hosts) {
+        registered.hosts.push_back(host);
+    }
+    actions.emplace_back(std::move(registered));
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/RangeWatch.cpp
@@ -0,0 +1,70 @@
+#include "forwarding/RangeWatch.h"
+
+namespace Carawaymill {
+
+/// The driver answers each call; a call whose answer is overdue by this much is taken as lost all the same.
+static constexpr Duration answerSlack = 500ms;
+
+RangeWatch::RangeWatch(RangeWatchOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_backoff(m_options.backoff)
+{
+}
+
+std::optional<KeyValueCall> RangeWatch::nextCall(TimePoint now)
+{
+    if (m_inFlight && now >= m_inFlight->deadline) {
+        failed(now);
+    }
+    if (m_inFlight || now < m_nextAt) {
+        return std::nullopt;
+    }
+    m_lastCall = m_lastCall.next();
+    KeyValueCall call{.id = m_lastCall, .request = ReadRange{m_options.prefix}, .timeout = m_options.callTimeout};
+    Duration wait{};
+    if (m_watchAfter) {
+        wait = m_options.wait;
+        call.request = WatchRange{.prefix = m_options.prefix, .after = *m_watchAfter, .wait = wait};
+    }
+    m_inFlight = InFlight{
+        .id = m_lastCall, .sentAt = now, .deadline = now + wait + m_options.callTimeout + answerSlack};
+    return call;
+}
+
+std::optional<RangeUpdate> RangeWatch::handle(const KeyValueReply &reply, TimePoint now)
+{
+    if (!m_inFlight || reply.id != m_inFlight->id) {
+        return std::nullopt;
+    }
+    const TimePoint sentAt = m_inFlight->sentAt;
+    std::optional<RangeUpdate> update;
+    if (const auto *read = std::get_if<RangeRead>(&reply.result)) {
+        m_watchAfter = read->storeRevision;
+        update = RangeUpdate{.whole = true, .written = read->records, .deletedKeys = {}};
+    } else if (const auto *changed = std::get_if<RangeChanged>(&reply.result)) {
+        m_watchAfter = changed->storeRevision;
+        update = RangeUpdate{.whole = false, .written = changed->written, .deletedKeys = changed->deletedKeys};
+    } else {
+        if (std::holds_alternative<WatchCompacted>(reply.result)) {
+            m_watchAfter.reset();
+        }
+        failed(now);
+        return std::nullopt;
+    }
+    m_inFlight.reset();
+    m_confirmedAt = sentAt;
+    m_failures = 0;
+    m_backoff.reset();
+    m_nextAt = now;
+    return update;
+}
+
+void RangeWatch::failed(TimePoint now)
+{
+    m_inFlight.reset();
+    ++m_failures;
+    m_nextAt = now + m_backoff.next(m_random);
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/RouteTable.cpp
@@ -0,0 +1,49 @@
+#include "forwarding/RouteTable.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+RouteTable::RouteTable(SharedConfiguration configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (const Route &route : m_configuration->routes) {
+        m_routes[route.host].push_back(&route);
+    }
+    for (auto &[host, routes] : m_routes) {
+        std::ranges::stable_sort(
+            routes, std::greater<>(), [](const Route *route) { return route->prefix.size(); });
+    }
+    if (m_configuration->organisations) {
+        for (const OrganisationKeys &organisation : *m_configuration->organisations) {
+            for (const std::string &key : organisation.keys) {
+                m_organisations.emplace(key, &organisation);
+            }
+        }
+    }
+}
+
+const Route *RouteTable::route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routes.find(host);
+    if (found == m_routes.end()) {
+        return nullptr;
+    }
+    const auto match =
+        std::ranges::find_if(found->second, [&](const Route *route) { return path.starts_with(route->prefix); });
+    return match == found->second.end() ? nullptr : *match;
+}
+
+const OrganisationKeys *RouteTable::organisation(const std::string &key) const
+{
+    const auto found = m_organisations.find(key);
+    return found == m_organisations.end() ? nullptr : found->second;
+}
+
+const ServiceDescription *RouteTable::service(const ServiceId &service) const
+{
+    const auto found = m_configuration->services.find(service);
+    return found == m_configuration->services.end() ? nullptr : &found->second;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/RouteTable.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "forwarding/RoutingConfiguration.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Carawaymill {
+
+/// Finds the route and the organisation of a request in one version of the configuration.
+class RouteTable
+{
+public:
+    explicit RouteTable(SharedConfiguration configuration);
+
+    [[nodiscard]] const RoutingConfiguration &configuration() const { return *m_configuration; }
+
+    /// The route of that host with the longest prefix that begins the path; null when there is none.
+    [[nodiscard]] const Route *route(std::string_view host, std::string_view path) const;
+
+    /// Null when no organisation holds the key.
+    [[nodiscard]] const OrganisationKeys *organisation(const std::string &key) const;
+
+    /// Null when the service is not declared.
+    [[nodiscard]] const ServiceDescription *service(const ServiceId &service) const;
+
+private:
+    SharedConfiguration m_configuration;
+    /// By host; the longest prefix comes first.
+    std::map<std::string, std::vector<const Route *>, std::less<>> m_routes;
+    std::unordered_map<std::string, const OrganisationKeys *> m_organisations;
+};
+
+} // namespace Carawaymill
--- a/src/node/Fleet.h
+++ b/src/node/Fleet.h
@@ -19,6 +19,8 @@
     Ledger = 2,
     Limits = 3,
     Quarantine = 4,
+    Configuration = 5,
+    Load = 6,
 };
 
 /// A peer's message together with the slice that it is for.
--- /dev/null
+++ b/src/node/ForwardingDesk.cpp
@@ -0,0 +1,272 @@
+#include "node/ForwardingDesk.h"
+
+#include "node/Fleet.h"
+#include "node/KeyValueCalls.h"
+#include "node/NodeOutput.h"
+#include "node/TargetTable.h"
+#include "support/Hash.h"
+
+#include <algorithm>
+
+namespace Carawaymill {
+
+/// A request takes some seconds, so that loads change little in this time.
+static constexpr Duration leastDigestInterval = 200ms;
+/// Sizes on the wire, and what digests may use of the control traffic. In a large fleet they come less often.
+static constexpr std::size_t digestEntryBytes = 24;
+static constexpr std::size_t digestFrameBytes = 80;
+static constexpr double digestBytesPerSecond = 12000;
+
+ForwardingDesk::ForwardingDesk(const NodeOptions &options)
+    : m_options(options)
+    , m_configuration({.format = options.forwarding->publications,
+                       .seed = stableHash("configuration", options.seed),
+                       .maximumAge = options.forwarding->configurationMaximumAge})
+    , m_directory({.format = options.forwarding->publications, .seed = stableHash("directory", options.seed)})
+    , m_registry({.self = {.host = options.host,
+                           .state = HostListState::Live,
+                           .peerAddress = options.peerAddress,
+                           .failureDomain = options.failureDomain,
+                           .region = options.region},
+                  .seed = stableHash("registry", options.seed)})
+    , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
+                               .ownRegion = options.region,
+                               .seed = stableHash("forwarding", options.seed)},
+                   .retries = options.forwarding->retries})
+{
+}
+
+void ForwardingDesk::tick(NodeContext &context)
+{
+    feedConfiguration(Tick{}, context);
+    feedDirectory(Tick{}, context);
+    feedRegistry(Tick{}, context);
+    shareLoads(context);
+    forward(Tick{}, context);
+}
+
+void ForwardingDesk::shareLoads(NodeContext &context)
+{
+    if (context.now < m_nextDigest) {
+        return;
+    }
+    std::vector<HostId> others;
+    for (const Member &member : context.fleet.members()) {
+        if (member.host != m_options.host && member.state != MemberState::Dead) {
+            others.push_back(member.host);
+        }
+    }
+    const LoadDigest digest = context.targets.router().ownLoads();
+    const nlohmann::json body = toJson(digest);
+    const auto bytes = static_cast<double>(others.size() * (digest.size() * digestEntryBytes + digestFrameBytes));
+    const std::chrono::duration<double> affordable(bytes / digestBytesPerSecond);
+    m_nextDigest = context.now + std::max(leastDigestInterval, std::chrono::duration_cast<Duration>(affordable));
+    for (const HostId &other : others) {
+        context.fleet.send(other, PeerChannel::Load, body, context.output);
+    }
+    for (const auto &[target, load] : m_otherLoads.sums(context.now)) {
+        context.targets.router().setOtherLoad(target, load);
+    }
+}
+
+void ForwardingDesk::loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    if (auto digest = readLoadDigest(body); std::holds_alternative<LoadDigest>(digest)) {
+        m_otherLoads.told(from, std::get<LoadDigest>(std::move(digest)), context.now);
+    }
+}
+
+bool ForwardingDesk::ready(TimePoint now) const
+{
+    return m_configuration.fresh(now) && m_directory.hasRead();
+}
+
+void ForwardingDesk::configurationReply(const KeyValueReply &reply, NodeContext &context)
+{
+    feedConfiguration(reply, context);
+    // The next watch goes out at once, so that no change waits for the next tick.
+    feedConfiguration(Tick{}, context);
+}
+
+void ForwardingDesk::directoryReply(const KeyValueReply &reply, NodeContext &context)
+{
+    feedDirectory(reply, context);
+}
+
+void ForwardingDesk::registryReply(const KeyValueReply &reply, NodeContext &context)
+{
+    feedRegistry(reply, context);
+}
+
+void ForwardingDesk::configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    if (auto read = decode<ConfigurationMessage>(body); std::holds_alternative<ConfigurationMessage>(read)) {
+        feedConfiguration(
+            ConfigurationMessageReceived{.from = from, .message = std::get<ConfigurationMessage>(std::move(read))},
+            context);
+    }
+}
+
+void ForwardingDesk::feedConfiguration(const ConfigurationKeeperEvent &event, NodeContext &context)
+{
+    for (ConfigurationKeeperAction &action : m_configuration.handle(event, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  context.keyValue.issue(
+                                      KeyValueCaller::Configuration, 0, std::move(call), context.output);
+                              },
+                              [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
+                              [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
+                              [&](const ConfigurationFreshnessChanged &changed) {
+                                  context.output.log(describe(changed));
+                              },
+                              [&](const SendConfigurationMessage &send) {
+                                  for (const Member &member : context.fleet.members()) {
+                                      if (member.host != m_options.host && (!send.to || *send.to == member.host)) {
+                                          context.fleet.send(
+                                              member.host, PeerChannel::Configuration, send.message, context.output);
+                                      }
+                                  }
+                              }},
+                   action);
+    }
+}
+
+void ForwardingDesk::configurationChanged(const ConfigurationChanged &changed, NodeContext &context)
+{
+    context.output.log(describe(changed));
+    m_forwarder.configurationChanged(changed.configuration, context.targets.router());
+    context.output.add(LimitCallers{changed.configuration->limits});
+    m_fleetChanged = true;
+}
+
+void ForwardingDesk::feedDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
+{
+    for (DirectoryKeeperAction &action : m_directory.handle(event, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  context.keyValue.issue(
+                                      KeyValueCaller::Directory, 0, std::move(call), context.output);
+                              },
+                              [&](const TargetListed &listed) {
+                                  context.output.log(describe(listed));
+                                  m_forwarder.targetListed(listed.target, context.targets.router());
+                              },
+                              [&](const TargetUnlisted &unlisted) {
+                                  context.output.log(describe(unlisted));
+                                  m_forwarder.targetUnlisted(unlisted.target, context.targets.router());
+                              },
+                              [&](const TargetRecordIgnored &ignored) { context.output.log(describe(ignored)); }},
+                   action);
+    }
+}
+
+void ForwardingDesk::feedRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
+{
+    for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  context.keyValue.issue(
+                                      KeyValueCaller::HostRegistry, 0, std::move(call), context.output);
+                              },
+                              [&](HostsRegistered &registered) {
+                                  m_forwarder.setHosts(registered.hosts.size());
+                                  m_hostList = HostListRead{.hosts = std::move(registered.hosts), .targets = {}};
+                              }},
+                   action);
+    }
+}
+
+void ForwardingDesk::forward(const ForwarderEvent &event, NodeContext &context)
+{
+    const bool fresh = m_configuration.fresh(context.now);
+    for (ForwarderAction &action : m_forwarder.handle(event, fresh, context.targets.router(), context.now)) {
+        std::visit(Overloaded{[&](ForwardDecision &decision) { context.output.log(std::move(decision.line)); },
+                              [&](auto &any) { context.output.add(std::move(any)); }},
+                   action);
+    }
+}
+
+const EngineProfile *ForwardingDesk::engineOf(const DirectoryTarget &target) const
+{
+    if (!m_configuration.configuration()) {
+        return nullptr;
+    }
+    const auto &services = m_configuration.configuration()->services;
+    const auto service = services.find(target.service);
+    return service != services.end() && service->second.engine ? &*service->second.engine : nullptr;
+}
+
+static LeaseScopeId scopeOfService(const RegionId &region, const ServiceId &service)
+{
+    return LeaseScopeId(placementScope(region).value() + "/" + service.value());
+}
+
+PlacementScopes ForwardingDesk::placementScopes() const
+{
+    PlacementScopes scopes;
+    if (!m_configuration.configuration()) {
+        return scopes;
+    }
+    for (const auto &[id, service] : m_configuration.configuration()->services) {
+        if (service.engine) {
+            scopes[scopeOfService(m_options.region, id)] = {{.model = {},
+                                                             .version = service.engine->version,
+                                                             .adapter = {},
+                                                             .layers = service.engine->layers,
+                                                             .bytesPerLayer = service.engine->bytesPerLayer,
+                                                             .activationBytes = service.engine->activationBytes}};
+        }
+    }
+    return scopes;
+}
+
+std::vector<PlacementTarget> ForwardingDesk::placementTargets(const LeaseScopeId &scope) const
+{
+    std::vector<PlacementTarget> usable;
+    for (const auto &[id, target] : m_directory.targets()) {
+        const EngineProfile *engine = engineOf(target);
+        if (engine == nullptr || target.leaving || scopeOfService(m_options.region, target.service) != scope) {
+            continue;
+        }
+        const auto kind = engine->kinds.find(target.acceleratorKind);
+        if (kind == engine->kinds.end()) {
+            continue;
+        }
+        const auto memory = static_cast<double>(kind->second.memory.value());
+        usable.push_back(
+            {.id = id,
+             .layerMemory = ByteCount(static_cast<std::uint64_t>(memory * (1 - m_options.forwarding->cacheShare))),
+             .layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
+             .linkBytesPerSecond = engine->linkBytesPerSecond,
+             .failureDomain = target.failureDomain,
+             .checksFencingNumber = true});
+    }
+    return usable;
+}
+
+std::string ForwardingDesk::address(const TargetId &target) const
+{
+    const auto found = m_directory.targets().find(target);
+    return found == m_directory.targets().end() ? std::string() : found->second.address;
+}
+
+EngineState ForwardingDesk::complete(EngineState state) const
+{
+    const auto found = m_directory.targets().find(state.target);
+    if (found == m_directory.targets().end()) {
+        return state;
+    }
+    const EngineProfile *engine = engineOf(found->second);
+    if (engine == nullptr) {
+        return state;
+    }
+    const auto kind = engine->kinds.find(found->second.acceleratorKind);
+    std::uint64_t used = 0;
+    for (const ModelLayers &layers : state.held) {
+        used += layers.layers.size() * engine->bytesPerLayer.value();
+    }
+    if (kind != engine->kinds.end() && kind->second.memory.value() > used) {
+        state.freeMemory = ByteCount(kind->second.memory.value() - used);
+    }
+    return state;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/node/ForwardingDesk.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "forwarding/ConfigurationKeeper.h"
+#include "forwarding/DirectoryKeeper.h"
+#include "forwarding/Forwarder.h"
+#include "forwarding/HostRegistry.h"
+#include "forwarding/LoadDigest.h"
+#include "node/NodeContext.h"
+#include "node/NodeMessages.h"
+#include "node/NodeOptions.h"
+#include "node/PlacementDesk.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// Forwarding by published routes on this host: the configuration in force, the directory of targets, the register of
+/// our own hosts, and the requests in progress.
+class ForwardingDesk
+{
+public:
+    explicit ForwardingDesk(const NodeOptions &options);
+
+    void tick(NodeContext &context);
+    void configurationReply(const KeyValueReply &reply, NodeContext &context);
+    void directoryReply(const KeyValueReply &reply, NodeContext &context);
+    void registryReply(const KeyValueReply &reply, NodeContext &context);
+    void configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    /// Any event of a request.
+    void forward(const ForwarderEvent &event, NodeContext &context);
+    void leave() { m_registry.leave(); }
+
+    /// The host list as it was last read from the register, once after each change.
+    [[nodiscard]] std::optional<HostListRead> takeHostList() { return std::exchange(m_hostList, std::nullopt); }
+
+    /// Whether requests can be admitted.
+    [[nodiscard]] bool ready(TimePoint now) const;
+    [[nodiscard]] std::size_t inProgress() const { return m_forwarder.inProgress(); }
+
+    /// True once after each change of what placement depends on.
+    [[nodiscard]] bool takeFleetChange() { return std::exchange(m_fleetChanged, false); }
+
+    /// What is to be placed: a scope for each service that has engines.
+    [[nodiscard]] PlacementScopes placementScopes() const;
+    [[nodiscard]] std::vector<PlacementTarget> placementTargets(const LeaseScopeId &scope) const;
+    /// Empty when the target is not listed.
+    [[nodiscard]] std::string address(const TargetId &target) const;
+    /// Fills in what an engine's own report leaves out.
+    [[nodiscard]] EngineState complete(EngineState state) const;
+
+private:
+    void feedConfiguration(const ConfigurationKeeperEvent &event, NodeContext &context);
+    void feedDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
+    void feedRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
+    void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
+    /// Tells the other hosts what this host's streams take up, and takes in what they told.
+    void shareLoads(NodeContext &context);
+    [[nodiscard]] const EngineProfile *engineOf(const DirectoryTarget &target) const;
+
+    NodeOptions m_options;
+    ConfigurationKeeper m_configuration;
+    DirectoryKeeper m_directory;
+    HostRegistry m_registry;
+    Forwarder m_forwarder;
+    OtherHostsLoads m_otherLoads;
+    TimePoint m_nextDigest{};
+    std::optional<HostListRead> m_hostList;
+    bool m_fleetChanged = false;
+};
+
+} // namespace Carawaymill
--- a/src/node/KeyValueCalls.h
+++ b/src/node/KeyValueCalls.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "node/NodeOutput.h"
-#include "platform/KeyValueMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +17,9 @@
     LedgerShard,
     Quarantine,
     Usage,
+    Configuration,
+    Directory,
+    HostRegistry,
 };
 
 /// Whose call a reply belongs to.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,11 +1,20 @@
 #include "node/Node.h"
 
+#include "node/CatalogueFleet.h"
 #include "support/Hash.h"
 
 namespace Carawaymill {
 
 /// Told to callers of a host that takes no new work: the balancer sends them to another host.
 static constexpr Duration otherHostRetryAfter = 1s;
+/// Enough that the holders of each failure domain take part in the choice of a chain.
+static constexpr std::uint32_t forwardingCandidatesPerSegment = 12;
+/// Loads of a first start go on together: the weight store serves them faster before the first request.
+static constexpr std::uint32_t forwardingConcurrentLoads = 64;
+/// Targets register within about a second of each other when a whole deployment starts.
+static constexpr Duration forwardingArrivalPause = 1s;
+/// Well above the lag of some hundred milliseconds that engines state for their reports.
+static constexpr Duration forwardingReportLag = 600ms;
 
 Result<Node::Parts, Node::InvalidOptions> Node::createParts(const NodeOptions &options, TimePoint now)
 {
@@ -51,6 +60,39 @@
     return std::unique_ptr<Node>(new Node(std::move(options), std::get<Parts>(std::move(parts))));
 }
 
+static ChainRouterOptions routerOptions(const NodeOptions &options)
+{
+    ChainRouterOptions router{.seed = stableHash("routing", options.seed),
+                              .ownFailureDomain = options.failureDomain,
+                              .ownRegion = options.region};
+    if (options.forwarding) {
+        // Targets hand activations on to each other, so that what counts is the way between them, not from this host.
+        router.otherRegionDelay = 1us;
+        router.otherFailureDomainDelay = 1us;
+        router.sameFailureDomainDelay = 1us;
+        router.candidatesPerSegment = forwardingCandidatesPerSegment;
+    }
+    return router;
+}
+
+PlacementSource Node::placementSource() const
+{
+    if (m_forwarding) {
+        PlacementControllerOptions controller;
+        controller.concurrentLoads = forwardingConcurrentLoads;
+        controller.ordersNameWholeRange = true;
+        controller.planByFailureDomain = true;
+        controller.arrivalPause = forwardingArrivalPause;
+        controller.reportLag = forwardingReportLag;
+        return {.usableTargets = [this](const LeaseScopeId &scope) { return m_forwarding->placementTargets(scope); },
+                .address = [this](const TargetId &target) { return m_forwarding->address(target); },
+                .controller = controller};
+    }
+    return {.usableTargets = [this](const LeaseScopeId &scope) { return catalogueTargets(m_catalogue, m_targets, scope); },
+            .address = [this](const TargetId &target) { return m_targets.address(target); },
+            .controller = {}};
+}
+
 Node::Node(NodeOptions options, Parts parts)
     : m_options(std::move(options))
     , m_catalogue(std::move(parts.catalogue))
@@ -60,10 +102,9 @@
     , m_scopes(std::move(parts.scopes))
     , m_ledger(std::move(parts.ledger))
     , m_calls(std::move(parts.calls))
-    , m_targets({.seed = stableHash("routing", m_options.seed),
-                 .ownFailureDomain = m_options.failureDomain,
-                 .ownRegion = m_options.region},
-                {})
+    , m_targets(routerOptions(m_options), {})
+    , m_forwarding(m_options.forwarding ? std::make_unique<ForwardingDesk>(m_options) : nullptr)
+    , m_placement(placementSource())
     , m_hostsKnown(!m_options.configuredMembers.empty())
 {
 }
@@ -87,17 +128,23 @@
 {
     // The platform's host list may call this host leaving before anybody has asked it to drain.
     const bool leaves = m_fleet.membership().state(m_options.host) == MemberState::Leaving;
+    if (m_forwarding) {
+        return !m_draining && m_forwarding->ready(now);
+    }
     return !m_draining && !leaves && m_catalogue.takesNewJobs(now);
 }
 
 bool Node::drained() const
 {
+    if (m_forwarding) {
+        return m_draining && m_forwarding->inProgress() == 0;
+    }
     return m_draining && m_calls.inProgress() == 0 && m_ledger.unrecordedBills() == 0 && m_ledger.waitingReports() == 0;
 }
 
 std::size_t Node::placementRegionsHeld(TimePoint now) const
 {
-    return m_placement.regionsHeld(m_scopes.keeper(), now);
+    return m_placement.scopesHeld(m_scopes.keeper(), now);
 }
 
 void Node::on(const Tick &, NodeContext &context)
@@ -105,6 +152,28 @@
     if (m_fleet.tick(context.now, context.output)) {
         membersChanged(context);
     }
+    if (m_forwarding) {
+        tickForwarding(context);
+    } else {
+        tickCatalogue(context);
+    }
+}
+
+void Node::tickForwarding(NodeContext &context)
+{
+    m_scopes.tick(context);
+    m_placement.tick(m_scopes.keeper(), context);
+    m_forwarding->tick(context);
+    if (m_forwarding->takeFleetChange() && m_placement.declare(m_forwarding->placementScopes(), context)) {
+        refreshScopes(context);
+    }
+    if (const auto list = m_forwarding->takeHostList()) {
+        hostListChanged(*list, context);
+    }
+}
+
+void Node::tickCatalogue(NodeContext &context)
+{
     feedCatalogue(Tick{}, context);
     feedEditor(Tick{}, context);
     feedAdministration(Tick{}, context);
@@ -139,6 +208,10 @@
 
 void Node::on(const CallerDisconnected &event, NodeContext &context)
 {
+    if (m_forwarding) {
+        m_forwarding->forward(CallerLeft{event.id}, context);
+        return;
+    }
     m_calls.callerDisconnected(event.id, m_ledger, context);
     std::erase_if(m_operatorRequests, [&](const auto &entry) { return entry.second == event.id; });
 }
@@ -162,6 +235,12 @@
 
 void Node::on(const TargetReported &event, NodeContext &context)
 {
+    if (m_forwarding) {
+        if (event.outcome == PollOutcome::Answered) {
+            m_placement.stateRead(m_forwarding->complete(event.report.state), context);
+        }
+        return;
+    }
     targetsDied(m_targets.reported(event, context.now, context.output), context);
     m_calls.targetExamined(event.target, m_ledger, context);
     const EngineState *state = m_targets.state(event.target);
@@ -206,16 +285,38 @@
     case KeyValueCaller::Usage:
         feedAdministration(usageAnswer(reply), context);
         break;
+    case KeyValueCaller::Configuration:
+        m_forwarding->configurationReply(reply, context);
+        break;
+    case KeyValueCaller::Directory:
+        m_forwarding->directoryReply(reply, context);
+        break;
+    case KeyValueCaller::HostRegistry:
+        m_forwarding->registryReply(reply, context);
+        break;
     }
 }
 
-void Node::on(const HostListRead &event, NodeContext &context)
+template<typename ForwardEvent>
+void Node::on(const ForwardEvent &event, NodeContext &context)
+{
+    if (m_forwarding) {
+        m_forwarding->forward(event, context);
+    }
+}
+
+void Node::hostListChanged(const HostListRead &list, NodeContext &context)
 {
-    const bool changed = m_fleet.hostListRead(event, context.now, context.output);
-    const bool first = !std::exchange(m_hostsKnown, m_hostsKnown || !event.hosts.empty()) && m_hostsKnown;
+    const bool changed = m_fleet.hostListRead(list, context.now, context.output);
+    const bool first = !std::exchange(m_hostsKnown, m_hostsKnown || !list.hosts.empty()) && m_hostsKnown;
     if (changed || first) {
         membersChanged(context);
     }
+}
+
+void Node::on(const HostListRead &event, NodeContext &context)
+{
+    hostListChanged(event, context);
     targetsDied(m_targets.hostListRead(event, context.now, context.output), context);
 }
 
@@ -247,6 +348,16 @@
     case PeerChannel::Quarantine:
         m_calls.quarantineReceived(message->body, m_ledger, context);
         break;
+    case PeerChannel::Configuration:
+        if (m_forwarding) {
+            m_forwarding->configurationReceived(event.from, message->body, context);
+        }
+        break;
+    case PeerChannel::Load:
+        if (m_forwarding) {
+            m_forwarding->loadReceived(event.from, message->body, context);
+        }
+        break;
     }
 }
 
@@ -257,11 +368,18 @@
     }
     context.output.log("Node: drains.");
     m_fleet.leave(context.now, context.output);
+    if (m_forwarding) {
+        m_forwarding->leave();
+    }
     membersChanged(context);
 }
 
 void Node::membersChanged(NodeContext &context)
 {
+    if (m_forwarding) {
+        refreshScopes(context);
+        return;
+    }
     CataloguePeersChanged peers;
     for (const Member &member : m_fleet.members()) {
         if (member.host != m_options.host) {
@@ -290,7 +408,7 @@
                                   context.output.log(describe(changed));
                                   m_targets.declare(m_catalogue, context.now, context.output);
                                   m_calls.catalogueChanged(context);
-                                  if (m_placement.catalogueChanged(context)) {
+                                  if (m_placement.declare(catalogueScopes(m_catalogue), context)) {
                                       refreshScopes(context);
                                   }
                               },
@@ -335,7 +453,7 @@
 
 void Node::refreshScopes(NodeContext &context)
 {
-    std::vector<LeaseScopeId> scopes = m_ledger.scopes();
+    std::vector<LeaseScopeId> scopes = m_forwarding ? std::vector<LeaseScopeId>() : m_ledger.scopes();
     for (LeaseScopeId &scope : m_placement.scopes()) {
         scopes.push_back(std::move(scope));
     }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -6,6 +6,7 @@
 #include "node/CallDesk.h"
 #include "node/DecisionLog.h"
 #include "node/Fleet.h"
+#include "node/ForwardingDesk.h"
 #include "node/KeyValueCalls.h"
 #include "node/LedgerDesk.h"
 #include "node/NodeContext.h"
@@ -81,6 +82,15 @@
     void on(const HostListRead &event, NodeContext &context);
     void on(const PeerMessage &event, NodeContext &context);
     void on(const DrainRequested &event, NodeContext &context);
+    template<typename ForwardEvent>
+    void on(const ForwardEvent &event, NodeContext &context);
+
+    /// The part of a tick that belongs to requests of the catalogue's entries.
+    void tickCatalogue(NodeContext &context);
+    /// The part of a tick that belongs to requests which are forwarded by published routes.
+    void tickForwarding(NodeContext &context);
+    [[nodiscard]] PlacementSource placementSource() const;
+    void hostListChanged(const HostListRead &list, NodeContext &context);
 
     void feedCatalogue(const CatalogueReplicaEvent &event, NodeContext &context);
     void feedEditor(const CatalogueEditorEvent &event, NodeContext &context);
@@ -109,6 +119,8 @@
     LedgerDesk m_ledger;
     CallDesk m_calls;
     TargetTable m_targets;
+    /// Only where requests are forwarded by published routes.
+    std::unique_ptr<ForwardingDesk> m_forwarding;
     PlacementDesk m_placement;
     /// Operators' requests by the ids that the administration knows them by.
     std::map<CallId, RequestId> m_operatorRequests;
--- a/src/node/NodeMessages.h
+++ b/src/node/NodeMessages.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "forwarding/ForwardMessages.h"
+#include "forwarding/RoutingConfiguration.h"
+#include "http/CallerAnswers.h"
 #include "http/HttpMessages.h"
 #include "pipeline/EngineMessages.h"
 #include "placement/EngineOrders.h"
-#include "platform/HostListMessages.h"
-#include "platform/KeyValueMessages.h"
+#include "hostlist/HostListMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "routing/RoutingMessages.h"
 #include "routing/TargetMonitor.h"
 #include "support/Identifiers.h"
@@ -16,8 +19,6 @@
 /// What a driver tells a node, and what the node has it do.
 namespace Carawaymill {
 
-/// Names one caller's request while it is being answered. Given by the driver.
-using RequestId = StrongCount<struct RequestIdTag, std::uint64_t>;
 
 /// Seconds since 1970, as callers want to see them. Never used to decide anything.
 using WallClockSeconds = StrongCount<struct WallClockSecondsTag, std::int64_t>;
@@ -113,31 +114,18 @@
                                KeyValueReply,
                                HostListRead,
                                PeerMessage,
-                               DrainRequested>;
+                               DrainRequested,
+                               ForwardRequested,
+                               TargetAnswerBegan,
+                               TargetAnswerPart,
+                               TargetAnswerEnded,
+                               TargetAnswerFailed,
+                               ProgressReported>;
 
-/// Action: the whole answer to a caller or an operator.
-struct Respond
+/// Action: the configuration sets what callers may send.
+struct LimitCallers
 {
-    RequestId id;
-    HttpResponse response;
-};
-
-/// Action: begin a stream; only status and headers are used.
-struct BeginStream
-{
-    RequestId id;
-    HttpResponse head;
-};
-
-struct WriteStream
-{
-    RequestId id;
-    std::string chunk;
-};
-
-struct EndStream
-{
-    RequestId id;
+    CallerLimits limits;
 };
 
 /// Action: hand one step to an engine. Answered by one `StepReturned`.
@@ -217,6 +205,12 @@
                                 GiveOrder,
                                 KeyValueCall,
                                 SendToPeer,
-                                WriteLog>;
+                                WriteLog,
+                                ForwardToTarget,
+                                AbandonAttempt,
+                                AskProgress,
+                                RefuseCaller,
+                                BreakStream,
+                                LimitCallers>;
 
 } // namespace Carawaymill
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -1,16 +1,30 @@
 #pragma once
 
+#include "forwarding/FleetRetryBudget.h"
+#include "forwarding/PublicationFormat.h"
 #include "membership/MembershipOptions.h"
 #include "node/CompletionApi.h"
 #include "support/Identifiers.h"
 #include "support/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace Carawaymill {
 
+/// A node that forwards requests by routes which the operators publish, to targets of a directory.
+struct ForwardingOptions
+{
+    PublicationFormat publications;
+    FleetRetryBudgetOptions retries;
+    /// A configuration that was not confirmed for so long no longer vouches for any key.
+    Duration configurationMaximumAge = 3500ms;
+    /// Part of an accelerator's memory that placement leaves to the KV cache.
+    double cacheShare = 0.25;
+};
+
 /// What one node needs to know of itself.
 struct NodeOptions
 {
@@ -33,6 +47,10 @@
     std::size_t jobsAtOnce = 256;
     /// A job that isn't answered after this is given up.
     Duration jobTimeout = 120s;
+    /// The service ends this host's leases so long after their last renewal.
+    Duration leaseTimeToLive = 10s;
+    /// Set where requests are forwarded by published routes; the catalogue, the ledger and the shared limits rest then.
+    std::optional<ForwardingOptions> forwarding = std::nullopt;
 };
 
 } // namespace Carawaymill
--- a/src/node/PlacementDesk.cpp
+++ b/src/node/PlacementDesk.cpp
@@ -1,118 +1,62 @@
 #include "node/PlacementDesk.h"
 
-#include "catalogue/CatalogueReplica.h"
 #include "node/NodeOutput.h"
-#include "node/TargetTable.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Carawaymill {
 
-/// Part of an engine's memory that is left to the KV cache.
-static constexpr double cacheShare = 0.25;
-
-static LeaseScopeId leaseScopeOf(const RegionId &region)
+PlacementDesk::PlacementDesk(PlacementSource source)
+    : m_source(std::move(source))
 {
-    return LeaseScopeId(placementScope(region).value());
 }
 
 std::vector<LeaseScopeId> PlacementDesk::scopes() const
 {
     std::vector<LeaseScopeId> scopes;
-    for (const auto &[scope, region] : m_regions) {
-        scopes.push_back(scope);
+    for (const auto &[id, scope] : m_scopes) {
+        scopes.push_back(id);
     }
     return scopes;
 }
 
-/// Every model, version and adapter that some entry names, with the same weight each.
-static std::vector<PlacementDemand> demandsOf(const CatalogueReplica &catalogue)
+bool PlacementDesk::declare(const PlacementScopes &scopes, NodeContext &context)
 {
-    std::set<std::tuple<ModelId, std::string, std::string>> wanted;
-    for (const EntryRecord *entry : catalogue.entries()) {
-        if (const auto *model = std::get_if<ModelEntry>(&entry->backEnd)) {
-            wanted.emplace(model->model, model->version, model->adapter);
-        }
-    }
-    std::vector<PlacementDemand> demands;
-    for (const auto &[id, version, adapter] : wanted) {
-        if (const ModelRecord *model = catalogue.model(id)) {
-            demands.push_back({.model = id,
-                               .version = version,
-                               .adapter = adapter,
-                               .layers = model->layers,
-                               .bytesPerLayer = model->bytesPerLayer,
-                               .activationBytes = model->activationBytes});
-        }
-    }
-    return demands;
-}
-
-bool PlacementDesk::catalogueChanged(NodeContext &context)
-{
-    std::set<LeaseScopeId> present;
-    bool changed = false;
-    for (const TargetRecord *target : context.catalogue.targets()) {
-        if (target->kind != TargetKind::Engine) {
-            continue;
-        }
-        const LeaseScopeId scope = leaseScopeOf(target->region);
-        present.insert(scope);
-        if (!m_regions.contains(scope)) {
-            PlacementControllerOptions options{.scope = placementScope(target->region), .planner = {}};
-            m_regions.emplace(
-                scope,
-                Region{.id = target->region, .controller = PlacementController(options), .targets = {}, .demands = {}});
+    bool changed = std::erase_if(m_scopes, [&](const auto &entry) { return !scopes.contains(entry.first); }) > 0;
+    for (const auto &[id, demands] : scopes) {
+        auto found = m_scopes.find(id);
+        if (found == m_scopes.end()) {
+            PlacementControllerOptions options = m_source.controller;
+            options.scope = PlacementScope(id.value());
+            found = m_scopes
+                        .emplace(id, Scope{.controller = PlacementController(options), .targets = {}, .demands = {}})
+                        .first;
             changed = true;
         }
-    }
-    changed =
-        std::erase_if(m_regions, [&](const auto &entry) { return !present.contains(entry.first); }) > 0 || changed;
-    const std::vector<PlacementDemand> demands = demandsOf(context.catalogue);
-    for (auto &[scope, region] : m_regions) {
-        if (region.demands != demands) {
-            region.demands = demands;
-            feed(scope, PlacementDemandsChanged{demands}, context);
+        if (found->second.demands != demands) {
+            found->second.demands = demands;
+            feed(id, PlacementDemandsChanged{demands}, context);
         }
     }
     return changed;
 }
 
-std::vector<PlacementTarget> PlacementDesk::usableTargets(const RegionId &region, const NodeContext &context) const
-{
-    std::vector<PlacementTarget> targets;
-    for (const TargetRecord *target : context.catalogue.targets()) {
-        const TargetAvailability availability = context.targets.availability(target->id);
-        const bool usable =
-            availability == TargetAvailability::Available || availability == TargetAvailability::Suspect;
-        if (target->kind != TargetKind::Engine || target->region != region || !usable) {
-            continue;
-        }
-        targets.push_back({.id = target->id,
-                           .layerMemory = ByteCount(static_cast<std::uint64_t>(
-                               static_cast<double>(target->memory.value()) * (1 - cacheShare))),
-                           .layerTokensPerSecond = target->layerTokensPerSecond,
-                           .linkBytesPerSecond = target->linkBytesPerSecond,
-                           .failureDomain = target->failureDomain,
-                           .checksFencingNumber = target->checksFencingNumber});
-    }
-    return targets;
-}
-
 void PlacementDesk::tick(const LeaseKeeper &leases, NodeContext &context)
 {
-    for (auto &[scope, region] : m_regions) {
-        if (!leases.holds(scope, context.now)) {
+    for (auto &[id, scope] : m_scopes) {
+        if (!leases.holds(id, context.now)) {
             continue;
         }
-        std::vector<PlacementTarget> targets = usableTargets(region.id, context);
-        if (targets != region.targets) {
-            region.targets = targets;
-            feed(scope, PlacementTargetsChanged{std::move(targets)}, context);
+        std::vector<PlacementTarget> targets = m_source.usableTargets(id);
+        if (targets != scope.targets) {
+            scope.targets = targets;
+            for (const PlacementTarget &target : targets) {
+                m_scopeOfTarget.insert_or_assign(target.id, id);
+            }
+            feed(id, PlacementTargetsChanged{std::move(targets)}, context);
         }
-        feed(scope, LeaseExtended{.scope = scope, .validUntil = leases.validUntil()}, context);
-        feed(scope, Tick{}, context);
+        feed(id, LeaseExtended{.scope = id, .validUntil = leases.validUntil()}, context);
+        feed(id, Tick{}, context);
     }
 }
 
@@ -120,30 +64,30 @@
 {
     std::visit(
         [&](const auto &concrete) {
-            if (m_regions.contains(concrete.scope)) {
+            if (m_scopes.contains(concrete.scope)) {
                 feed(concrete.scope, concrete, context);
             }
         },
         change);
 }
 
-LeaseScopeId PlacementDesk::scopeOf(const TargetId &target, const NodeContext &context) const
+LeaseScopeId PlacementDesk::scopeOf(const TargetId &target) const
 {
-    const TargetRecord *record = context.catalogue.target(target);
-    return record == nullptr ? LeaseScopeId() : leaseScopeOf(record->region);
+    const auto found = m_scopeOfTarget.find(target);
+    return found == m_scopeOfTarget.end() ? LeaseScopeId() : found->second;
 }
 
 void PlacementDesk::stateRead(const EngineState &state, NodeContext &context)
 {
-    if (const LeaseScopeId scope = scopeOf(state.target, context); m_regions.contains(scope)) {
+    if (const LeaseScopeId scope = scopeOf(state.target); m_scopes.contains(scope)) {
         feed(scope, EngineStateRead{state}, context);
     }
 }
 
 void PlacementDesk::orderReturned(const OrderReturned &event, NodeContext &context)
 {
-    const LeaseScopeId scope = scopeOf(event.order.target, context);
-    if (!m_regions.contains(scope)) {
+    const LeaseScopeId scope = scopeOf(event.order.target);
+    if (!m_scopes.contains(scope)) {
         return;
     }
     if (event.reply) {
@@ -153,20 +97,20 @@
     }
 }
 
-std::size_t PlacementDesk::regionsHeld(const LeaseKeeper &leases, TimePoint now) const
+std::size_t PlacementDesk::scopesHeld(const LeaseKeeper &leases, TimePoint now) const
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(m_regions, [&](const auto &entry) { return leases.holds(entry.first, now); }));
+        std::ranges::count_if(m_scopes, [&](const auto &entry) { return leases.holds(entry.first, now); }));
 }
 
 void PlacementDesk::feed(const LeaseScopeId &scope, const PlacementEvent &event, NodeContext &context)
 {
-    for (const PlacementAction &action : m_regions.at(scope).controller.handle(event, context.now)) {
+    for (const PlacementAction &action : m_scopes.at(scope).controller.handle(event, context.now)) {
         std::visit(Overloaded{[&](const ReadEngineState &read) { readState(read.target, context); },
                               [&](const SendEngineOrder &send) {
                                   context.output.log(describe(send));
                                   // The driver writes at once, in the same turn, so that `sendBefore` can't pass first.
-                                  context.output.add(GiveOrder{.address = context.targets.address(send.order.target),
+                                  context.output.add(GiveOrder{.address = m_source.address(send.order.target),
                                                                .order = send.order});
                               },
                               [&](const PlanChanged &changed) { context.output.log(describe(changed)); },
@@ -180,7 +124,7 @@
     constexpr Duration readTimeout = 1s;
     context.output.add(AskTarget{.target = target,
                                  .kind = TargetKind::Engine,
-                                 .address = context.targets.address(target),
+                                 .address = m_source.address(target),
                                  .timeout = readTimeout});
 }
 
--- a/src/node/PlacementDesk.h
+++ b/src/node/PlacementDesk.h
@@ -5,44 +5,62 @@
 #include "node/ScopeDesk.h"
 #include "placement/PlacementController.h"
 
+#include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace Carawaymill {
 
-/// The placement of every region's targets, as far as this host holds the region's scope.
+/// Where the placement finds out about its targets.
+struct PlacementSource
+{
+    /// The targets of the scope that may be given layers.
+    std::function<std::vector<PlacementTarget>(const LeaseScopeId &scope)> usableTargets;
+    /// Empty when the target is not known.
+    std::function<std::string(const TargetId &target)> address;
+    /// The scope is filled in.
+    PlacementControllerOptions controller;
+};
+
+/// What is wanted in each scope of placement.
+using PlacementScopes = std::map<LeaseScopeId, std::vector<PlacementDemand>>;
+
+/// The placement of every scope's targets, as far as this host holds the scope.
 class PlacementDesk
 {
 public:
-    /// A scope for each region that has engines.
+    explicit PlacementDesk(PlacementSource source);
+
     [[nodiscard]] std::vector<LeaseScopeId> scopes() const;
 
-    /// The catalogue's targets, models or entries changed. True when the regions changed.
-    [[nodiscard]] bool catalogueChanged(NodeContext &context);
+    /// What is wanted may have changed. True when the scopes themselves did.
+    [[nodiscard]] bool declare(const PlacementScopes &scopes, NodeContext &context);
     void tick(const LeaseKeeper &leases, NodeContext &context);
     void scopeChanged(const ScopeChange &change, NodeContext &context);
     /// A poll has read what an engine holds.
     void stateRead(const EngineState &state, NodeContext &context);
     void orderReturned(const OrderReturned &event, NodeContext &context);
 
-    /// Whether this host decides on the placement of some region.
-    [[nodiscard]] std::size_t regionsHeld(const LeaseKeeper &leases, TimePoint now) const;
+    /// Scopes whose placement this host decides.
+    [[nodiscard]] std::size_t scopesHeld(const LeaseKeeper &leases, TimePoint now) const;
 
 private:
     void feed(const LeaseScopeId &scope, const PlacementEvent &event, NodeContext &context);
     void readState(const TargetId &target, NodeContext &context) const;
-    [[nodiscard]] std::vector<PlacementTarget> usableTargets(const RegionId &region, const NodeContext &context) const;
-    [[nodiscard]] LeaseScopeId scopeOf(const TargetId &target, const NodeContext &context) const;
+    [[nodiscard]] LeaseScopeId scopeOf(const TargetId &target) const;
 
-    struct Region
+    struct Scope
     {
-        RegionId id;
         PlacementController controller;
         std::vector<PlacementTarget> targets;
         std::vector<PlacementDemand> demands;
     };
 
-    std::map<LeaseScopeId, Region> m_regions;
+    PlacementSource m_source;
+    std::map<LeaseScopeId, Scope> m_scopes;
+    /// Every target that was ever usable in a scope.
+    std::map<TargetId, LeaseScopeId> m_scopeOfTarget;
 };
 
 } // namespace Carawaymill
--- a/src/node/ScopeDesk.cpp
+++ b/src/node/ScopeDesk.cpp
@@ -3,8 +3,13 @@
 #include "node/NodeOutput.h"
 #include "support/Hash.h"
 
+#include <algorithm>
+
 namespace Carawaymill {
 
+/// Time limit of a call about leases. Short leases have shorter calls, so that a lost one can be made again in time.
+static constexpr Duration longestLeaseCall = 1500ms;
+
 HostId firstRanked(const std::string &name, const std::vector<HostId> &hosts)
 {
     HostId first;
@@ -21,7 +26,11 @@
 
 Result<ScopeDesk, InvalidLeaseOptions> ScopeDesk::create(const NodeOptions &options)
 {
-    auto keeper = LeaseKeeper::create({.host = options.host, .seed = stableHash("lease", options.seed)});
+    auto keeper = LeaseKeeper::create({.host = options.host,
+                                       .seed = stableHash("lease", options.seed),
+                                       .timeToLive = options.leaseTimeToLive,
+                                       .callTimeout = std::min<Duration>(longestLeaseCall, options.leaseTimeToLive / 8),
+                                       .maximumRetryDelay = options.leaseTimeToLive / 4});
     if (auto *invalid = std::get_if<InvalidLeaseOptions>(&keeper)) {
         return std::move(*invalid);
     }
--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -33,8 +33,11 @@
         return now - *engine.readRequestedAt >= m_options.readTimeout;
     }
     const bool outdated = engine.lastOrderEnded && engine.stateAsOf < *engine.lastOrderEnded;
+    if (outdated && now < *engine.lastOrderEnded) {
+        return false;
+    }
     const bool beforeTakeover = now >= m_formerHolderGone && engine.stateAsOf < m_formerHolderGone;
-    const bool loading = engine.state && !engine.state->loading.empty();
+    const bool loading = engine.state && (engine.state->busy || !engine.state->loading.empty());
     // While an engine loads, the end of the load is worth knowing soon.
     const Duration interval = loading ? m_options.readInterval / 10 : m_options.readInterval;
     return !engine.state || outdated || beforeTakeover || now - engine.stateAsOf >= interval;
@@ -68,7 +71,11 @@
     Engine &engine = found->second;
     // An answer that nobody waits for is of unknown age.
     if (engine.readRequestedAt) {
+        const std::vector<ModelLayers> ordered = engine.state ? engine.state->loading : std::vector<ModelLayers>();
         engine.state = state;
+        if (state.busy && state.loading.empty()) {
+            engine.state->loading = ordered;
+        }
         engine.state->held = mergeRanges(
             state.held, [](const ModelLayers &range) { return std::tie(range.model, range.version, range.adapter); });
         engine.stateAsOf = *engine.readRequestedAt;
@@ -103,7 +110,8 @@
             engine.state->loading.end(), engine.order->loads.begin(), engine.order->loads.end());
     }
     engine.order = std::nullopt;
-    engine.lastOrderEnded = now;
+    // An earlier reading could still show the time before the order.
+    engine.lastOrderEnded = now + m_options.reportLag;
     engine.readRequestedAt = std::nullopt;
     return true;
 }
--- a/src/placement/EngineOrders.cpp
+++ b/src/placement/EngineOrders.cpp
@@ -6,7 +6,8 @@
                              {{EngineOrderOutcome::Malformed, "malformed"},
                               {EngineOrderOutcome::Accepted, "accepted"},
                               {EngineOrderOutcome::OldFencingNumber, "oldFencingNumber"},
-                              {EngineOrderOutcome::InsufficientMemory, "insufficientMemory"}})
+                              {EngineOrderOutcome::InsufficientMemory, "insufficientMemory"},
+                              {EngineOrderOutcome::StateDiffers, "stateDiffers"}})
 
 PlacementScope placementScope(const RegionId &region)
 {
--- a/src/placement/EngineOrders.h
+++ b/src/placement/EngineOrders.h
@@ -48,6 +48,9 @@
     /// The order must have reached the engine within this time of being handed to the driver: the driver gives the call
     /// this time limit and never sends the order later. JSON: `validForMilliseconds`.
     Duration validFor{};
+    /// The engine refuses the order unless it has accepted just so many before, where it counts them. Keeps an order
+    /// that was held up on its way from undoing a later one.
+    std::optional<std::uint64_t> ordersAccepted = std::nullopt;
 
     friend bool operator==(const EngineOrder &, const EngineOrder &) = default;
 };
@@ -59,6 +62,8 @@
     OldFencingNumber,
     /// The layers don't fit. Drops have been done, loads have not.
     InsufficientMemory,
+    /// The engine's state is another than the order was made for. Nothing was done.
+    StateDiffers,
     /// The engine can't read the order. Nothing was done.
     Malformed,
 };
@@ -86,6 +91,10 @@
     std::vector<ModelLayers> loading;
     /// Memory not taken by layers that are held or loading.
     ByteCount freeMemory;
+    /// An order is being carried out that the engine does not tell in `loading`.
+    bool busy = false;
+    /// Orders that it has accepted since its start, where it counts them.
+    std::optional<std::uint64_t> ordersAccepted = std::nullopt;
 
     friend bool operator==(const EngineState &, const EngineState &) = default;
 };
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -1,5 +1,8 @@
 #include "placement/PlacementController.h"
 
+#include "placement/DomainPlan.h"
+#include "placement/LayerHolders.h"
+
 #include <algorithm>
 
 namespace Carawaymill {
@@ -31,7 +34,10 @@
                               }
                           },
                           [&](const PlacementTargetsChanged &changed) {
-                              m_planOutdated = m_targets.update(changed.targets, now) || m_planOutdated;
+                              if (m_targets.update(changed.targets, now)) {
+                                  m_planOutdated = true;
+                                  m_targetsChangedAt = now;
+                              }
                           },
                           [&](const PlacementDemandsChanged &changed) {
                               m_planOutdated = m_planOutdated || m_demands != changed.demands;
@@ -100,12 +106,35 @@
     }
 }
 
+bool PlacementController::holdsWholeModels(const std::vector<PlacementTarget> &targets) const
+{
+    return std::ranges::all_of(m_demands, [&](const PlacementDemand &demand) {
+        LayerHolders holders(demand);
+        for (const PlacementTarget &target : targets) {
+            if (const auto state = m_engines.state(target.id)) {
+                std::ranges::for_each(state->held, [&](const auto &layers) {
+                    holders.addReady(layers, target.failureDomain);
+                });
+            }
+        }
+        for (std::uint32_t layer = 0; layer < demand.layers; ++layer) {
+            if (holders.abandoned(layer)) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
 bool PlacementController::settled(TimePoint now) const
 {
     if (now - m_holding->acquiredAt >= m_options.settleTime) {
         return true;
     }
     const std::vector<PlacementTarget> targets = m_targets.listed();
+    if (now - m_targetsChangedAt < m_options.arrivalPause && !holdsWholeModels(targets)) {
+        return false;
+    }
     return !targets.empty() && std::all_of(targets.begin(), targets.end(), [&](const PlacementTarget &target) {
         return m_engines.state(target.id).has_value();
     });
@@ -159,7 +188,8 @@
     }
     const std::vector<PlacementTarget> targets = m_targets.all();
     const PlacementPlan before = currentPlan(targets);
-    m_plan = m_planner.plan(targets, m_demands, before);
+    m_plan = m_options.planByFailureDomain ? planByFailureDomain(m_planner, targets, m_demands, before)
+                                           : m_planner.plan(targets, m_demands, before);
     m_planOutdated = false;
     m_plannedAt = now;
     m_engines.retain(targets);
@@ -192,6 +222,38 @@
     return engines;
 }
 
+/// Whether an engine other than `target` holds the layer.
+static bool heldElsewhere(const std::vector<ScheduledEngine> &engines,
+                          const TargetId &target,
+                          const ModelLayers &layers,
+                          std::uint32_t layer)
+{
+    return std::ranges::any_of(engines, [&](const ScheduledEngine &engine) {
+        return engine.target.id != target && std::ranges::any_of(engine.state.held, [&](const ModelLayers &held) {
+                   return held.model == layers.model && held.version == layers.version
+                          && held.layers.contains(LayerIndex(layer));
+               });
+    });
+}
+
+bool PlacementController::widenToWholeRange(LoadStep &step, const std::vector<ScheduledEngine> &engines) const
+{
+    const ModelLayers &wanted = m_plan.at(step.target);
+    const auto engine =
+        std::ranges::find_if(engines, [&](const ScheduledEngine &known) { return known.target.id == step.target; });
+    for (const ModelLayers &held : engine->state.held) {
+        for (std::uint32_t layer = held.layers.first.value(); layer < held.layers.end.value(); ++layer) {
+            if (!wanted.layers.contains(LayerIndex(layer)) && step.reason != LoadReason::RestoresService
+                && !heldElsewhere(engines, step.target, held, layer)) {
+                return false;
+            }
+        }
+    }
+    step.unloads = engine->state.held;
+    step.loads = {wanted};
+    return true;
+}
+
 void PlacementController::giveOrders(Actions &actions, TimePoint now)
 {
     const std::size_t loading = m_engines.loadingEngines();
@@ -199,16 +261,21 @@
     if (m_planOutdated || loading >= m_options.concurrentLoads || validFor == Duration::zero()) {
         return;
     }
-    for (LoadStep &step :
-         scheduleLoads(scheduledEngines(now), m_demands, m_plan, m_options.concurrentLoads - loading)) {
+    const std::vector<ScheduledEngine> engines = scheduledEngines(now);
+    for (LoadStep &step : scheduleLoads(engines, m_demands, m_plan, m_options.concurrentLoads - loading)) {
+        if (m_options.ordersNameWholeRange && !widenToWholeRange(step, engines)) {
+            continue;
+        }
         m_lastOrder = m_lastOrder.next();
+        const auto state = m_engines.state(step.target);
         SendEngineOrder send{.order = {.target = step.target,
                                        .scope = m_options.scope,
                                        .fencingNumber = m_holding->fencingNumber,
                                        .number = m_lastOrder,
                                        .loads = std::move(step.loads),
                                        .unloads = std::move(step.unloads),
-                                       .validFor = validFor},
+                                       .validFor = validFor,
+                                       .ordersAccepted = state ? state->ordersAccepted : std::nullopt},
                              .reason = step.reason,
                              .sendBefore = now + validFor};
         m_engines.ordered(send.order, now);
--- a/src/placement/PlacementController.h
+++ b/src/placement/PlacementController.h
@@ -40,9 +40,13 @@
     void readStates(Actions &actions, TimePoint now);
     void planIfDue(Actions &actions, TimePoint now);
     [[nodiscard]] bool settled(TimePoint now) const;
+    /// Whether each wanted model's layers are all held, by the engines' last reports.
+    [[nodiscard]] bool holdsWholeModels(const std::vector<PlacementTarget> &targets) const;
     [[nodiscard]] PlacementPlan currentPlan(const std::vector<PlacementTarget> &targets) const;
     [[nodiscard]] PlanChanged compare(const PlacementPlan &before) const;
     void giveOrders(Actions &actions, TimePoint now);
+    /// Has the step bring the engine to its whole planned range at once. False when a layer would lose its last holder.
+    [[nodiscard]] bool widenToWholeRange(LoadStep &step, const std::vector<ScheduledEngine> &engines) const;
     [[nodiscard]] std::vector<ScheduledEngine> scheduledEngines(TimePoint now) const;
     /// How long an order may be valid now; zero when the lease is too near its end.
     [[nodiscard]] Duration validity(TimePoint now) const;
@@ -56,6 +60,7 @@
     std::vector<PlacementDemand> m_demands;
     PlacementPlan m_plan;
     bool m_planOutdated = true;
+    TimePoint m_targetsChangedAt{};
     std::optional<TimePoint> m_plannedAt;
     std::optional<TimePoint> m_decidedAt;
 };
--- a/src/placement/PlacementOptions.h
+++ b/src/placement/PlacementOptions.h
@@ -27,6 +27,10 @@
     double readsPerSecond = 50;
     /// A new holder plans without the engines that have not told their state by then.
     Duration settleTime = std::chrono::seconds(6);
+    /// While nobody holds a whole model yet, a plan waits until no new target has come for so long.
+    Duration arrivalPause{};
+    /// What an engine tells of itself may be so old.
+    Duration reportLag{};
     /// A target that vanishes from the list counts as lost after this time.
     Duration lossGrace = std::chrono::seconds(2);
     /// When more than this part of the targets vanishes at once, it is probably this host that cannot see them.
@@ -39,6 +43,11 @@
     Duration planInterval = std::chrono::seconds(1);
     /// Targets that load at the same time: the weight store is rate-limited, so that more would delay the most urgent.
     std::uint32_t concurrentLoads = 4;
+    /// Engines hold one range of layers, and an order names all of it rather than what is to be added and dropped.
+    bool ordersNameWholeRange = false;
+    /// Each failure domain that has the memory for a whole model is planned for itself, since links between domains
+    /// carry less than those within.
+    bool planByFailureDomain = false;
     Duration firstRetryDelay = std::chrono::seconds(1);
     Duration lastRetryDelay = std::chrono::seconds(60);
 };
--- /dev/null
+++ b/src/platform/CallerCodec.cpp
@@ -0,0 +1,205 @@
+#include "platform/CallerCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Carawaymill {
+
+static constexpr const char *attemptHeader = "X-Attempt-Id";
+static constexpr const char *timeLeftHeader = "X-Deadline-Ms";
+static constexpr const char *organisationHeader = "X-Tenant";
+static constexpr const char *expectedTargetHeader = "X-Expect-Instance";
+static constexpr const char *expectedVersionHeader = "X-Expect-Version";
+/// The path through the targets; its name tells of hops.
+static constexpr const char *pathHeader = "X-Hop-Count";
+static constexpr const char *urgencyHeader = "X-Request-Urgency";
+static constexpr const char *resumeHeader = "Last-Event-Id";
+/// Prompt tokens, and the most that the answer may have.
+static constexpr const char *tokensHeader = "X-Token-Counts";
+/// The caller's guess of the answer's tokens.
+static constexpr const char *lengthHeader = "X-Length-Hint";
+static constexpr const char *notRunHeader = "X-Not-Executed";
+/// The target's signature of the body.
+static constexpr const char *sealHeader = "X-Server-Seal";
+/// Address of the target on the path that could not do its part.
+static constexpr const char *atFaultHeader = "At-Server";
+
+static constexpr unsigned statusMisdirected = 421;
+
+static std::optional<std::uint64_t> readNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failure == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
+}
+
+/// Headers that concern one connection only.
+static bool isConnectionHeader(std::string_view name, const std::string &connection)
+{
+    static constexpr std::array<std::string_view, 10> names = {"Connection",
+                                                               "Content-Length",
+                                                               "Expect",
+                                                               "Keep-Alive",
+                                                               "Proxy-Authorization",
+                                                               "Proxy-Connection",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Transfer-Encoding",
+                                                               "Upgrade"};
+    if (std::ranges::any_of(names, [&](std::string_view known) { return sameHeaderName(known, name); })) {
+        return true;
+    }
+    // `Connection` lists further ones.
+    std::string_view rest = connection;
+    while (!rest.empty()) {
+        const std::size_t comma = std::min(rest.find(','), rest.size());
+        std::string_view listed = rest.substr(0, comma);
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+        listed.remove_prefix(std::min(listed.find_first_not_of(' '), listed.size()));
+        listed = listed.substr(0, listed.find_last_not_of(' ') + 1);
+        if (sameHeaderName(listed, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Headers that this host sets for the target, whatever the caller sent.
+static bool isOwnHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 8> names = {"Authorization",
+                                                              timeLeftHeader,
+                                                              organisationHeader,
+                                                              expectedTargetHeader,
+                                                              expectedVersionHeader,
+                                                              pathHeader,
+                                                              urgencyHeader,
+                                                              resumeHeader};
+    return std::ranges::any_of(names, [&](std::string_view known) { return sameHeaderName(known, name); });
+}
+
+static void keepEndToEndHeaders(HttpHeaders &headers)
+{
+    const std::string connection = headerValue(headers, "Connection");
+    std::erase_if(headers, [&](const auto &header) { return isConnectionHeader(header.first, connection); });
+}
+
+static std::optional<std::string> bearerKey(const HttpHeaders &headers)
+{
+    static constexpr std::string_view scheme = "Bearer ";
+    const std::string value = headerValue(headers, "Authorization");
+    if (value.size() <= scheme.size() || !sameHeaderName(value.substr(0, scheme.size()), scheme)) {
+        return std::nullopt;
+    }
+    return value.substr(scheme.size());
+}
+
+ForwardRequest readForwardRequest(HttpRequest request)
+{
+    const HttpHeaders &headers = request.headers;
+    ForwardRequest read{.attempt = headerValue(headers, attemptHeader),
+                        .host = headerValue(headers, "Host"),
+                        .path = request.target.substr(0, request.target.find('?')),
+                        .key = bearerKey(headers)};
+    read.host = read.host.substr(0, read.host.find(':'));
+    if (const auto left = readNumber(headerValue(headers, timeLeftHeader))) {
+        read.timeLeft = std::chrono::milliseconds(*left);
+    }
+    if (const auto position = readNumber(headerValue(headers, resumeHeader))) {
+        read.resumeAfter = StreamPosition(*position);
+    }
+    const std::string tokens = headerValue(headers, tokensHeader);
+    if (const auto comma = tokens.find(','); comma != std::string::npos) {
+        read.promptTokens = TokenCount(readNumber(std::string_view(tokens).substr(0, comma)).value_or(0));
+        read.expectedTokens = TokenCount(readNumber(std::string_view(tokens).substr(comma + 1)).value_or(0));
+    }
+    if (const auto length = readNumber(headerValue(headers, lengthHeader))) {
+        read.expectedTokens = TokenCount(*length);
+    }
+    keepEndToEndHeaders(request.headers);
+    std::erase_if(request.headers, [](const auto &header) { return isOwnHeader(header.first); });
+    read.http = std::move(request);
+    return read;
+}
+
+static unsigned statusOf(const RefuseCaller &refusal)
+{
+    switch (refusal.reason) {
+    case ForwardFailure::NoRoute:
+        return 404;
+    case ForwardFailure::KeyUnknown:
+        return 401;
+    case ForwardFailure::TimeoutReached:
+        return refusal.mayHaveRun ? 504 : 503;
+    default:
+        return refusal.mayHaveRun ? 502 : 503;
+    }
+}
+
+HttpResponse refusalResponse(const RefuseCaller &refusal)
+{
+    HttpResponse response{.status = statusOf(refusal), .headers = {}, .body = {}};
+    if (refusal.retryAfter) {
+        // The platform's callers take fractions of a second.
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*refusal.retryAfter).count();
+        std::string fraction = std::to_string(milliseconds % 1000);
+        fraction.insert(0, 3 - fraction.size(), '0');
+        response.headers.emplace_back("Retry-After", std::to_string(milliseconds / 1000) + '.' + fraction);
+    }
+    return response;
+}
+
+static std::string pathValue(const std::vector<PathStage> &path)
+{
+    std::string value;
+    for (const PathStage &stage : path) {
+        if (!value.empty()) {
+            value += ',';
+        }
+        value += stage.address + '=' + std::to_string(stage.layers.first.value()) + '-'
+                 + std::to_string(stage.layers.end.value());
+    }
+    return value;
+}
+
+HttpRequest targetRequest(const ForwardToTarget &dispatch)
+{
+    HttpRequest request = dispatch.request->http;
+    request.headers.emplace_back(expectedTargetHeader, dispatch.target.value());
+    if (dispatch.timeLeft) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*dispatch.timeLeft).count();
+        request.headers.emplace_back(timeLeftHeader, std::to_string(std::max<std::int64_t>(left, 1)));
+    }
+    if (dispatch.organisation) {
+        request.headers.emplace_back(organisationHeader, dispatch.organisation->value());
+    }
+    if (dispatch.resumeAfter) {
+        request.headers.emplace_back(resumeHeader, std::to_string(dispatch.resumeAfter->value()));
+    }
+    if (!dispatch.path.empty()) {
+        request.headers.emplace_back(pathHeader, pathValue(dispatch.path));
+    }
+    return request;
+}
+
+HttpEcho targetEcho(const ForwardRequest &request)
+{
+    return {.name = attemptHeader, .value = request.attempt};
+}
+
+TargetAnswerBegan readAnswerHead(RequestId id, AttemptNumber attempt, HttpResponseHead head)
+{
+    TargetAnswerBegan began{.id = id, .attempt = attempt, .head = std::move(head)};
+    HttpHeaders &headers = began.head.headers;
+    began.notRun = !headerValue(headers, notRunHeader).empty() || began.head.status == statusMisdirected;
+    // A body that was encoded on the way is not the one that the target signed.
+    began.sealed = !headerValue(headers, sealHeader).empty() && headerValue(headers, "Content-Encoding").empty();
+    if (std::string address = headerValue(headers, atFaultHeader); !address.empty()) {
+        began.addressAtFault = std::move(address);
+    }
+    keepEndToEndHeaders(headers);
+    return began;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/platform/StoreProtocol.cpp
@@ -0,0 +1,236 @@
+#include "platform/StoreProtocol.h"
+
+#include "support/Base64.h"
+#include "support/Codec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Carawaymill {
+
+static constexpr unsigned statusOk = 200;
+static constexpr unsigned statusNotFound = 404;
+static constexpr unsigned statusGone = 410;
+static constexpr unsigned statusPreconditionFailed = 412;
+static constexpr unsigned statusTooLarge = 413;
+static constexpr unsigned statusTooManyRequests = 429;
+static constexpr unsigned statusUnavailable = 503;
+
+static std::string percentEncoded(const std::string &text)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || std::string_view("-._~/").find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            encoded += {'%', digits[byte >> 4U], digits[byte & 0xFU]};
+        }
+    }
+    return encoded;
+}
+
+static std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+static HttpRequest post(const std::string &target, const nlohmann::json &body)
+{
+    return {.method = "POST", .target = target, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
+}
+
+static HttpRequest get(const std::string &target)
+{
+    return {.method = "GET", .target = target, .headers = {}, .body = {}};
+}
+
+/// The store numbers leases; 0 stands for none.
+static std::uint64_t leaseNumber(const std::optional<LeaseId> &lease)
+{
+    std::uint64_t number = 0;
+    if (lease) {
+        const std::string &text = lease->value();
+        (void)std::from_chars(text.data(), text.data() + text.size(), number);
+    }
+    return number;
+}
+
+static HttpRequest encodeCommit(const Commit &commit)
+{
+    nlohmann::json preconditions = nlohmann::json::array();
+    nlohmann::json writes = nlohmann::json::array();
+    nlohmann::json removals = nlohmann::json::array();
+    for (const CommitOperation &operation : commit.operations) {
+        std::visit(
+            [&](const auto &any) {
+                preconditions.push_back({{"Key", any.key}, {"Revision", any.expected.value()}});
+            },
+            operation);
+        if (const auto *write = std::get_if<WriteOperation>(&operation)) {
+            writes.push_back({{"Key", write->key},
+                              {"Value", encodeBase64(write->value)},
+                              {"LeaseId", leaseNumber(write->lease)}});
+        } else if (const auto *deletion = std::get_if<DeleteOperation>(&operation)) {
+            removals.push_back(deletion->key);
+        }
+    }
+    return post("/v1/kv-txn", {{"Precondition", preconditions}, {"Write", writes}, {"Remove", removals}});
+}
+
+static HttpRequest encodeCall(const KeyValueRequest &request, const std::string &after)
+{
+    return std::visit(
+        Overloaded{[&](const ReadRange &read) {
+                       std::string target = "/v1/kv-range?Prefix=" + percentEncoded(read.prefix);
+                       if (!after.empty()) {
+                           target += "&After=" + percentEncoded(after);
+                       }
+                       return get(target);
+                   },
+                   [](const WatchRange &watch) {
+                       return get("/v1/kv-watch?Prefix=" + percentEncoded(watch.prefix)
+                                  + "&After=" + std::to_string(watch.after.value())
+                                  + "&WaitMs=" + std::to_string(milliseconds(watch.wait)));
+                   },
+                   [](const Commit &commit) { return encodeCommit(commit); },
+                   [](const GrantLease &grant) {
+                       return post("/v1/kv-lease", {{"TtlMs", milliseconds(grant.timeToLive)}});
+                   },
+                   [](const RenewLease &renewal) {
+                       return HttpRequest{.method = "POST",
+                                          .target = "/v1/kv-keep/" + renewal.lease.value(),
+                                          .headers = {},
+                                          .body = {}};
+                   },
+                   [](const RevokeLease &revocation) {
+                       return HttpRequest{.method = "DELETE",
+                                          .target = "/v1/kv-lease-end/" + revocation.lease.value(),
+                                          .headers = {},
+                                          .body = {}};
+                   }},
+        request);
+}
+
+static KeyValueRecord readRecord(const nlohmann::json &item)
+{
+    KeyValueRecord record{.key = item.at("Key").get<std::string>(),
+                          .value = {},
+                          .revision = Revision(item.at("Revision").get<std::uint64_t>()),
+                          .lease = {}};
+    auto value = decodeBase64(item.value("Value", ""));
+    if (auto *bytes = std::get_if<std::string>(&value)) {
+        record.value = std::move(*bytes);
+    }
+    if (const auto lease = item.value("LeaseId", std::uint64_t(0)); lease != 0) {
+        record.lease = LeaseId(std::to_string(lease));
+    }
+    return record;
+}
+
+static std::vector<KeyValueRecord> readRecords(const nlohmann::json &items)
+{
+    std::vector<KeyValueRecord> records;
+    for (const nlohmann::json &item : items) {
+        // Keys that do not exist are listed with revision 0 among the preconditions that failed.
+        if (item.value("Revision", std::uint64_t(0)) != 0) {
+            records.push_back(readRecord(item));
+        }
+    }
+    return records;
+}
+
+static RangeChanged readChanges(const nlohmann::json &json)
+{
+    RangeChanged changed{.written = {}, .deletedKeys = {}, .storeRevision = Revision(json.at("At").get<std::uint64_t>())};
+    for (const nlohmann::json &event : json.at("events")) {
+        const auto key = event.at("Key").get<std::string>();
+        std::erase_if(changed.written, [&](const KeyValueRecord &older) { return older.key == key; });
+        std::erase(changed.deletedKeys, key);
+        if (event.value("Deleted", false)) {
+            changed.deletedKeys.push_back(key);
+        } else {
+            changed.written.push_back(readRecord(event));
+        }
+    }
+    return changed;
+}
+
+static KeyValueResult readSuccess(const KeyValueRequest &request, const std::string &body)
+{
+    if (std::holds_alternative<RevokeLease>(request)) {
+        return LeaseRevoked{};
+    }
+    const nlohmann::json json = nlohmann::json::parse(body);
+    const auto timeToLive = [&json] { return std::chrono::milliseconds(json.at("TtlMs").get<std::int64_t>()); };
+    return std::visit(
+        Overloaded{[&](const ReadRange &) -> KeyValueResult {
+                       return RangeRead{.records = readRecords(json.at("Entries")),
+                                        .storeRevision = Revision(json.at("At").get<std::uint64_t>()),
+                                        .truncated = json.value("Truncated", false)};
+                   },
+                   [&](const WatchRange &) -> KeyValueResult { return readChanges(json); },
+                   [&](const Commit &) -> KeyValueResult {
+                       return Committed{.revision = Revision(json.at("Revision").get<std::uint64_t>())};
+                   },
+                   [&](const GrantLease &) -> KeyValueResult {
+                       return LeaseGranted{.lease = LeaseId(std::to_string(json.at("LeaseId").get<std::uint64_t>())),
+                                           .timeToLive = timeToLive()};
+                   },
+                   [&](const RenewLease &) -> KeyValueResult { return LeaseRenewed{.timeToLive = timeToLive()}; },
+                   [&](const RevokeLease &) -> KeyValueResult { return LeaseRevoked{}; }},
+        request);
+}
+
+/// A read without an answer had no effect; anything else may have been carried out, or may be later.
+static KeyValueResult noAnswer(const KeyValueRequest &request)
+{
+    const bool isRead = std::holds_alternative<ReadRange>(request) || std::holds_alternative<WatchRange>(request);
+    return isRead ? KeyValueResult(ServiceUnavailable{}) : KeyValueResult(OutcomeUnknown{});
+}
+
+static KeyValueResult readFailure(const KeyValueRequest &request, const HttpResponse &response)
+{
+    switch (response.status) {
+    case statusNotFound:
+        return LeaseNotFound{};
+    case statusGone:
+        return WatchCompacted{};
+    case statusPreconditionFailed: {
+        const nlohmann::json json = nlohmann::json::parse(response.body);
+        return CommitConflict{.present = readRecords(json.at("Entries")),
+                              .storeRevision = Revision(json.value("At", std::uint64_t(0)))};
+    }
+    case statusTooLarge:
+        return ValueTooLarge{};
+    case statusTooManyRequests:
+    case statusUnavailable:
+        return ServiceUnavailable{};
+    default:
+        return noAnswer(request);
+    }
+}
+
+static KeyValueResult decodeResult(const KeyValueRequest &request, const HttpResult &result)
+{
+    if (std::holds_alternative<HttpNotSent>(result)) {
+        return ServiceUnavailable{};
+    }
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr) {
+        return noAnswer(request);
+    }
+    try {
+        return response->status == statusOk ? readSuccess(request, response->body) : readFailure(request, *response);
+    } catch (const nlohmann::json::exception &) {
+        return noAnswer(request);
+    }
+}
+
+KeyValueProtocol storeProtocol()
+{
+    return {.encode = encodeCall, .decode = decodeResult};
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/platform/TargetClient.cpp
@@ -0,0 +1,94 @@
+#include "platform/TargetClient.h"
+
+#include "platform/CallerCodec.h"
+#include "platform/EngineCodec.h"
+
+namespace Carawaymill {
+
+/// The decisions end an exchange; this only covers one that they have lost track of.
+static constexpr Duration exchangeTimeout = 60s;
+
+TargetClient::TargetClient(HttpClient &client, std::function<void(const NodeEvent &event)> feed)
+    : m_client(client)
+    , m_feed(std::move(feed))
+{
+}
+
+void TargetClient::forward(const ForwardToTarget &action)
+{
+    auto exchange = m_client.open(
+        action.address,
+        targetRequest(action),
+        {.timeout = exchangeTimeout,
+         .freshConnection = action.freshConnection,
+         .echo = targetEcho(*action.request)},
+        [this, id = action.id, attempt = action.attempt](HttpStreamEvent event) { take(id, attempt, std::move(event)); });
+    m_exchanges.insert_or_assign(action.id, Exchange{.attempt = action.attempt, .exchange = std::move(exchange)});
+}
+
+void TargetClient::take(RequestId id, AttemptNumber attempt, HttpStreamEvent event)
+{
+    std::visit(Overloaded{[&](HttpResponseHead &head) { m_feed(readAnswerHead(id, attempt, std::move(head))); },
+                          [&](HttpBodyPart &part) {
+                              m_feed(TargetAnswerPart{.id = id, .attempt = attempt, .bytes = std::move(part.bytes)});
+                          },
+                          [&](HttpResponseEnd) {
+                              end(id, attempt);
+                              m_feed(TargetAnswerEnded{.id = id, .attempt = attempt});
+                          },
+                          [&](HttpNotSent) {
+                              end(id, attempt);
+                              m_feed(TargetAnswerFailed{.id = id, .attempt = attempt, .sent = false});
+                          },
+                          [&](HttpNoAnswer) {
+                              end(id, attempt);
+                              m_feed(TargetAnswerFailed{.id = id, .attempt = attempt, .sent = true});
+                          }},
+               event);
+}
+
+void TargetClient::end(RequestId id, AttemptNumber attempt)
+{
+    if (const auto found = m_exchanges.find(id); found != m_exchanges.end() && found->second.attempt == attempt) {
+        m_exchanges.erase(found);
+    }
+}
+
+void TargetClient::abandon(const AbandonAttempt &action)
+{
+    end(action.id, action.attempt);
+}
+
+void TargetClient::askProgress(const AskProgress &action)
+{
+    m_client.send(action.address, reportRequest(), {.timeout = action.timeout}, [this, action](const HttpResult &result) {
+        m_feed(readProgress(action, result));
+    });
+}
+
+void TargetClient::askTarget(const AskTarget &action)
+{
+    m_client.send(
+        action.address, reportRequest(), {.timeout = action.timeout}, [this, target = action.target](const HttpResult &result) {
+            TargetReported reported{.target = target, .outcome = PollOutcome::NoAnswer, .report = {}};
+            if (auto report = readReport(target, result)) {
+                reported.outcome = PollOutcome::Answered;
+                reported.report = std::move(*report);
+            } else if (std::holds_alternative<HttpNotSent>(result)) {
+                reported.outcome = PollOutcome::NotSent;
+            }
+            m_feed(reported);
+        });
+}
+
+void TargetClient::giveOrder(const GiveOrder &action)
+{
+    m_client.send(action.address,
+                  orderRequest(action.order),
+                  {.timeout = action.order.validFor, .freshConnection = true},
+                  [this, order = action.order](const HttpResult &result) {
+                      m_feed(OrderReturned{.order = order, .reply = readOrderReply(order, result)});
+                  });
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/platform/TargetClient.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/HttpClient.h"
+#include "node/NodeMessages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Carawaymill {
+
+/// Speaks with the platform's workers: hands requests on, reads reports and gives orders.
+class TargetClient
+{
+public:
+    /// Both references must outlive this object.
+    TargetClient(HttpClient &client, std::function<void(const NodeEvent &event)> feed);
+
+    void forward(const ForwardToTarget &action);
+    void abandon(const AbandonAttempt &action);
+    void askProgress(const AskProgress &action);
+    void askTarget(const AskTarget &action);
+    void giveOrder(const GiveOrder &action);
+
+private:
+    struct Exchange
+    {
+        AttemptNumber attempt;
+        std::unique_ptr<HttpExchange> exchange;
+    };
+
+    void take(RequestId id, AttemptNumber attempt, HttpStreamEvent event);
+    void end(RequestId id, AttemptNumber attempt);
+
+    HttpClient &m_client;
+    std::function<void(const NodeEvent &event)> m_feed;
+    std::map<RequestId, Exchange> m_exchanges;
+};
+
+} // namespace Carawaymill
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -18,6 +18,11 @@
 /// How often a draw is repeated for each candidate wished before all holders are looked at.
 static constexpr std::uint32_t drawsPerCandidate = 4;
 static constexpr std::size_t alternativesShown = 2;
+/// A target without room for the job's KV cache is taken only where no other holds the layers: it would have to stop
+/// other streams, or refuse the job.
+static constexpr double crowdedSeconds = 1e3;
+/// Jobs may turn out longer than they were expected to be.
+static constexpr double nearlyFullCache = 0.9;
 /// A change of speed by less than this part leaves the drawing weights as they are.
 static constexpr double negligibleChange = 0.1;
 
@@ -104,9 +109,27 @@
     }
 }
 
-void ChainRouter::stepStarted(const ChainStage &stage)
+void ChainRouter::setOtherLoad(const TargetId &target, const OtherHostsLoad &load)
 {
-    m_targets[slotOf(stage.target)].stepStarted(stage.layers);
+    if (RoutingTarget *entry = find(target)) {
+        entry->setOtherLoad(load);
+    }
+}
+
+std::map<TargetId, OtherHostsLoad> ChainRouter::ownLoads() const
+{
+    std::map<TargetId, OtherHostsLoad> loads;
+    for (const RoutingTarget &target : m_targets) {
+        if (const OtherHostsLoad load = target.ownLoad(); load.openLayers > 0) {
+            loads.emplace(target.id(), load);
+        }
+    }
+    return loads;
+}
+
+void ChainRouter::stepStarted(const ChainStage &stage, TokenCount tokens)
+{
+    m_targets[slotOf(stage.target)].stepStarted(stage.layers, tokens);
 }
 
 void ChainRouter::stepMeasured(const ChainStage &stage, const StageWork &work, Duration took, TimePoint now)
@@ -116,10 +139,10 @@
     }
 }
 
-void ChainRouter::stepEnded(const ChainStage &stage)
+void ChainRouter::stepEnded(const ChainStage &stage, TokenCount tokens)
 {
     if (RoutingTarget *entry = find(stage.target)) {
-        entry->stepEnded(stage.layers);
+        entry->stepEnded(stage.layers, tokens);
     }
 }
 
@@ -192,6 +215,9 @@
     if (request.runAlone) {
         cost.secondsPerStage += cost.openLayers * disturbedLayerSeconds;
     }
+    if (target.cacheShare(held.layers, request.promptTokens + request.expectedTokens) > nearlyFullCache) {
+        cost.secondsPerStage += crowdedSeconds;
+    }
     return {.target = held.target, .layers = held.layers, .cost = cost, .cachedTokens = cachedTokens};
 }
 
@@ -267,18 +293,33 @@
 {
     std::vector<StageOffer> offers;
     offers.reserve(candidates.size());
+    // Few failure domains: a search through a list is quicker than a map.
+    std::vector<FailureDomainId> domains{m_options.ownFailureDomain};
     for (const Candidate &candidate : candidates) {
+        const FailureDomainId &domain = m_targets[candidate.target].speed().failureDomain;
+        const auto known = std::ranges::find(domains, domain);
+        const auto number = static_cast<std::uint32_t>(known - domains.begin());
+        if (known == domains.end()) {
+            domains.push_back(domain);
+        }
         offers.push_back({.layers = candidate.layers,
                           .secondsPerLayer = candidate.cost.secondsPerLayer,
-                          .secondsPerStage = candidate.cost.secondsPerStage});
+                          .secondsPerStage = candidate.cost.secondsPerStage,
+                          .domain = number});
     }
+    const DomainCrossing crossing{.firstDomain = 0,
+                                  .secondsToEnter = request.secondsToEnterDomain,
+                                  .secondsBetweenStages = request.secondsBetweenDomains};
     RoutingDecision decision{.job = request.job, .model = request.model, .candidates = candidates.size()};
-    for (const OfferedStage &stage : cheapestChain(layers, offers)) {
+    for (const OfferedStage &stage : cheapestChain(layers, offers, crossing)) {
         const Candidate &chosen = candidates[stage.offer];
         StageDecision why{.stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
                           .seconds = chosen.cost.seconds(stage.layers),
                           .openLayers = chosen.cost.openLayers,
-                          .cachedPrefixTokens = chosen.cachedTokens};
+                          .cachedPrefixTokens = chosen.cachedTokens,
+                          .crowded = m_targets[chosen.target].cacheShare(
+                                         stage.layers, request.promptTokens + request.expectedTokens)
+                                     > nearlyFullCache};
         for (const Candidate &other : candidates) {
             if (&other != &chosen && other.layers.contains(stage.layers)) {
                 why.alternatives.push_back(
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -51,15 +51,22 @@
     /// Takes in a load report, which includes this host's own streams as they were some time ago.
     void loadReported(const TargetId &target, const LoadReport &report, TimePoint now);
 
-    /// A stage of a job has been given to its target: from now on it counts as load there.
-    void stepStarted(const ChainStage &stage);
+    /// Where hosts tell each other their load, replaces what is known of the others' load on a target.
+    void setOtherLoad(const TargetId &target, const OtherHostsLoad &load);
+
+    /// What this host's own streams take up on its targets; targets without any are left out.
+    [[nodiscard]] std::map<TargetId, OtherHostsLoad> ownLoads() const;
+
+    /// A stage of a job has been given to its target: from now on it counts as load there. `tokens`: prompt and answer
+    /// as far as they take up KV cache.
+    void stepStarted(const ChainStage &stage, TokenCount tokens = {});
 
     /// A step on the stage was answered in time `took`, from sending to answer. Corrects the target's expected cost, so
     /// that work moves away from a target or link that has become slow.
     void stepMeasured(const ChainStage &stage, const StageWork &work, Duration took, TimePoint now);
 
     /// The stage's work is over, whatever its outcome. Called once for each `stepStarted`.
-    void stepEnded(const ChainStage &stage);
+    void stepEnded(const ChainStage &stage, TokenCount tokens = {});
 
     /// What is known of the targets' prefix caches. Whoever drives the router feeds it with cache events.
     [[nodiscard]] PrefixIndex &prefixes() { return m_prefixes; }
--- a/src/routing/RoutingMessages.h
+++ b/src/routing/RoutingMessages.h
@@ -31,6 +31,11 @@
 {
     /// Layers that the target runs for one token in one second, with full batches.
     double layerTokensPerSecond = 0;
+    /// What each other open stream adds to a stream's time, as a part of the time that it takes alone; 1 where streams
+    /// take turns, less where steps are made for several of them together.
+    double batchedCost = 1;
+    /// Tokens times layers whose KV cache fits beside the layers that are held; 0 when it is not known.
+    double cacheLayerTokens = 0;
     double linkBytesPerSecond = 0;
     /// One way, from this host.
     Duration linkDelay{};
@@ -58,6 +63,13 @@
     ByteCount freeCacheBytes;
 };
 
+/// What streams of all other hosts take up on a target.
+struct OtherHostsLoad
+{
+    double openLayers = 0;
+    double cacheLayerTokens = 0;
+};
+
 /// Asks for a chain for one attempt of one job.
 struct RouteRequest
 {
@@ -73,6 +85,10 @@
     TokenCount expectedTokens = TokenCount(128);
     /// Size of one token's activation between two layers.
     ByteCount activationBytes;
+    /// Seconds that the job loses when its first stage is in another failure domain than this host.
+    double secondsToEnterDomain = 0;
+    /// Seconds that the job loses for each pair of neighbouring stages in different failure domains.
+    double secondsBetweenDomains = 0;
     /// Fingerprints of the prompt's prefixes, shortest first; empty when not known.
     std::vector<PrefixFingerprint> prefixes;
     std::set<TargetId> excludedTargets;
@@ -108,6 +124,8 @@
     /// Layers of other open streams that the target is believed to have.
     double openLayers = 0;
     TokenCount cachedPrefixTokens;
+    /// The target's KV cache has no room for the job beside the streams that are open there.
+    bool crowded = false;
     /// The cheapest other candidates that hold all layers of the stage.
     std::vector<RoutingAlternative> alternatives;
 };
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -53,16 +53,33 @@
     m_reportedAt = now;
 }
 
-void RoutingTarget::stepStarted(LayerRange layers)
+void RoutingTarget::setOtherLoad(const OtherHostsLoad &load)
+{
+    m_otherLoad = load;
+}
+
+void RoutingTarget::stepStarted(LayerRange layers, TokenCount tokens)
 {
     m_ownLayers += layers.size();
     m_ownStreams += 1;
+    m_ownCacheTokens += static_cast<double>(tokens.value() * layers.size());
 }
 
-void RoutingTarget::stepEnded(LayerRange layers)
+void RoutingTarget::stepEnded(LayerRange layers, TokenCount tokens)
 {
     m_ownLayers = std::max(0.0, m_ownLayers - layers.size());
     m_ownStreams = std::max(0.0, m_ownStreams - 1);
+    m_ownCacheTokens = std::max(0.0, m_ownCacheTokens - static_cast<double>(tokens.value() * layers.size()));
+}
+
+double RoutingTarget::cacheShare(LayerRange layers, TokenCount tokens) const
+{
+    if (m_speed.cacheLayerTokens <= 0) {
+        return 0;
+    }
+    const double others = m_otherLoad ? m_otherLoad->cacheLayerTokens : 0;
+    const auto wanted = static_cast<double>(tokens.value() * layers.size());
+    return (m_ownCacheTokens + others + wanted) / m_speed.cacheLayerTokens;
 }
 
 void RoutingTarget::stepMeasured(LayerRange layers, const StageWork &work, Duration took, TimePoint now)
@@ -86,10 +103,11 @@
     const double otherStreams = reportValid ? m_otherStreams : 0;
     const auto tokens = static_cast<double>(work.tokens.value());
     StageCost cost{.secondsPerLayer = tokens / m_speed.layerTokensPerSecond,
-                   .openLayers = m_ownLayers + otherStreams * m_layersPerStream};
+                   .openLayers = m_ownLayers
+                                 + (m_otherLoad ? m_otherLoad->openLayers : otherStreams * m_layersPerStream)};
 
     // Streams share a target and its link, so that each token waits for one token of every other open stream.
-    cost.secondsPerStage = cost.openLayers * cost.secondsPerLayer;
+    cost.secondsPerStage = cost.openLayers * cost.secondsPerLayer * m_speed.batchedCost;
     if (m_speed.linkBytesPerSecond > 0) {
         const double bothWays = 2.0 * static_cast<double>(work.activationBytes.value());
         const double streams = 1 + m_ownStreams + otherStreams;
--- a/src/routing/RoutingTarget.h
+++ b/src/routing/RoutingTarget.h
@@ -3,6 +3,7 @@
 #include "routing/RoutingMessages.h"
 #include "support/Time.h"
 
+#include <optional>
 #include <vector>
 
 namespace Carawaymill {
@@ -58,8 +59,21 @@
     void clear();
 
     void loadReported(const LoadReport &report, TimePoint now);
-    void stepStarted(LayerRange layers);
-    void stepEnded(LayerRange layers);
+    /// Replaces what is known of the other hosts' load. From then on load reports count for nothing.
+    void setOtherLoad(const OtherHostsLoad &load);
+    /// `tokens`: prompt and answer of the stream as far as they take up KV cache.
+    void stepStarted(LayerRange layers, TokenCount tokens);
+    void stepEnded(LayerRange layers, TokenCount tokens);
+
+    /// How full the KV cache would be with a stream of so many tokens over `layers`; above 1 it does not fit. 0 when
+    /// the size of the cache is not known.
+    [[nodiscard]] double cacheShare(LayerRange layers, TokenCount tokens) const;
+
+    /// What this host's own streams take up.
+    [[nodiscard]] OtherHostsLoad ownLoad() const
+    {
+        return {.openLayers = m_ownLayers, .cacheLayerTokens = m_ownCacheTokens};
+    }
 
     /// Compares how long a step took with what was expected of it.
     void stepMeasured(LayerRange layers, const StageWork &work, Duration took, TimePoint now);
@@ -80,6 +94,9 @@
     /// Layers and streams that this host has open on the target.
     double m_ownLayers = 0;
     double m_ownStreams = 0;
+    double m_ownCacheTokens = 0;
+    /// Set where hosts tell each other their load.
+    std::optional<OtherHostsLoad> m_otherLoad;
     /// Streams of other hosts, by the last report.
     double m_otherStreams = 0;
     TimePoint m_reportedAt{};
--- a/src/routing/TargetMonitor.h
+++ b/src/routing/TargetMonitor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/HostListMessages.h"
+#include "hostlist/HostListMessages.h"
 #include "routing/RoutingMessages.h"
 #include "support/Time.h"
 
