Forwarding: Keep chains within a failure domain and rest refused targets

Cause: chains crossed failure domains for small differences of load, so that the pipes between domains (9 Gbit/s, 24 MB a prompt) saturated; targets that turned requests down were asked again at once; a holder that the store turned away kept the placement scope by its rank; drained hosts took requests until they were killed. Change: crossing counts at 40 times its transfer; a target at fault rests 400 ms; only registered hosts are candidates for scopes; new requests are refused 2.8 s after SIGTERM; one move a plan, no plan anew.

--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -150,6 +150,7 @@
 
 /// Why a caller is not given a target's answer.
 enum class ForwardFailure : std::uint8_t {
+    Draining,
     NoConfiguration,
     ConfigurationTooOld,
     NoRoute,
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -10,7 +10,7 @@
 /// A target in another failure domain is worth so much more load on one in this host's.
 static constexpr double otherDomainWeight = 0.15;
 /// A pipe between failure domains is shared by all requests, so that each transfer waits for others.
-static constexpr double domainLinkContention = 3;
+static constexpr double domainLinkContention = 40;
 /// What an answer loses that comes from a first stage in another failure domain; covers its traffic's price.
 static constexpr double secondsToEnterDomain = 0.01;
 
@@ -119,10 +119,11 @@
     }
 }
 
-void ForwardTargets::suspect(const TargetId &target, ChainRouter &router, TimePoint now)
+void ForwardTargets::suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now)
 {
     if (m_targets.contains(target)) {
-        m_suspectedUntil.insert_or_assign(target, now + m_options.suspicion);
+        TimePoint &until = m_suspectedUntil[target];
+        until = std::max(until, now + length);
         updateAvailability(target, router);
     }
 }
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -18,9 +18,6 @@
     FailureDomainId ownFailureDomain;
     RegionId ownRegion;
     std::uint64_t seed = 0;
-    /// A target that failed is left alone for so long, unless it registers as a new process before: the directory drops
-    /// one that is silent after about this time.
-    Duration suspicion = 4s;
     /// A failure counts half after this time in the choice between targets.
     Duration failureHalfLife = 2s;
 };
@@ -51,8 +48,8 @@
     /// Ends suspicions whose time has passed.
     void tick(ChainRouter &router, TimePoint now);
 
-    /// Keeps requests off the target for a while.
-    void suspect(const TargetId &target, ChainRouter &router, TimePoint now);
+    /// Keeps new requests off the target for a while.
+    void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
     [[nodiscard]] bool suspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
 
     /// The target that has the address now; nothing when none has.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -18,6 +18,8 @@
 const char *forwardFailureName(ForwardFailure failure)
 {
     switch (failure) {
+    case ForwardFailure::Draining:
+        return "draining";
     case ForwardFailure::NoConfiguration:
         return "no-configuration";
     case ForwardFailure::ConfigurationTooOld:
@@ -85,6 +87,9 @@
 
 std::optional<ForwardFailure> Forwarder::admit(const ForwardRequest &request, Call &call, const Turn &turn) const
 {
+    if (m_refuseFrom && turn.now >= *m_refuseFrom) {
+        return ForwardFailure::Draining;
+    }
     if (!m_table) {
         return ForwardFailure::NoConfiguration;
     }
@@ -289,6 +294,7 @@
     }
     call.tried.insert(atFault);
     m_targets.failed(atFault, turn.now);
+    m_targets.suspect(atFault, m_options.pauseAfterRefusal, turn.router, turn.now);
     turn.actions.emplace_back(ForwardDecision{"Forward: event=turned-down request=" + call.request->attempt
                                               + " target=" + atFault.value()
                                               + " status=" + std::to_string(call.head->head.status)});
@@ -340,7 +346,7 @@
         call->countedRuns -= 1;
         call->tried.insert(target);
         m_targets.failed(target, turn.now);
-        m_targets.suspect(target, turn.router, turn.now);
+        m_targets.suspect(target, m_options.suspicion, turn.router, turn.now);
         leaveAttempt(*call, false, turn);
         dispatchAgain(*call, ForwardFailure::NoTarget, turn);
         return;
@@ -417,7 +423,7 @@
     }
     turn.actions.emplace_back(ForwardDecision{"Forward: event=stopped request=" + call->request->attempt
                                               + " target=" + atFault->value()});
-    m_targets.suspect(*atFault, turn.router, turn.now);
+    m_targets.suspect(*atFault, m_options.suspicion, turn.router, turn.now);
     moveStreams(*atFault, turn);
 }
 
@@ -451,9 +457,9 @@
     refuse(call, ForwardFailure::TimeoutReached, turn);
 }
 
-Duration Forwarder::retryAfter(const Call &call, const Turn &turn)
+Duration Forwarder::retryAfter(const Call &call, ForwardFailure reason, const Turn &turn)
 {
-    Duration longest = m_options.retryAfter;
+    Duration longest = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter;
     if (call.callerDeadline) {
         const Duration left = *call.callerDeadline - turn.now;
         longest = std::min(longest, std::chrono::duration_cast<Duration>(left * retryAfterShare));
@@ -473,7 +479,7 @@
         RefuseCaller refusal{.id = call.id, .reason = reason, .mayHaveRun = call.runs > 0, .retryAfter = {}};
         const bool isFinal = reason == ForwardFailure::NoRoute || reason == ForwardFailure::KeyUnknown;
         if (!refusal.mayHaveRun && !isFinal) {
-            refusal.retryAfter = retryAfter(call, turn);
+            refusal.retryAfter = retryAfter(call, reason, turn);
         }
         turn.actions.emplace_back(refusal);
     }
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -27,8 +27,15 @@
     Duration progressTimeout = 300ms;
     /// Dispatches of one request that targets may turn down before the caller is refused.
     std::uint32_t maximumDispatches = 4;
+    /// A target that failed is left alone for so long, unless it registers as a new process before: the directory drops
+    /// one that is silent after about this time.
+    Duration suspicion = 4s;
+    /// A target that turned a request down, or that another target could not reach, gets no new ones for so long.
+    Duration pauseAfterRefusal = 400ms;
     /// Told to callers of a request that no target can take now.
     Duration retryAfter = 500ms;
+    /// Told to callers of a host that shuts down: another one can serve them at once.
+    Duration retryElsewhereAfter = 50ms;
 };
 
 using ForwarderEvent = std::variant<Tick,
@@ -76,6 +83,9 @@
 
     void setHosts(std::size_t hosts) { m_retries.setHosts(hosts); }
 
+    /// New requests are turned away from then on, since the host shuts down.
+    void refuseFrom(TimePoint time) { m_refuseFrom = time; }
+
     [[nodiscard]] std::size_t inProgress() const { return m_calls.size(); }
 
     [[nodiscard]] const ForwardTargets &targets() const { return m_targets; }
@@ -161,7 +171,7 @@
     void refuse(Call &call, ForwardFailure reason, Turn &turn);
     /// Logs how the call ended and forgets it.
     void finish(Call &call, const std::string &outcome, Turn &turn);
-    [[nodiscard]] Duration retryAfter(const Call &call, const Turn &turn);
+    [[nodiscard]] Duration retryAfter(const Call &call, ForwardFailure reason, const Turn &turn);
 
     ForwarderOptions m_options;
     Random m_random;
@@ -169,6 +179,7 @@
     FleetRetryBudget m_retries;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
+    std::optional<TimePoint> m_refuseFrom;
 };
 
 /// For example `no-target`.
--- a/src/forwarding/HostRegistry.h
+++ b/src/forwarding/HostRegistry.h
@@ -38,6 +38,9 @@
 
     [[nodiscard]] std::vector<HostRegistryAction> handle(const std::variant<Tick, KeyValueReply> &event, TimePoint now);
 
+    /// Whether the host was registered when the register was last read.
+    [[nodiscard]] bool contains(const HostId &host) const { return m_hosts.contains(host); }
+
     /// Takes this host's record off, at once if the service can be reached.
     void leave() { m_leaving = true; }
 
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -76,6 +76,12 @@
     }
 }
 
+void ForwardingDesk::leave(TimePoint now)
+{
+    m_registry.leave();
+    m_forwarder.refuseFrom(now + m_options.forwarding->acceptWhileDraining);
+}
+
 bool ForwardingDesk::ready(TimePoint now) const
 {
     return m_configuration.fresh(now) && m_directory.hasRead();
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -31,11 +31,15 @@
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     /// Any event of a request.
     void forward(const ForwarderEvent &event, NodeContext &context);
-    void leave() { m_registry.leave(); }
+    /// The host shuts down: it soon takes no new requests any more.
+    void leave(TimePoint now);
 
     /// The host list as it was last read from the register, once after each change.
     [[nodiscard]] std::optional<HostListRead> takeHostList() { return std::exchange(m_hostList, std::nullopt); }
 
+    /// Whether the host is on the register, by its last reading.
+    [[nodiscard]] bool registered(const HostId &host) const { return m_registry.contains(host); }
+
     /// Whether requests can be admitted.
     [[nodiscard]] bool ready(TimePoint now) const;
     [[nodiscard]] std::size_t inProgress() const { return m_forwarder.inProgress(); }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -11,6 +11,10 @@
 static constexpr std::uint32_t forwardingCandidatesPerSegment = 12;
 /// Loads of a first start go on together: the weight store serves them faster before the first request.
 static constexpr std::uint32_t forwardingConcurrentLoads = 64;
+/// A move takes a range away for as long as the new one loads, some seconds, while other domains can serve its layers.
+static constexpr double forwardingMoveThreshold = 3;
+/// The loads of a plan are done before the next one.
+static constexpr Duration forwardingPlanInterval = 3s;
 /// Targets register within about a second of each other when a whole deployment starts.
 static constexpr Duration forwardingArrivalPause = 1s;
 /// Well above the lag of some hundred milliseconds that engines state for their reports.
@@ -82,6 +86,10 @@
         controller.concurrentLoads = forwardingConcurrentLoads;
         controller.ordersNameWholeRange = true;
         controller.planByFailureDomain = true;
+        controller.planner.maximumMoves = 1;
+        controller.planner.moveThreshold = forwardingMoveThreshold;
+        controller.planner.startAnewWhenIncomplete = false;
+        controller.planInterval = forwardingPlanInterval;
         controller.arrivalPause = forwardingArrivalPause;
         controller.reportLag = forwardingReportLag;
         return {.usableTargets = [this](const LeaseScopeId &scope) { return m_forwarding->placementTargets(scope); },
@@ -169,6 +177,7 @@
     }
     if (const auto list = m_forwarding->takeHostList()) {
         hostListChanged(*list, context);
+        refreshScopes(context);
     }
 }
 
@@ -369,7 +378,7 @@
     context.output.log("Node: drains.");
     m_fleet.leave(context.now, context.output);
     if (m_forwarding) {
-        m_forwarding->leave();
+        m_forwarding->leave(context.now);
     }
     membersChanged(context);
 }
@@ -457,7 +466,12 @@
     for (LeaseScopeId &scope : m_placement.scopes()) {
         scopes.push_back(std::move(scope));
     }
-    m_scopes.refresh(scopes, m_fleet.membership().aliveHosts(), context);
+    std::vector<HostId> candidates = m_fleet.membership().aliveHosts();
+    if (m_forwarding) {
+        // A host that the service turns away cannot keep a lease, though it is alive.
+        std::erase_if(candidates, [&](const HostId &host) { return !m_forwarding->registered(host); });
+    }
+    m_scopes.refresh(scopes, candidates, context);
 }
 
 void Node::passScopeChanges(NodeContext &context)
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -21,6 +21,9 @@
     FleetRetryBudgetOptions retries;
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration configurationMaximumAge = 3500ms;
+    /// A host that shuts down still takes requests for so long: until the balancer has noticed, and so that streams end
+    /// before the process is killed.
+    Duration acceptWhileDraining = 2800ms;
     /// Part of an accelerator's memory that placement leaves to the KV cache.
     double cacheShare = 0.25;
 };
--- a/src/placement/DomainPlan.cpp
+++ b/src/placement/DomainPlan.cpp
@@ -54,6 +54,7 @@
                                   const std::vector<PlacementDemand> &demands,
                                   const PlacementPlan &current)
 {
+    // What some domain lacks is served by the others meanwhile.
     PlacementPlan plan;
     for (const Targets &group : groupDomains(targets, demands)) {
         plan.merge(planner.plan(group, demands, current));
