--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,7 +1,10 @@
 #include "daemon/Daemon.h"
 
+#include "hostlist/HostListHttpClient.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "keyvalue/KeyValueCodec.h"
+#include "keyvalue/KeyValueHttpClient.h"
 #include "node/Node.h"
 #include "peering/PeerLink.h"
 #include "pipeline/EngineHttpClient.h"
@@ -10,9 +13,6 @@
 #include "platform/StoreProtocol.h"
 #include "platform/TargetClient.h"
 #include "support/BootClock.h"
-#include "hostlist/HostListHttpClient.h"
-#include "keyvalue/KeyValueCodec.h"
-#include "keyvalue/KeyValueHttpClient.h"
 #include "support/Hash.h"
 
 #include <boost/asio/io_context.hpp>
@@ -53,8 +53,8 @@
             return failure;
         }
         if (auto failure = m_settings.forwarding
-                ? listen(m_settings.forwarding->readiness, &Implementation::answerReadiness, m_readiness)
-                : listen(m_settings.operators, &Implementation::takeOperatorRequest, m_operators)) {
+                               ? listen(m_settings.forwarding->readiness, &Implementation::answerReadiness, m_readiness)
+                               : listen(m_settings.operators, &Implementation::takeOperatorRequest, m_operators)) {
             return failure;
         }
         auto link = PeerLink::create(
@@ -186,8 +186,7 @@
     void finishDrain()
     {
         const TimePoint now = readBootClock();
-        const bool idle =
-            now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0;
+        const bool idle = now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0;
         if (!idle && now < *m_drainUntil) {
             return;
         }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -11,9 +11,9 @@
 /// A configuration is taken for too old so long before a withdrawn key must have stopped working: requests that were
 /// admitted just before still have to reach their targets, and the service may be a second late to tell of a change.
 static constexpr Duration revocationMargin = 1500ms;
-/// No operators' listener is there to be used where operators publish on the platform: no token is known to have this hash.
-static constexpr const char *hashOfNoToken =
-    "0000000000000000000000000000000000000000000000000000000000000000";
+/// No operators' listener is there to be used where operators publish on the platform: no token is known to have this
+/// hash.
+static constexpr const char *hashOfNoToken = "0000000000000000000000000000000000000000000000000000000000000000";
 /// A shutdown ends so long before the process is killed.
 static constexpr Duration stopMargin = 500ms;
 /// One day.
@@ -221,17 +221,17 @@
     settings.peers = readSeeds(reader, settings.host, peerPort);
     forwarding.retries.ratio = reader.fraction("retryRatio", forwarding.retries.ratio);
     forwarding.retries.burst = reader.fraction("retryBurst", forwarding.retries.burst);
-    forwarding.retries.window = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(reader.fraction("retryWindowSeconds", 10)));
+    forwarding.retries.window =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(reader.fraction("retryWindowSeconds", 10)));
     forwarding.configurationMaximumAge =
         reader.milliseconds("revocationMilliseconds", revocationMargin + forwarding.configurationMaximumAge)
         - revocationMargin;
     if (forwarding.configurationMaximumAge <= Duration::zero()) {
         reader.note("revocationMilliseconds", "More than 1500 are needed.");
     }
-    settings.drainTimeout = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-                                reader.fraction("graceSeconds", 8)))
-                            - stopMargin;
+    settings.drainTimeout =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(reader.fraction("graceSeconds", 8)))
+        - stopMargin;
     settings.drainAtLeast = reader.milliseconds("drainAtLeastMilliseconds", 2600ms);
     settings.leaseTimeToLive = reader.milliseconds("leaseMilliseconds", 4s);
     parent.take(reader.finish());
--- a/src/forwarding/ConfigurationKeeper.cpp
+++ b/src/forwarding/ConfigurationKeeper.cpp
@@ -45,8 +45,7 @@
 {
 }
 
-std::vector<ConfigurationKeeperAction> ConfigurationKeeper::handle(const ConfigurationKeeperEvent &event,
-                                                                   TimePoint now)
+std::vector<ConfigurationKeeperAction> ConfigurationKeeper::handle(const ConfigurationKeeperEvent &event, TimePoint now)
 {
     Actions actions;
     std::visit([&](const auto &concrete) { on(concrete, now, actions); }, event);
@@ -82,8 +81,8 @@
         m_askedAt = now;
         ++m_question;
         const ConfigurationVersion version = m_configuration ? m_configuration->version : ConfigurationVersion();
-        actions.emplace_back(
-            SendConfigurationMessage{.to = {}, .message = ConfigurationAsked{.number = m_question, .version = version}});
+        actions.emplace_back(SendConfigurationMessage{
+            .to = {}, .message = ConfigurationAsked{.number = m_question, .version = version}});
     }
 }
 
--- a/src/forwarding/DirectoryKeeper.cpp
+++ b/src/forwarding/DirectoryKeeper.cpp
@@ -95,9 +95,9 @@
 {
     const DirectoryTarget &target = listed.target;
     std::string line = "Directory: event=listed target=" + target.id.value() + " address=" + target.address
-                       + " domain=" + target.failureDomain.value() + (target.leaving ? " state=leaving" : " state=ready")
-                       + " kind=" + target.acceleratorKind + " incarnation="
-                       + std::to_string(target.incarnation.value()) + " layers=";
+                       + " domain=" + target.failureDomain.value()
+                       + (target.leaving ? " state=leaving" : " state=ready") + " kind=" + target.acceleratorKind
+                       + " incarnation=" + std::to_string(target.incarnation.value()) + " layers=";
     for (const ModelLayers &layers : target.held) {
         line += std::to_string(layers.layers.first.value()) + '-' + std::to_string(layers.layers.end.value()) + ' ';
     }
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -39,8 +39,7 @@
     if (writing <= 0) {
         return 1;
     }
-    const double ownStep =
-        engine.stepSecondsPerRequest + engine.stepSecondsPerContextToken * (prompt + answer / 2);
+    const double ownStep = engine.stepSecondsPerRequest + engine.stepSecondsPerContextToken * (prompt + answer / 2);
     const double reading =
         engine.promptTokensPerSecond > 0 ? prompt * kind.promptFactor / engine.promptTokensPerSecond : 0;
     return ownStep / engine.stepSeconds + reading / writing;
@@ -177,8 +176,8 @@
 
 std::optional<TargetId> ForwardTargets::targetAt(const std::string &address) const
 {
-    const auto found = std::ranges::find_if(
-        m_targets, [&](const auto &entry) { return entry.second.address == address; });
+    const auto found =
+        std::ranges::find_if(m_targets, [&](const auto &entry) { return entry.second.address == address; });
     return found == m_targets.end() ? std::nullopt : std::optional(found->first);
 }
 
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -50,6 +50,7 @@
 
     /// Keeps new requests off the target for a while.
     void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
+
     [[nodiscard]] bool suspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
 
     /// The target that has the address now; nothing when none has.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -158,6 +158,11 @@
         refuse(call, otherwise, turn);
         return;
     }
+    handOver(call, std::move(*chosen), turn);
+}
+
+void Forwarder::handOver(Call &call, ChosenTargets chosen, Turn &turn)
+{
     call.attempt = call.attempt.next();
     call.dispatches += 1;
     call.runs += 1;
@@ -167,12 +172,12 @@
     call.relay.restart();
     call.progressAt = turn.now;
     call.askedAt.reset();
-    m_targets.begun(*chosen, turn.router);
+    m_targets.begun(chosen, turn.router);
     ForwardToTarget action{.id = call.id,
                            .attempt = call.attempt,
-                           .target = chosen->target,
-                           .address = chosen->address,
-                           .path = chosen->path,
+                           .target = chosen.target,
+                           .address = chosen.address,
+                           .path = chosen.path,
                            .organisation = call.organisation,
                            .timeLeft = {},
                            .resumeAfter = call.relay.last(),
@@ -187,7 +192,8 @@
 
 bool Forwarder::mayRunAgain(const Call &call) const
 {
-    return call.route->repeat == RepeatPolicy::Repeatable && call.countedRuns < std::max(1U, call.route->maximumTargets);
+    return call.route->repeat == RepeatPolicy::Repeatable
+           && call.countedRuns < std::max(1U, call.route->maximumTargets);
 }
 
 void Forwarder::dispatchAgain(Call &call, ForwardFailure otherwise, Turn &turn)
@@ -200,9 +206,9 @@
         refuse(call, ForwardFailure::RetryBudgetSpent, turn);
         return;
     }
-    turn.actions.emplace_back(
-        ForwardDecision{"Forward: event=again request=" + call.request->attempt + " after=" + forwardFailureName(otherwise)
-                        + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs)});
+    turn.actions.emplace_back(ForwardDecision{
+        "Forward: event=again request=" + call.request->attempt + " after=" + forwardFailureName(otherwise)
+        + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs)});
     dispatch(call, otherwise, turn);
 }
 
@@ -233,7 +239,8 @@
         return;
     }
     call->head = event;
-    const bool isStream = call->route->answer == AnswerKind::EventStream && event.head.status == statusOk && event.sealed;
+    const bool isStream =
+        call->route->answer == AnswerKind::EventStream && event.head.status == statusOk && event.sealed;
     if (isStream && !call->streaming) {
         call->streaming = true;
         turn.actions.emplace_back(BeginStream{
@@ -295,9 +302,8 @@
     call.tried.insert(atFault);
     m_targets.failed(atFault, turn.now);
     m_targets.suspect(atFault, m_options.pauseAfterRefusal, turn.router, turn.now);
-    turn.actions.emplace_back(ForwardDecision{"Forward: event=turned-down request=" + call.request->attempt
-                                              + " target=" + atFault.value()
-                                              + " status=" + std::to_string(call.head->head.status)});
+    turn.actions.emplace_back(ForwardDecision{"Forward: event=turned-down request=" + call.request->attempt + " target="
+                                              + atFault.value() + " status=" + std::to_string(call.head->head.status)});
     leaveAttempt(call, false, turn);
     dispatchAgain(call, ForwardFailure::TargetsRefused, turn);
 }
@@ -392,8 +398,8 @@
         return;
     }
     const Duration objective = call.streaming ? call.route->pauseObjective : call.route->latencyObjective;
-    const Duration silence =
-        std::max(m_options.leastSilence, std::chrono::duration_cast<Duration>(objective * m_options.silenceOfObjective));
+    const Duration silence = std::max(m_options.leastSilence,
+                                      std::chrono::duration_cast<Duration>(objective * m_options.silenceOfObjective));
     const TimePoint since = call.askedAt.value_or(call.progressAt);
     if (turn.now - since < silence) {
         return;
@@ -421,8 +427,8 @@
     if (!atFault) {
         return;
     }
-    turn.actions.emplace_back(ForwardDecision{"Forward: event=stopped request=" + call->request->attempt
-                                              + " target=" + atFault->value()});
+    turn.actions.emplace_back(
+        ForwardDecision{"Forward: event=stopped request=" + call->request->attempt + " target=" + atFault->value()});
     m_targets.suspect(*atFault, m_options.suspicion, turn.router, turn.now);
     moveStreams(*atFault, turn);
 }
@@ -441,16 +447,29 @@
         }
     }
     for (const RequestId id : stopped) {
-        Call &call = m_calls.at(id);
-        if (call.chosen->target == target) {
-            call.countedRuns -= 1;
-        }
-        call.tried.insert(target);
-        leaveAttempt(call, true, turn);
-        dispatchAgain(call, ForwardFailure::AnswerLost, turn);
+        moveStream(m_calls.at(id), target, turn);
     }
 }
 
+void Forwarder::moveStream(Call &call, const TargetId &stopped, Turn &turn)
+{
+    std::set<TargetId> excluded = call.tried;
+    excluded.insert(stopped);
+    auto chosen = m_targets.choose(call.service, *call.request, excluded, turn.router, turn.now);
+    if (!chosen || chosen->crowded || call.dispatches >= m_options.maximumDispatches
+        || !m_retries.tryRetry(call.service, turn.now)) {
+        return;
+    }
+    turn.actions.emplace_back(ForwardDecision{"Forward: event=moved request=" + call.request->attempt
+                                              + " from=" + stopped.value() + " to=" + chosen->target.value()});
+    if (call.chosen->target == stopped) {
+        call.countedRuns -= 1;
+    }
+    call.tried = std::move(excluded);
+    leaveAttempt(call, true, turn);
+    handOver(call, std::move(*chosen), turn);
+}
+
 void Forwarder::timeOut(Call &call, Turn &turn)
 {
     leaveAttempt(call, true, turn);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -151,10 +151,12 @@
     /// The call, if this attempt of it is the present one.
     [[nodiscard]] Call *present(RequestId id, AttemptNumber attempt);
     /// Nothing when the request may go on.
-    [[nodiscard]] std::optional<ForwardFailure> admit(const ForwardRequest &request, Call &call, const Turn &turn) const;
+    [[nodiscard]] std::optional<ForwardFailure>
+    admit(const ForwardRequest &request, Call &call, const Turn &turn) const;
     [[nodiscard]] static ServiceId drawService(const Route &route, const std::string &attempt);
     /// Hands the call to a target, or ends it with `otherwise` when that can't be done.
     void dispatch(Call &call, ForwardFailure otherwise, Turn &turn);
+    void handOver(Call &call, ChosenTargets chosen, Turn &turn);
     void dispatchAgain(Call &call, ForwardFailure otherwise, Turn &turn);
     [[nodiscard]] bool mayRunAgain(const Call &call) const;
     /// The present attempt is over; its connection is closed if it is still open.
@@ -165,8 +167,10 @@
     void answerWhole(Call &call, Turn &turn);
     void passStream(Call &call, std::string_view bytes, Turn &turn);
     void watchStream(Call &call, Turn &turn);
-    /// Goes on elsewhere with every stream that waits for the target.
+    /// Goes on elsewhere with every stream that waits for the target, as far as there is room.
     void moveStreams(const TargetId &target, Turn &turn);
+    /// Goes on elsewhere; nothing happens when that can't be done, since the target may still come back.
+    void moveStream(Call &call, const TargetId &stopped, Turn &turn);
     void timeOut(Call &call, Turn &turn);
     void refuse(Call &call, ForwardFailure reason, Turn &turn);
     /// Logs how the call ended and forgets it.
--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -27,8 +27,8 @@
         wait = m_options.wait;
         call.request = WatchRange{.prefix = m_options.prefix, .after = *m_watchAfter, .wait = wait};
     }
-    m_inFlight = InFlight{
-        .id = m_lastCall, .sentAt = now, .deadline = now + wait + m_options.callTimeout + answerSlack};
+    m_inFlight =
+        InFlight{.id = m_lastCall, .sentAt = now, .deadline = now + wait + m_options.callTimeout + answerSlack};
     return call;
 }
 
--- a/src/forwarding/RouteTable.cpp
+++ b/src/forwarding/RouteTable.cpp
@@ -11,8 +11,7 @@
         m_routes[route.host].push_back(&route);
     }
     for (auto &[host, routes] : m_routes) {
-        std::ranges::stable_sort(
-            routes, std::greater<>(), [](const Route *route) { return route->prefix.size(); });
+        std::ranges::stable_sort(routes, std::greater<>(), [](const Route *route) { return route->prefix.size(); });
     }
     if (m_configuration->organisations) {
         for (const OrganisationKeys &organisation : *m_configuration->organisations) {
--- /dev/null
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -0,0 +1,174 @@
+#include "forwarding/tests/ForwarderFixture.h"
+
+namespace Carawaymill {
+
+static EngineProfile profile()
+{
+    EngineProfile profile;
+    profile.version = "1";
+    profile.layers = 8;
+    profile.bytesPerLayer = ByteCount(1000);
+    profile.activationBytes = ByteCount(10);
+    profile.cacheBytesPerToken = ByteCount(8);
+    profile.concurrency = 16;
+    profile.stepSeconds = 0.001;
+    profile.promptTokensPerSecond = 100000;
+    profile.usualPromptTokens = TokenCount(100);
+    profile.usualAnswerTokens = TokenCount(20);
+    // Beside four layers there is room for the cache of 500 tokens.
+    profile.kinds["small"] = {.memory = ByteCount(4000 + 4 * 500)};
+    return profile;
+}
+
+static SharedConfiguration configuration()
+{
+    RoutingConfiguration configuration;
+    configuration.version = ConfigurationVersion(7);
+    const auto route = [](const std::string &prefix, const std::string &service) {
+        return Route{.name = prefix,
+                     .host = "host.example",
+                     .prefix = prefix,
+                     .services = {{.service = ServiceId(service)}},
+                     .timeout = 20s,
+                     .latencyObjective = 500ms,
+                     .pauseObjective = 200ms,
+                     .maximumTargets = 2};
+    };
+    Route read = route("/read/", "desk");
+    read.repeat = RepeatPolicy::Repeatable;
+    read.timeout = 800ms;
+    Route post = route("/post/", "desk");
+    post.maximumTargets = 1;
+    post.timeout = 800ms;
+    Route stream = route("/stream/", "scribe");
+    stream.answer = AnswerKind::EventStream;
+    stream.repeat = RepeatPolicy::Repeatable;
+    Route open = read;
+    open.prefix = "/open/";
+    open.isPublic = true;
+    configuration.routes = {read, post, stream, open};
+    configuration.services[ServiceId("desk")] = {.healthPath = "/healthz", .connectionLimit = 10, .engine = {}};
+    configuration.services[ServiceId("scribe")] = {
+        .healthPath = "/healthz", .connectionLimit = 10, .engine = profile()};
+    configuration.organisations = {{.id = OrganisationId("club"), .keys = {"key-1"}, .priority = {}}};
+    return std::make_shared<const RoutingConfiguration>(std::move(configuration));
+}
+
+DirectoryTarget ForwarderFixture::engine(const std::string &id, LayerRange layers)
+{
+    return {.id = TargetId(id),
+            .service = ServiceId("scribe"),
+            .address = id + ":1",
+            .failureDomain = FailureDomainId(id.substr(0, 1)),
+            .concurrency = 16,
+            .acceleratorKind = "small",
+            .incarnation = IncarnationNumber(1),
+            .held = {{.model = {}, .version = "1", .adapter = {}, .layers = layers}}};
+}
+
+DirectoryTarget ForwarderFixture::desk(const std::string &id)
+{
+    return {.id = TargetId(id),
+            .service = ServiceId("desk"),
+            .address = id + ":1",
+            .failureDomain = FailureDomainId("a"),
+            .concurrency = 6,
+            .acceleratorKind = {},
+            .incarnation = IncarnationNumber(1),
+            .held = {}};
+}
+
+ForwarderFixture::ForwarderFixture(ForwarderOptions options)
+    : router({.ownFailureDomain = FailureDomainId("a"),
+              .ownRegion = RegionId("seq"),
+              .candidatesPerSegment = 12,
+              .otherRegionDelay = 1us,
+              .otherFailureDomainDelay = 1us,
+              .sameFailureDomainDelay = 1us})
+    , forwarder([&options] {
+        options.targets.ownFailureDomain = FailureDomainId("a");
+        options.retries.burst = 100;
+        return options;
+    }())
+{
+    forwarder.configurationChanged(configuration(), router);
+    const LayerRange lower{LayerIndex(0), LayerIndex(4)};
+    const LayerRange upper{LayerIndex(4), LayerIndex(8)};
+    for (const std::string domain : {"a", "b"}) {
+        forwarder.targetListed(engine(domain + "1", lower), router);
+        forwarder.targetListed(engine(domain + "2", upper), router);
+    }
+    for (const std::string id : {"desk1", "desk2", "desk3"}) {
+        forwarder.targetListed(desk(id), router);
+    }
+}
+
+std::vector<ForwarderAction> ForwarderFixture::feed(const ForwarderEvent &event)
+{
+    return forwarder.handle(event, fresh, router, now);
+}
+
+std::vector<ForwarderAction> ForwarderFixture::pass(Duration time)
+{
+    std::vector<ForwarderAction> all;
+    for (const TimePoint end = now + time; now < end;) {
+        now += 20ms;
+        for (ForwarderAction &action : feed(Tick{})) {
+            all.push_back(std::move(action));
+        }
+    }
+    return all;
+}
+
+ForwardRequested ForwarderFixture::request(std::uint64_t id, const std::string &path)
+{
+    return {.id = RequestId(id),
+            .request = {.attempt = "attempt-" + std::to_string(id),
+                        .host = "host.example",
+                        .path = path,
+                        .key = "key-1",
+                        .timeLeft = 20s,
+                        .resumeAfter = {},
+                        .promptTokens = TokenCount(100),
+                        .expectedTokens = TokenCount(20),
+                        .http = {.method = "POST", .target = path, .headers = {}, .body = "body"}}};
+}
+
+TargetAnswerBegan ForwarderFixture::began(const ForwardToTarget &dispatch, unsigned status)
+{
+    return {.id = dispatch.id,
+            .attempt = dispatch.attempt,
+            .head = {.status = status, .headers = {{"X-Server-Seal", "seal"}}},
+            .notRun = false,
+            .sealed = true,
+            .addressAtFault = {}};
+}
+
+TargetAnswerBegan ForwarderFixture::turnedDown(const ForwardToTarget &dispatch, const std::string &atFault)
+{
+    TargetAnswerBegan answer = began(dispatch, 503);
+    answer.notRun = true;
+    answer.sealed = false;
+    if (!atFault.empty()) {
+        answer.addressAtFault = atFault;
+    }
+    return answer;
+}
+
+TargetAnswerPart ForwarderFixture::event(const ForwardToTarget &dispatch, std::uint64_t position)
+{
+    return {
+        .id = dispatch.id, .attempt = dispatch.attempt, .bytes = "id: " + std::to_string(position) + "\ndata: x\n\n"};
+}
+
+TargetAnswerEnded ForwarderFixture::ended(const ForwardToTarget &dispatch)
+{
+    return {.id = dispatch.id, .attempt = dispatch.attempt};
+}
+
+TargetAnswerFailed ForwarderFixture::failed(const ForwardToTarget &dispatch, bool sent)
+{
+    return {.id = dispatch.id, .attempt = dispatch.attempt, .sent = sent};
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/tests/ForwarderFixture.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "forwarding/Forwarder.h"
+
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// One host's forwarder with a plain service `desk` of three targets and an engine service `scribe` whose model of 8
+/// layers is held twice: by a1+a2 in domain a, and by b1+b2 in domain b.
+class ForwarderFixture
+{
+public:
+    explicit ForwarderFixture(ForwarderOptions options = {});
+
+    /// Feeds an event now.
+    std::vector<ForwarderAction> feed(const ForwarderEvent &event);
+    /// Lets time pass in ticks of 20 ms, and returns all actions.
+    std::vector<ForwarderAction> pass(Duration time);
+
+    /// The service's targets as they were listed at the start.
+    [[nodiscard]] static DirectoryTarget engine(const std::string &id, LayerRange layers);
+    [[nodiscard]] static DirectoryTarget desk(const std::string &id);
+
+    /// A request to `path`, which the caller waits 20 s for.
+    [[nodiscard]] static ForwardRequested request(std::uint64_t id, const std::string &path);
+
+    /// Answers of a target.
+    [[nodiscard]] static TargetAnswerBegan began(const ForwardToTarget &dispatch, unsigned status = 200);
+    [[nodiscard]] static TargetAnswerBegan turnedDown(const ForwardToTarget &dispatch, const std::string &atFault = "");
+    [[nodiscard]] static TargetAnswerPart event(const ForwardToTarget &dispatch, std::uint64_t position);
+    [[nodiscard]] static TargetAnswerEnded ended(const ForwardToTarget &dispatch);
+    [[nodiscard]] static TargetAnswerFailed failed(const ForwardToTarget &dispatch, bool sent = true);
+
+    ChainRouter router;
+    Forwarder forwarder;
+    TimePoint now{1h};
+    bool fresh = true;
+};
+
+/// The first action of a type; fails the test when there is none.
+template<typename Action>
+const Action &only(const std::vector<ForwarderAction> &actions);
+
+/// Whether some action is of that type.
+template<typename Action>
+bool has(const std::vector<ForwarderAction> &actions)
+{
+    for (const ForwarderAction &action : actions) {
+        if (std::holds_alternative<Action>(action)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+template<typename Action>
+const Action &only(const std::vector<ForwarderAction> &actions)
+{
+    for (const ForwarderAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action)) {
+            return *found;
+        }
+    }
+    throw std::runtime_error("no such action");
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -0,0 +1,239 @@
+#include "forwarding/tests/ForwarderFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace Carawaymill;
+
+TEST_CASE("a plain answer is passed on unchanged, with the organisation's name for the target")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/read/x")));
+    CHECK(dispatch.organisation == OrganisationId("club"));
+    CHECK(dispatch.path.empty());
+    fixture.feed(ForwarderFixture::began(dispatch));
+    fixture.feed(TargetAnswerPart{.id = dispatch.id, .attempt = dispatch.attempt, .bytes = "answer"});
+    const auto actions = fixture.feed(ForwarderFixture::ended(dispatch));
+    CHECK(only<Respond>(actions).response.status == 200);
+    CHECK(only<Respond>(actions).response.body == "answer");
+    CHECK(fixture.forwarder.inProgress() == 0);
+}
+
+TEST_CASE("unknown routes and keys are refused for good, without a time to come back")
+{
+    ForwarderFixture fixture;
+    const auto noRoute = only<RefuseCaller>(fixture.feed(ForwarderFixture::request(1, "/elsewhere/")));
+    CHECK(noRoute.reason == ForwardFailure::NoRoute);
+    CHECK(!noRoute.retryAfter);
+    ForwardRequested stranger = ForwarderFixture::request(2, "/read/x");
+    stranger.request.key = "key-2";
+    const auto noKey = only<RefuseCaller>(fixture.feed(stranger));
+    CHECK(noKey.reason == ForwardFailure::KeyUnknown);
+    CHECK(!noKey.mayHaveRun);
+}
+
+TEST_CASE("a configuration that is too old admits only what needs no key")
+{
+    ForwarderFixture fixture;
+    fixture.fresh = false;
+    const auto refused = only<RefuseCaller>(fixture.feed(ForwarderFixture::request(1, "/read/x")));
+    CHECK(refused.reason == ForwardFailure::ConfigurationTooOld);
+    CHECK(refused.retryAfter);
+    CHECK(has<ForwardToTarget>(fixture.feed(ForwarderFixture::request(2, "/open/x"))));
+}
+
+TEST_CASE("what may not be repeated is handed over again only if the target did not run it")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/post/x")));
+    CHECK(first.freshConnection);
+    fixture.feed(ForwarderFixture::turnedDown(first));
+    const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::ended(first)));
+    CHECK(second.target != first.target);
+    const auto actions = fixture.feed(ForwarderFixture::failed(second));
+    CHECK(!has<ForwardToTarget>(actions));
+    const auto &refusal = only<RefuseCaller>(actions);
+    CHECK(refusal.mayHaveRun);
+    CHECK(!refusal.retryAfter);
+}
+
+TEST_CASE("a refusal that says not run is given only when every target said so")
+{
+    ForwarderFixture fixture;
+    auto actions = fixture.feed(ForwarderFixture::request(1, "/post/x"));
+    std::set<TargetId> asked;
+    while (has<ForwardToTarget>(actions)) {
+        const auto dispatch = only<ForwardToTarget>(actions);
+        CHECK(asked.insert(dispatch.target).second);
+        fixture.feed(ForwarderFixture::turnedDown(dispatch));
+        actions = fixture.feed(ForwarderFixture::ended(dispatch));
+    }
+    const auto &refusal = only<RefuseCaller>(actions);
+    CHECK(!refusal.mayHaveRun);
+    REQUIRE(refusal.retryAfter);
+    CHECK(*refusal.retryAfter <= 5s);
+}
+
+TEST_CASE("what may be repeated goes to another target after a lost answer, within the route's bound")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/read/x")));
+    const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::failed(first)));
+    CHECK(second.target != first.target);
+    const auto actions = fixture.feed(ForwarderFixture::failed(second));
+    CHECK(!has<ForwardToTarget>(actions));
+    CHECK(only<RefuseCaller>(actions).mayHaveRun);
+}
+
+TEST_CASE("a target's failure is passed on when no other target does better")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/read/x")));
+    fixture.feed(ForwarderFixture::began(first, 500));
+    const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::ended(first)));
+    const auto actions = fixture.feed(ForwarderFixture::failed(second));
+    CHECK(only<Respond>(actions).response.status == 500);
+}
+
+TEST_CASE("a success without the target's seal is no success")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/post/x")));
+    TargetAnswerBegan unsealed = ForwarderFixture::began(first);
+    unsealed.sealed = false;
+    fixture.feed(unsealed);
+    const auto actions = fixture.feed(ForwarderFixture::ended(first));
+    CHECK(!has<Respond>(actions));
+    CHECK(only<RefuseCaller>(actions).mayHaveRun);
+}
+
+TEST_CASE("the route's timeout ends a request at once, and its target stops")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/post/x")));
+    const auto actions = fixture.pass(820ms);
+    CHECK(only<RefuseCaller>(actions).reason == ForwardFailure::TimeoutReached);
+    CHECK(only<AbandonAttempt>(actions).attempt == first.attempt);
+    CHECK(!has<Respond>(fixture.feed(ForwarderFixture::ended(first))));
+}
+
+TEST_CASE("a caller that leaves ends the work of its target")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    CHECK(only<AbandonAttempt>(fixture.feed(CallerLeft{first.id})).attempt == first.attempt);
+    CHECK(fixture.forwarder.inProgress() == 0);
+}
+
+TEST_CASE("a stream's path runs every layer once and in order, within one failure domain")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    REQUIRE(dispatch.path.size() == 2);
+    CHECK(dispatch.path[0].layers == LayerRange{LayerIndex(0), LayerIndex(4)});
+    CHECK(dispatch.path[1].layers == LayerRange{LayerIndex(4), LayerIndex(8)});
+    CHECK(dispatch.target == TargetId("a1"));
+    CHECK(dispatch.path[1].target == TargetId("a2"));
+}
+
+TEST_CASE("a stream that breaks off goes on elsewhere after its last whole event")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    CHECK(has<BeginStream>(fixture.feed(ForwarderFixture::began(first))));
+    CHECK(only<WriteStream>(fixture.feed(ForwarderFixture::event(first, 1))).chunk == "id: 1\ndata: x\n\n");
+    CHECK(!has<WriteStream>(
+        fixture.feed(TargetAnswerPart{.id = first.id, .attempt = first.attempt, .bytes = "id: 2\nda"})));
+    const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::failed(first)));
+    CHECK(second.target == TargetId("b1"));
+    CHECK(second.resumeAfter == StreamPosition(1));
+    CHECK(!has<BeginStream>(fixture.feed(ForwarderFixture::began(second))));
+    CHECK(!has<WriteStream>(fixture.feed(ForwarderFixture::event(second, 1))));
+    CHECK(has<WriteStream>(fixture.feed(ForwarderFixture::event(second, 2))));
+    CHECK(has<EndStream>(fixture.feed(ForwarderFixture::ended(second))));
+}
+
+TEST_CASE("an answer that ends within an event never looks complete")
+{
+    ForwarderFixture fixture;
+    auto dispatch = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    fixture.feed(ForwarderFixture::began(dispatch));
+    const auto cut = [&] {
+        fixture.feed(TargetAnswerPart{.id = dispatch.id, .attempt = dispatch.attempt, .bytes = "id: 2\nda"});
+        return fixture.feed(ForwarderFixture::ended(dispatch));
+    };
+    dispatch = only<ForwardToTarget>(cut());
+    fixture.feed(ForwarderFixture::began(dispatch));
+    const auto actions = cut();
+    CHECK(!has<EndStream>(actions));
+    CHECK(has<BreakStream>(actions));
+}
+
+TEST_CASE("a silent stream is looked into, and moved only once a target on its path is known to have stopped")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    fixture.feed(ForwarderFixture::began(first));
+    fixture.feed(ForwarderFixture::event(first, 1));
+    auto actions = fixture.pass(420ms);
+    const auto question = only<AskProgress>(actions);
+    CHECK(question.address == "a1:1");
+    ProgressReported report{.id = first.id, .attempt = first.attempt, .answered = true, .blockedAtAddress = {}};
+    CHECK(!has<ForwardToTarget>(fixture.feed(report)));
+    fixture.pass(420ms);
+    report.blockedAtAddress = "a2:1";
+    const auto second = only<ForwardToTarget>(fixture.feed(report));
+    CHECK(second.target == TargetId("b1"));
+    CHECK(second.resumeAfter == StreamPosition(1));
+}
+
+TEST_CASE("a stopped stream stays where it is while no other chain can take it")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    fixture.feed(ForwarderFixture::began(first));
+    fixture.forwarder.targetUnlisted(TargetId("b2"), fixture.router);
+    fixture.pass(420ms);
+    const auto actions = fixture.feed(
+        ProgressReported{.id = first.id, .attempt = first.attempt, .answered = true, .blockedAtAddress = "a2:1"});
+    CHECK(!has<AbandonAttempt>(actions));
+    CHECK(!has<BreakStream>(actions));
+    CHECK(has<WriteStream>(fixture.feed(ForwarderFixture::event(first, 1))));
+}
+
+TEST_CASE("a target that is leaving gets no new requests")
+{
+    ForwarderFixture fixture;
+    DirectoryTarget leaving = ForwarderFixture::engine("a2", {LayerIndex(4), LayerIndex(8)});
+    leaving.leaving = true;
+    fixture.forwarder.targetListed(leaving, fixture.router);
+    const auto dispatch = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    for (const PathStage &stage : dispatch.path) {
+        CHECK(stage.target != TargetId("a2"));
+    }
+}
+
+TEST_CASE("requests without a chain are refused at once with a time to come back")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.targetUnlisted(TargetId("a2"), fixture.router);
+    fixture.forwarder.targetUnlisted(TargetId("b2"), fixture.router);
+    const auto refusal = only<RefuseCaller>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    CHECK(refusal.reason == ForwardFailure::NoTarget);
+    CHECK(!refusal.mayHaveRun);
+    CHECK(refusal.retryAfter);
+}
+
+TEST_CASE("a host that shuts down turns new requests away once the balancer has noticed")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.refuseFrom(fixture.now + 1s);
+    const auto accepted = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    fixture.now += 1s;
+    const auto refusal = only<RefuseCaller>(fixture.feed(ForwarderFixture::request(2, "/stream/x")));
+    CHECK(refusal.reason == ForwardFailure::Draining);
+    CHECK(!refusal.mayHaveRun);
+    fixture.feed(ForwarderFixture::began(accepted));
+    CHECK(has<EndStream>(fixture.feed(ForwarderFixture::ended(accepted))));
+}
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -360,6 +360,7 @@
 
     ExchangeHandle(const ExchangeHandle &) = delete;
     ExchangeHandle &operator=(const ExchangeHandle &) = delete;
+
     ~ExchangeHandle() override { m_exchange->cancel(); }
 
 private:
@@ -408,12 +409,9 @@
                       HttpCallback callback)
 {
     auto whole = std::make_shared<WholeResponse>(std::move(callback));
-    std::make_shared<Exchange>(m_implementation,
-                               address,
-                               request,
-                               std::move(options),
-                               [whole](HttpStreamEvent event) { whole->take(std::move(event)); })
-        ->start();
+    std::make_shared<Exchange>(m_implementation, address, request, std::move(options), [whole](HttpStreamEvent event) {
+        whole->take(std::move(event));
+    })->start();
 }
 
 std::unique_ptr<HttpExchange> HttpClient::open(const std::string &address,
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -68,8 +68,7 @@
     ~HttpClient();
 
     /// Sends to `address` (IP number and port, for example `127.0.0.1:8080`) and calls back exactly once.
-    void
-    send(const std::string &address, const HttpRequest &request, HttpSendOptions options, HttpCallback callback);
+    void send(const std::string &address, const HttpRequest &request, HttpSendOptions options, HttpCallback callback);
 
     /// Sends and calls back for each part of the response as it arrives, never inside this call.
     [[nodiscard]] std::unique_ptr<HttpExchange>
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -93,8 +93,9 @@
 
 void HttpSession::closeIfIdle()
 {
-    if (!m_inProgress && !m_writing) {
-        close();
+    // A request that has just arrived is served; without one the wait ends with an error, which closes the connection.
+    if (m_awaiting) {
+        m_stream.cancel();
     }
 }
 
@@ -116,9 +117,11 @@
 
 void HttpSession::awaitRequest()
 {
+    m_awaiting = true;
     m_stream.expires_after(m_shared->options.limits.idleTimeout);
     m_stream.async_read_some(m_buffer.prepare(firstReadSize),
                              [self = shared_from_this()](error_code error, std::size_t received) {
+                                 self->m_awaiting = false;
                                  self->m_buffer.commit(received);
                                  if (error) {
                                      self->close();
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -37,7 +37,7 @@
     HttpSession &operator=(const HttpSession &) = delete;
     ~HttpSession();
 
-    /// Closes the connection unless a request is in progress on it.
+    /// Closes the connection unless a request is in progress on it, or has begun to arrive.
     void closeIfIdle();
 
     /// The four steps of an answer, called by the session's responder.
@@ -72,6 +72,8 @@
     std::string m_inWriting;
     std::function<void()> m_callerGone;
     bool m_writing = false;
+    /// Waits for the first byte of a request.
+    bool m_awaiting = false;
     bool m_inProgress = false;
     bool m_answerComplete = false;
     bool m_keepAlive = true;
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -3,10 +3,15 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 using namespace Carawaymill;
 
@@ -41,6 +46,8 @@
 
     [[nodiscard]] HttpServer &server() { return *m_server; }
 
+    [[nodiscard]] boost::asio::io_context &context() { return m_context; }
+
     [[nodiscard]] HttpClient &client() { return m_client; }
 
 private:
@@ -139,3 +146,151 @@
     fixture.runUntil([&] { return gone; });
     CHECK(fixture.server().requestsInProgress() == 0);
 }
+
+using boost::asio::ip::tcp;
+
+/// Answers one connection with the given bytes and closes it.
+class ScriptedServer
+{
+public:
+    ScriptedServer(boost::asio::io_context &context, std::vector<std::string> answers)
+        : m_acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , m_socket(context)
+        , m_answers(std::move(answers))
+    {
+        m_acceptor.async_accept(m_socket, [this](const boost::system::error_code &error) {
+            if (!error) {
+                answer();
+            }
+        });
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    /// Sends the next answer for each request that arrives; the connection ends after the last one.
+    void answer()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_received),
+                                 [this](const boost::system::error_code &error, std::size_t) {
+                                     if (error || m_next == m_answers.size()) {
+                                         return;
+                                     }
+                                     boost::asio::write(m_socket, boost::asio::buffer(m_answers[m_next++]));
+                                     if (m_next == m_answers.size()) {
+                                         m_socket.shutdown(tcp::socket::shutdown_both);
+                                     }
+                                     answer();
+                                 });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    std::vector<std::string> m_answers;
+    std::size_t m_next = 0;
+    std::array<char, 4096> m_received{};
+};
+
+/// What a client saw of a response: status, body, and how it ended.
+struct Seen
+{
+    unsigned status = 0;
+    std::string body;
+    bool whole = false;
+    bool failed = false;
+};
+
+static Seen seenFrom(const std::vector<std::string> &answers, std::size_t requests = 1)
+{
+    boost::asio::io_context context;
+    ScriptedServer server(context, answers);
+    HttpClient client(context);
+    Seen seen;
+    for (std::size_t request = 0; request < requests; ++request) {
+        seen = {};
+        const auto exchange =
+            client.open(server.address(),
+                        {.method = "GET", .target = "/", .headers = {{"X-Id", std::to_string(request)}}, .body = {}},
+                        {.echo = HttpEcho{.name = "X-Id", .value = std::to_string(request)}},
+                        [&](HttpStreamEvent event) {
+                            std::visit(Overloaded{[&](const HttpResponseHead &head) { seen.status = head.status; },
+                                                  [&](const HttpBodyPart &part) { seen.body += part.bytes; },
+                                                  [&](HttpResponseEnd) { seen.whole = true; },
+                                                  [&](const auto &) { seen.failed = true; }},
+                                       event);
+                        });
+        while (!seen.whole && !seen.failed) {
+            context.run_one();
+        }
+    }
+    return seen;
+}
+
+TEST_CASE("a response is whole only when its framing says so")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n";
+    CHECK(seenFrom({head + "Content-Length: 3\r\n\r\nabc"}).whole);
+    CHECK(seenFrom({head + "Content-Length: 4\r\n\r\nabc"}).failed);
+    CHECK(seenFrom({head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}).body == "abc");
+    CHECK(seenFrom({head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"}).failed);
+    CHECK(seenFrom({head + "\r\nabc"}).whole);
+    CHECK(seenFrom({"no response at all\r\n\r\n"}).failed);
+}
+
+TEST_CASE("interim responses and answers to earlier requests of the connection are skipped")
+{
+    const auto answer = [](const std::string &id, const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+               + body;
+    };
+    CHECK(seenFrom({"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("0", "abc")}).body == "abc");
+    const Seen seen = seenFrom({answer("0", "first"), answer("0", "again") + answer("1", "second")}, 2);
+    CHECK(seen.body == "second");
+    CHECK(seen.whole);
+}
+
+TEST_CASE("a response without the repeated header is not trusted on a connection that was used before")
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 1\r\n\r\na";
+    CHECK(seenFrom({first, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"}, 2).failed);
+}
+
+TEST_CASE("a request that arrives while connections are closed is either answered or never handed over")
+{
+    for (int steps = 0; steps < 12; ++steps) {
+        bool handedOver = false;
+        HttpFixture fixture([&](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+            handedOver = true;
+            echo(std::move(request), std::move(responder));
+        });
+        tcp::socket socket(fixture.context());
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+        fixture.context().poll();
+        const std::string request = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(request));
+        for (int step = 0; step < steps; ++step) {
+            // Handlers of other connections run in between.
+            boost::asio::post(fixture.context(), [] {});
+            fixture.context().poll_one();
+        }
+        fixture.server().closeConnections();
+        std::string received;
+        bool ended = false;
+        std::array<char, 512> buffer{};
+        while (!ended) {
+            std::optional<std::size_t> count;
+            socket.async_read_some(boost::asio::buffer(buffer),
+                                   [&](const boost::system::error_code &error, std::size_t got) {
+                                       ended = static_cast<bool>(error);
+                                       count = got;
+                                   });
+            fixture.runUntil([&] { return count.has_value(); });
+            received.append(buffer.data(), *count);
+        }
+        CAPTURE(steps);
+        CHECK(handedOver == received.starts_with("HTTP/1.1 200"));
+    }
+}
--- a/src/keyvalue/KeyValueCodec.cpp
+++ b/src/keyvalue/KeyValueCodec.cpp
@@ -248,8 +248,9 @@
 
 KeyValueProtocol gatewayProtocol()
 {
-    return {.encode = [](const KeyValueRequest &request, const std::string &) { return encodeKeyValueRequest(request); },
-            .decode = decodeKeyValueResponse};
+    return {
+        .encode = [](const KeyValueRequest &request, const std::string &) { return encodeKeyValueRequest(request); },
+        .decode = decodeKeyValueResponse};
 }
 
 } // namespace Carawaymill
--- a/src/keyvalue/KeyValueHttpClient.h
+++ b/src/keyvalue/KeyValueHttpClient.h
@@ -28,8 +28,8 @@
 
 using KeyValueReplyCallback = std::function<void(KeyValueReply reply)>;
 
-/// Carries out the slices' calls to the key-value service over HTTP. Every call is sent once and never repeated; a range
-/// of several pages is read page by page.
+/// Carries out the slices' calls to the key-value service over HTTP. Every call is sent once and never repeated; a
+/// range of several pages is read page by page.
 class KeyValueHttpClient
 {
 public:
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -116,24 +116,22 @@
 void ForwardingDesk::feedConfiguration(const ConfigurationKeeperEvent &event, NodeContext &context)
 {
     for (ConfigurationKeeperAction &action : m_configuration.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) {
-                                  context.keyValue.issue(
-                                      KeyValueCaller::Configuration, 0, std::move(call), context.output);
-                              },
-                              [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
-                              [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
-                              [&](const ConfigurationFreshnessChanged &changed) {
-                                  context.output.log(describe(changed));
-                              },
-                              [&](const SendConfigurationMessage &send) {
-                                  for (const Member &member : context.fleet.members()) {
-                                      if (member.host != m_options.host && (!send.to || *send.to == member.host)) {
-                                          context.fleet.send(
-                                              member.host, PeerChannel::Configuration, send.message, context.output);
-                                      }
-                                  }
-                              }},
-                   action);
+        std::visit(
+            Overloaded{[&](KeyValueCall &call) {
+                           context.keyValue.issue(KeyValueCaller::Configuration, 0, std::move(call), context.output);
+                       },
+                       [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
+                       [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
+                       [&](const ConfigurationFreshnessChanged &changed) { context.output.log(describe(changed)); },
+                       [&](const SendConfigurationMessage &send) {
+                           for (const Member &member : context.fleet.members()) {
+                               if (member.host != m_options.host && (!send.to || *send.to == member.host)) {
+                                   context.fleet.send(
+                                       member.host, PeerChannel::Configuration, send.message, context.output);
+                               }
+                           }
+                       }},
+            action);
     }
 }
 
@@ -149,8 +147,7 @@
 {
     for (DirectoryKeeperAction &action : m_directory.handle(event, context.now)) {
         std::visit(Overloaded{[&](KeyValueCall &call) {
-                                  context.keyValue.issue(
-                                      KeyValueCaller::Directory, 0, std::move(call), context.output);
+                                  context.keyValue.issue(KeyValueCaller::Directory, 0, std::move(call), context.output);
                               },
                               [&](const TargetListed &listed) {
                                   context.output.log(describe(listed));
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -42,6 +42,7 @@
 
     /// Whether requests can be admitted.
     [[nodiscard]] bool ready(TimePoint now) const;
+
     [[nodiscard]] std::size_t inProgress() const { return m_forwarder.inProgress(); }
 
     /// True once after each change of what placement depends on.
--- a/src/node/KeyValueCalls.h
+++ b/src/node/KeyValueCalls.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "node/NodeOutput.h"
 #include "keyvalue/KeyValueMessages.h"
+#include "node/NodeOutput.h"
 
 #include <cstdint>
 #include <map>
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -96,9 +96,10 @@
                 .address = [this](const TargetId &target) { return m_forwarding->address(target); },
                 .controller = controller};
     }
-    return {.usableTargets = [this](const LeaseScopeId &scope) { return catalogueTargets(m_catalogue, m_targets, scope); },
-            .address = [this](const TargetId &target) { return m_targets.address(target); },
-            .controller = {}};
+    return {
+        .usableTargets = [this](const LeaseScopeId &scope) { return catalogueTargets(m_catalogue, m_targets, scope); },
+        .address = [this](const TargetId &target) { return m_targets.address(target); },
+        .controller = {}};
 }
 
 Node::Node(NodeOptions options, Parts parts)
--- a/src/node/NodeMessages.h
+++ b/src/node/NodeMessages.h
@@ -2,12 +2,12 @@
 
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/RoutingConfiguration.h"
+#include "hostlist/HostListMessages.h"
 #include "http/CallerAnswers.h"
 #include "http/HttpMessages.h"
+#include "keyvalue/KeyValueMessages.h"
 #include "pipeline/EngineMessages.h"
 #include "placement/EngineOrders.h"
-#include "hostlist/HostListMessages.h"
-#include "keyvalue/KeyValueMessages.h"
 #include "routing/RoutingMessages.h"
 #include "routing/TargetMonitor.h"
 #include "support/Identifiers.h"
@@ -19,7 +19,6 @@
 /// What a driver tells a node, and what the node has it do.
 namespace Carawaymill {
 
-
 /// Seconds since 1970, as callers want to see them. Never used to decide anything.
 using WallClockSeconds = StrongCount<struct WallClockSecondsTag, std::int64_t>;
 
--- a/src/node/PlacementDesk.cpp
+++ b/src/node/PlacementDesk.cpp
@@ -28,9 +28,9 @@
         if (found == m_scopes.end()) {
             PlacementControllerOptions options = m_source.controller;
             options.scope = PlacementScope(id.value());
-            found = m_scopes
-                        .emplace(id, Scope{.controller = PlacementController(options), .targets = {}, .demands = {}})
-                        .first;
+            found =
+                m_scopes.emplace(id, Scope{.controller = PlacementController(options), .targets = {}, .demands = {}})
+                    .first;
             changed = true;
         }
         if (found->second.demands != demands) {
@@ -110,8 +110,8 @@
                               [&](const SendEngineOrder &send) {
                                   context.output.log(describe(send));
                                   // The driver writes at once, in the same turn, so that `sendBefore` can't pass first.
-                                  context.output.add(GiveOrder{.address = m_source.address(send.order.target),
-                                                               .order = send.order});
+                                  context.output.add(
+                                      GiveOrder{.address = m_source.address(send.order.target), .order = send.order});
                               },
                               [&](const PlanChanged &changed) { context.output.log(describe(changed)); },
                               [&](const HolderOverruled &overruled) { context.output.log(describe(overruled)); }},
@@ -122,10 +122,8 @@
 void PlacementDesk::readState(const TargetId &target, NodeContext &context) const
 {
     constexpr Duration readTimeout = 1s;
-    context.output.add(AskTarget{.target = target,
-                                 .kind = TargetKind::Engine,
-                                 .address = m_source.address(target),
-                                 .timeout = readTimeout});
+    context.output.add(AskTarget{
+        .target = target, .kind = TargetKind::Engine, .address = m_source.address(target), .timeout = readTimeout});
 }
 
 } // namespace Carawaymill
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -112,9 +112,8 @@
         LayerHolders holders(demand);
         for (const PlacementTarget &target : targets) {
             if (const auto state = m_engines.state(target.id)) {
-                std::ranges::for_each(state->held, [&](const auto &layers) {
-                    holders.addReady(layers, target.failureDomain);
-                });
+                std::ranges::for_each(state->held,
+                                      [&](const auto &layers) { holders.addReady(layers, target.failureDomain); });
             }
         }
         for (std::uint32_t layer = 0; layer < demand.layers; ++layer) {
--- a/src/platform/Publications.cpp
+++ b/src/platform/Publications.cpp
@@ -31,8 +31,8 @@
     std::vector<ServiceShare> shares;
     if (const auto list = route.find("Backends"); list != route.end() && list->is_array()) {
         for (const nlohmann::json &share : *list) {
-            shares.push_back({.service = ServiceId(share.at("Service").get<std::string>()),
-                              .weight = share.value("Weight", 1U)});
+            shares.push_back(
+                {.service = ServiceId(share.at("Service").get<std::string>()), .weight = share.value("Weight", 1U)});
         }
     }
     if (shares.empty()) {
@@ -93,25 +93,25 @@
         return std::nullopt;
     }
     const nlohmann::json usual = runtime->value("usual", nlohmann::json::object());
-    EngineProfile engine{
-        .model = {},
-        .version = "1",
-        // Here the number of the model's layers; in a worker's record the ranges that it holds.
-        .layers = runtime->at("LayerCount").get<std::uint32_t>(),
-        .bytesPerLayer = megabytes(runtime->at("LayerMb").get<double>()),
-        .activationBytes = bytes(*runtime, "ActivationBytes", 0),
-        .cacheBytesPerToken = bytes(*runtime, "KvBytes", 0),
-        .concurrency = runtime->value("Capacity", 1U),
-        .stepSeconds = runtime->value("step_ms", 1.0) * secondsPerMillisecond,
-        .stepSecondsPerRequest = runtime->value("per_seq_ms", 0.0) * secondsPerMillisecond,
-        .stepSecondsPerContextToken = runtime->value("context_per_k", 0.0) * secondsPerMillisecond / tokensPerThousand,
-        .promptTokensPerSecond = runtime->value("read_per_s", 0.0),
-        .linkBytesPerSecond = runtime->value("BandwidthMbps", 0.0) * bytesPerSecondPerMegabit,
-        .domainLinkBytesPerSecond = runtime->value("PipeMbps", 0.0) * bytesPerSecondPerMegabit,
-        .domainDelay = longestDelay(*runtime),
-        .usualPromptTokens = TokenCount(usual.value("prompt", std::uint64_t(512))),
-        .usualAnswerTokens = TokenCount(usual.value("answer", std::uint64_t(128))),
-        .kinds = readKinds(*runtime)};
+    EngineProfile engine{.model = {},
+                         .version = "1",
+                         // Here the number of the model's layers; in a worker's record the ranges that it holds.
+                         .layers = runtime->at("LayerCount").get<std::uint32_t>(),
+                         .bytesPerLayer = megabytes(runtime->at("LayerMb").get<double>()),
+                         .activationBytes = bytes(*runtime, "ActivationBytes", 0),
+                         .cacheBytesPerToken = bytes(*runtime, "KvBytes", 0),
+                         .concurrency = runtime->value("Capacity", 1U),
+                         .stepSeconds = runtime->value("step_ms", 1.0) * secondsPerMillisecond,
+                         .stepSecondsPerRequest = runtime->value("per_seq_ms", 0.0) * secondsPerMillisecond,
+                         .stepSecondsPerContextToken =
+                             runtime->value("context_per_k", 0.0) * secondsPerMillisecond / tokensPerThousand,
+                         .promptTokensPerSecond = runtime->value("read_per_s", 0.0),
+                         .linkBytesPerSecond = runtime->value("BandwidthMbps", 0.0) * bytesPerSecondPerMegabit,
+                         .domainLinkBytesPerSecond = runtime->value("PipeMbps", 0.0) * bytesPerSecondPerMegabit,
+                         .domainDelay = longestDelay(*runtime),
+                         .usualPromptTokens = TokenCount(usual.value("prompt", std::uint64_t(512))),
+                         .usualAnswerTokens = TokenCount(usual.value("answer", std::uint64_t(128))),
+                         .kinds = readKinds(*runtime)};
     if (const auto models = runtime->find("Models"); models != runtime->end() && !models->empty()) {
         engine.model = ModelId(models->front().at("Name").get<std::string>());
     }
--- a/src/platform/StoreProtocol.cpp
+++ b/src/platform/StoreProtocol.cpp
@@ -69,9 +69,8 @@
             },
             operation);
         if (const auto *write = std::get_if<WriteOperation>(&operation)) {
-            writes.push_back({{"Key", write->key},
-                              {"Value", encodeBase64(write->value)},
-                              {"LeaseId", leaseNumber(write->lease)}});
+            writes.push_back(
+                {{"Key", write->key}, {"Value", encodeBase64(write->value)}, {"LeaseId", leaseNumber(write->lease)}});
         } else if (const auto *deletion = std::get_if<DeleteOperation>(&operation)) {
             removals.push_back(deletion->key);
         }
@@ -81,36 +80,35 @@
 
 static HttpRequest encodeCall(const KeyValueRequest &request, const std::string &after)
 {
-    return std::visit(
-        Overloaded{[&](const ReadRange &read) {
-                       std::string target = "/v1/kv-range?Prefix=" + percentEncoded(read.prefix);
-                       if (!after.empty()) {
-                           target += "&After=" + percentEncoded(after);
-                       }
-                       return get(target);
-                   },
-                   [](const WatchRange &watch) {
-                       return get("/v1/kv-watch?Prefix=" + percentEncoded(watch.prefix)
-                                  + "&After=" + std::to_string(watch.after.value())
-                                  + "&WaitMs=" + std::to_string(milliseconds(watch.wait)));
-                   },
-                   [](const Commit &commit) { return encodeCommit(commit); },
-                   [](const GrantLease &grant) {
-                       return post("/v1/kv-lease", {{"TtlMs", milliseconds(grant.timeToLive)}});
-                   },
-                   [](const RenewLease &renewal) {
-                       return HttpRequest{.method = "POST",
-                                          .target = "/v1/kv-keep/" + renewal.lease.value(),
-                                          .headers = {},
-                                          .body = {}};
-                   },
-                   [](const RevokeLease &revocation) {
-                       return HttpRequest{.method = "DELETE",
-                                          .target = "/v1/kv-lease-end/" + revocation.lease.value(),
-                                          .headers = {},
-                                          .body = {}};
-                   }},
-        request);
+    return std::visit(Overloaded{[&](const ReadRange &read) {
+                                     std::string target = "/v1/kv-range?Prefix=" + percentEncoded(read.prefix);
+                                     if (!after.empty()) {
+                                         target += "&After=" + percentEncoded(after);
+                                     }
+                                     return get(target);
+                                 },
+                                 [](const WatchRange &watch) {
+                                     return get("/v1/kv-watch?Prefix=" + percentEncoded(watch.prefix)
+                                                + "&After=" + std::to_string(watch.after.value())
+                                                + "&WaitMs=" + std::to_string(milliseconds(watch.wait)));
+                                 },
+                                 [](const Commit &commit) { return encodeCommit(commit); },
+                                 [](const GrantLease &grant) {
+                                     return post("/v1/kv-lease", {{"TtlMs", milliseconds(grant.timeToLive)}});
+                                 },
+                                 [](const RenewLease &renewal) {
+                                     return HttpRequest{.method = "POST",
+                                                        .target = "/v1/kv-keep/" + renewal.lease.value(),
+                                                        .headers = {},
+                                                        .body = {}};
+                                 },
+                                 [](const RevokeLease &revocation) {
+                                     return HttpRequest{.method = "DELETE",
+                                                        .target = "/v1/kv-lease-end/" + revocation.lease.value(),
+                                                        .headers = {},
+                                                        .body = {}};
+                                 }},
+                      request);
 }
 
 static KeyValueRecord readRecord(const nlohmann::json &item)
@@ -143,7 +141,8 @@
 
 static RangeChanged readChanges(const nlohmann::json &json)
 {
-    RangeChanged changed{.written = {}, .deletedKeys = {}, .storeRevision = Revision(json.at("At").get<std::uint64_t>())};
+    RangeChanged changed{
+        .written = {}, .deletedKeys = {}, .storeRevision = Revision(json.at("At").get<std::uint64_t>())};
     for (const nlohmann::json &event : json.at("events")) {
         const auto key = event.at("Key").get<std::string>();
         std::erase_if(changed.written, [&](const KeyValueRecord &older) { return older.key == key; });
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -19,10 +19,10 @@
     auto exchange = m_client.open(
         action.address,
         targetRequest(action),
-        {.timeout = exchangeTimeout,
-         .freshConnection = action.freshConnection,
-         .echo = targetEcho(*action.request)},
-        [this, id = action.id, attempt = action.attempt](HttpStreamEvent event) { take(id, attempt, std::move(event)); });
+        {.timeout = exchangeTimeout, .freshConnection = action.freshConnection, .echo = targetEcho(*action.request)},
+        [this, id = action.id, attempt = action.attempt](HttpStreamEvent event) {
+            take(id, attempt, std::move(event));
+        });
     m_exchanges.insert_or_assign(action.id, Exchange{.attempt = action.attempt, .exchange = std::move(exchange)});
 }
 
@@ -61,24 +61,27 @@
 
 void TargetClient::askProgress(const AskProgress &action)
 {
-    m_client.send(action.address, reportRequest(), {.timeout = action.timeout}, [this, action](const HttpResult &result) {
-        m_feed(readProgress(action, result));
-    });
+    m_client.send(action.address,
+                  reportRequest(),
+                  {.timeout = action.timeout},
+                  [this, action](const HttpResult &result) { m_feed(readProgress(action, result)); });
 }
 
 void TargetClient::askTarget(const AskTarget &action)
 {
-    m_client.send(
-        action.address, reportRequest(), {.timeout = action.timeout}, [this, target = action.target](const HttpResult &result) {
-            TargetReported reported{.target = target, .outcome = PollOutcome::NoAnswer, .report = {}};
-            if (auto report = readReport(target, result)) {
-                reported.outcome = PollOutcome::Answered;
-                reported.report = std::move(*report);
-            } else if (std::holds_alternative<HttpNotSent>(result)) {
-                reported.outcome = PollOutcome::NotSent;
-            }
-            m_feed(reported);
-        });
+    m_client.send(action.address,
+                  reportRequest(),
+                  {.timeout = action.timeout},
+                  [this, target = action.target](const HttpResult &result) {
+                      TargetReported reported{.target = target, .outcome = PollOutcome::NoAnswer, .report = {}};
+                      if (auto report = readReport(target, result)) {
+                          reported.outcome = PollOutcome::Answered;
+                          reported.report = std::move(*report);
+                      } else if (std::holds_alternative<HttpNotSent>(result)) {
+                          reported.outcome = PollOutcome::NotSent;
+                      }
+                      m_feed(reported);
+                  });
 }
 
 void TargetClient::giveOrder(const GiveOrder &action)
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -313,13 +313,13 @@
     RoutingDecision decision{.job = request.job, .model = request.model, .candidates = candidates.size()};
     for (const OfferedStage &stage : cheapestChain(layers, offers, crossing)) {
         const Candidate &chosen = candidates[stage.offer];
-        StageDecision why{.stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
-                          .seconds = chosen.cost.seconds(stage.layers),
-                          .openLayers = chosen.cost.openLayers,
-                          .cachedPrefixTokens = chosen.cachedTokens,
-                          .crowded = m_targets[chosen.target].cacheShare(
-                                         stage.layers, request.promptTokens + request.expectedTokens)
-                                     > nearlyFullCache};
+        StageDecision why{
+            .stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
+            .seconds = chosen.cost.seconds(stage.layers),
+            .openLayers = chosen.cost.openLayers,
+            .cachedPrefixTokens = chosen.cachedTokens,
+            .crowded = m_targets[chosen.target].cacheShare(stage.layers, request.promptTokens + request.expectedTokens)
+                       > nearlyFullCache};
         for (const Candidate &other : candidates) {
             if (&other != &chosen && other.layers.contains(stage.layers)) {
                 why.alternatives.push_back(
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -103,8 +103,8 @@
     const double otherStreams = reportValid ? m_otherStreams : 0;
     const auto tokens = static_cast<double>(work.tokens.value());
     StageCost cost{.secondsPerLayer = tokens / m_speed.layerTokensPerSecond,
-                   .openLayers = m_ownLayers
-                                 + (m_otherLoad ? m_otherLoad->openLayers : otherStreams * m_layersPerStream)};
+                   .openLayers =
+                       m_ownLayers + (m_otherLoad ? m_otherLoad->openLayers : otherStreams * m_layersPerStream)};
 
     // Streams share a target and its link, so that each token waits for one token of every other open stream.
     cost.secondsPerStage = cost.openLayers * cost.secondsPerLayer * m_speed.batchedCost;
