Placement: Repair chains within failure domains

Change: ChainPlanner keeps what is held; gaps go to free targets, neighbours with room, then targets whose layers are doubled; spare targets double the slowest layers. Targets seen not to answer are replaced before the directory drops them. Two hosts try for a scope, and its holder keeps it.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -29,6 +29,9 @@
 /// No step of a pipeline waits for a tick here, and each wake-up costs.
 static constexpr std::chrono::milliseconds forwardingTickInterval(20);
 
+/// One host to hold a scope and one to take over from it.
+static constexpr std::uint32_t forwardingScopeCandidates = 2;
+
 /// The sockets, timers and clients of one daemon.
 class Daemon::Implementation
 {
@@ -399,6 +402,7 @@
                               .operatorTokenHash = settings.operatorTokenHash,
                               .firstStartOfDeployment = settings.firstStartOfDeployment,
                               .leaseTimeToLive = settings.leaseTimeToLive,
+                              .candidatesPerScope = settings.forwarding ? forwardingScopeCandidates : 1,
                               .forwarding = std::move(forwarding)},
                              readBootClock());
     if (const auto *invalid = std::get_if<Node::InvalidOptions>(&node)) {
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -92,6 +92,7 @@
     const auto known = m_targets.find(target.id);
     if (known != m_targets.end() && known->second.incarnation != target.incarnation) {
         m_suspectedUntil.erase(target.id);
+        m_stopped.erase(target.id);
     }
     m_targets.insert_or_assign(target.id, target);
     updateRouter(target, router);
@@ -101,6 +102,7 @@
 {
     m_targets.erase(target);
     m_suspectedUntil.erase(target);
+    m_stopped.erase(target);
     m_loads.erase(target);
     router.removeTarget(target);
 }
@@ -114,6 +116,7 @@
         }
         const TargetId target = suspect->first;
         suspect = m_suspectedUntil.erase(suspect);
+        m_stopped.erase(target);
         updateAvailability(target, router);
     }
 }
@@ -127,6 +130,14 @@
     }
 }
 
+void ForwardTargets::stop(const TargetId &target, Duration length, ChainRouter &router, TimePoint now)
+{
+    suspect(target, length, router, now);
+    if (m_targets.contains(target)) {
+        m_stopped.insert(target);
+    }
+}
+
 void ForwardTargets::updateAvailability(const TargetId &target, ChainRouter &router) const
 {
     const auto found = m_targets.find(target);
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -51,6 +51,11 @@
     /// Keeps new requests off the target for a while.
     void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
 
+    /// The target was seen not to answer, rather than to refuse.
+    void stop(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
+
+    [[nodiscard]] bool stopped(const TargetId &target) const { return m_stopped.contains(target); }
+
     [[nodiscard]] bool suspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
 
     /// The target that has the address now; nothing when none has.
@@ -98,6 +103,8 @@
     SharedConfiguration m_configuration;
     std::map<TargetId, DirectoryTarget> m_targets;
     std::map<TargetId, TimePoint> m_suspectedUntil;
+    /// Those of the suspected targets that were seen not to answer.
+    std::set<TargetId> m_stopped;
     std::map<TargetId, Load> m_loads;
 };
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -352,7 +352,7 @@
         call->countedRuns -= 1;
         call->tried.insert(target);
         m_targets.failed(target, turn.now);
-        m_targets.suspect(target, m_options.suspicion, turn.router, turn.now);
+        m_targets.stop(target, m_options.suspicion, turn.router, turn.now);
         leaveAttempt(*call, false, turn);
         dispatchAgain(*call, ForwardFailure::NoTarget, turn);
         return;
@@ -429,7 +429,7 @@
     }
     turn.actions.emplace_back(
         ForwardDecision{"Forward: event=stopped request=" + call->request->attempt + " target=" + atFault->value()});
-    m_targets.suspect(*atFault, m_options.suspicion, turn.router, turn.now);
+    m_targets.stop(*atFault, m_options.suspicion, turn.router, turn.now);
     moveStreams(*atFault, turn);
 }
 
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -226,7 +226,8 @@
     std::vector<PlacementTarget> usable;
     for (const auto &[id, target] : m_directory.targets()) {
         const EngineProfile *engine = engineOf(target);
-        if (engine == nullptr || target.leaving || scopeOfService(m_options.region, target.service) != scope) {
+        if (engine == nullptr || target.leaving || m_forwarder.targets().stopped(id)
+            || scopeOfService(m_options.region, target.service) != scope) {
             continue;
         }
         const auto kind = engine->kinds.find(target.acceleratorKind);
@@ -237,6 +238,7 @@
         usable.push_back(
             {.id = id,
              .layerMemory = ByteCount(static_cast<std::uint64_t>(memory * (1 - m_options.forwarding->cacheShare))),
+             .memory = kind->second.memory,
              .layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
              .linkBytesPerSecond = engine->linkBytesPerSecond,
              .failureDomain = target.failureDomain,
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -11,10 +11,10 @@
 static constexpr std::uint32_t forwardingCandidatesPerSegment = 12;
 /// Loads of a first start go on together: the weight store serves them faster before the first request.
 static constexpr std::uint32_t forwardingConcurrentLoads = 64;
-/// A move takes a range away for as long as the new one loads, some seconds, while other domains can serve its layers.
-static constexpr double forwardingMoveThreshold = 3;
-/// The loads of a plan are done before the next one.
-static constexpr Duration forwardingPlanInterval = 3s;
+/// Neighbours load a few layers within about this time, and further losses are often close behind a first one.
+static constexpr Duration forwardingPlanInterval = 1s;
+/// A target that has gone from the directory was silent for several heartbeats, or has said that it leaves.
+static constexpr Duration forwardingLossGrace = 300ms;
 /// Targets register within about a second of each other when a whole deployment starts.
 static constexpr Duration forwardingArrivalPause = 1s;
 /// Well above the lag of some hundred milliseconds that engines state for their reports.
@@ -85,10 +85,8 @@
         PlacementControllerOptions controller;
         controller.concurrentLoads = forwardingConcurrentLoads;
         controller.ordersNameWholeRange = true;
-        controller.planByFailureDomain = true;
-        controller.planner.maximumMoves = 1;
-        controller.planner.moveThreshold = forwardingMoveThreshold;
-        controller.planner.startAnewWhenIncomplete = false;
+        controller.planner = ChainPlannerOptions{};
+        controller.lossGrace = forwardingLossGrace;
         controller.planInterval = forwardingPlanInterval;
         controller.arrivalPause = forwardingArrivalPause;
         controller.reportLag = forwardingReportLag;
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -24,8 +24,8 @@
     /// A host that shuts down still takes requests for so long: until the balancer has noticed, and so that streams end
     /// before the process is killed.
     Duration acceptWhileDraining = 2800ms;
-    /// Part of an accelerator's memory that placement leaves to the KV cache.
-    double cacheShare = 0.25;
+    /// Part of an accelerator's memory that placement leaves to the KV cache at least, also when it closes a gap.
+    double cacheShare = 0.12;
 };
 
 /// What one node needs to know of itself.
@@ -52,6 +52,8 @@
     Duration jobTimeout = 120s;
     /// The service ends this host's leases so long after their last renewal.
     Duration leaseTimeToLive = 10s;
+    /// Hosts that try for each scope at a time.
+    std::uint32_t candidatesPerScope = 1;
     /// Set where requests are forwarded by published routes; the catalogue, the ledger and the shared limits rest then.
     std::optional<ForwardingOptions> forwarding = std::nullopt;
 };
--- a/src/node/ScopeDesk.cpp
+++ b/src/node/ScopeDesk.cpp
@@ -34,11 +34,12 @@
     if (auto *invalid = std::get_if<InvalidLeaseOptions>(&keeper)) {
         return std::move(*invalid);
     }
-    return ScopeDesk(options.host, std::get<LeaseKeeper>(std::move(keeper)));
+    return ScopeDesk(options.host, options.candidatesPerScope, std::get<LeaseKeeper>(std::move(keeper)));
 }
 
-ScopeDesk::ScopeDesk(HostId self, LeaseKeeper keeper)
+ScopeDesk::ScopeDesk(HostId self, std::uint32_t candidatesPerScope, LeaseKeeper keeper)
     : m_self(std::move(self))
+    , m_candidatesPerScope(candidatesPerScope)
     , m_keeper(std::move(keeper))
 {
 }
@@ -49,7 +50,17 @@
 {
     std::set<LeaseScopeId> wanted;
     for (const LeaseScopeId &scope : scopes) {
-        if (firstRanked(scope.value(), livingHosts) == m_self) {
+        std::vector<HostId> candidates = livingHosts;
+        for (std::uint32_t rank = 0; rank < m_candidatesPerScope; ++rank) {
+            const HostId ranked = firstRanked(scope.value(), candidates);
+            if (ranked == m_self) {
+                wanted.insert(scope);
+            }
+            std::erase(candidates, ranked);
+        }
+        // With several candidates a holder stays one, so that no decision is interrupted when a host comes back.
+        const bool lives = std::ranges::find(livingHosts, m_self) != livingHosts.end();
+        if (m_candidatesPerScope > 1 && lives && m_held.contains(scope)) {
             wanted.insert(scope);
         }
     }
@@ -68,6 +79,7 @@
 
 void ScopeDesk::releaseAll(NodeContext &context)
 {
+    m_held.clear();
     refresh({}, {}, context);
 }
 
@@ -88,10 +100,12 @@
             context.keyValue.issue(KeyValueCaller::Lease, 0, std::move(*call), context.output);
         } else if (const auto *acquired = std::get_if<LeaseAcquired>(&action)) {
             context.output.log(describe(*acquired));
+            m_held.insert(acquired->scope);
             m_changes.emplace_back(*acquired);
         } else {
             const auto &lost = std::get<LeaseLost>(action);
             context.output.log(describe(lost));
+            m_held.erase(lost.scope);
             m_changes.emplace_back(lost);
         }
     }
--- a/src/node/ScopeDesk.h
+++ b/src/node/ScopeDesk.h
@@ -14,7 +14,7 @@
 /// A change of what this host holds.
 using ScopeChange = std::variant<LeaseAcquired, LeaseLost>;
 
-/// Decides which scopes this host tries to hold: those for which it ranks first among the living hosts.
+/// Decides which scopes this host tries to hold: those for which it ranks among the first of the living hosts.
 ///
 /// All hosts rank alike, so that usually one host at a time wants a scope; where their views differ, the lease decides.
 /// A host that joins or leaves moves only its own share of the scopes.
@@ -36,12 +36,15 @@
     [[nodiscard]] const LeaseKeeper &keeper() const { return m_keeper; }
 
 private:
-    ScopeDesk(HostId self, LeaseKeeper keeper);
+    ScopeDesk(HostId self, std::uint32_t candidatesPerScope, LeaseKeeper keeper);
 
     void feed(const LeaseEvent &event, NodeContext &context);
 
     HostId m_self;
+    /// Hosts that try for a scope at a time: the lease lets one of them have it, and another is ready when it lapses.
+    std::uint32_t m_candidatesPerScope;
     LeaseKeeper m_keeper;
+    std::set<LeaseScopeId> m_held;
     std::set<LeaseScopeId> m_wanted;
     std::vector<ScopeChange> m_changes;
 };
--- /dev/null
+++ b/src/placement/ChainPlanner.cpp
@@ -0,0 +1,277 @@
+#include "placement/ChainPlanner.h"
+
+#include "placement/DomainGroups.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <optional>
+
+namespace Carawaymill {
+
+using Targets = std::vector<PlacementTarget>;
+
+namespace {
+
+/// A target and the layers that it gets.
+struct Slot
+{
+    const PlacementTarget *target = nullptr;
+    std::uint32_t usualLayers = 0;
+    std::uint32_t mostLayers = 0;
+    LayerRange layers;
+};
+
+/// The plan of one group of targets for one model.
+class GroupPlan
+{
+public:
+    GroupPlan(const Targets &targets,
+              const PlacementDemand &demand,
+              const PlacementPlan &current,
+              const ChainPlannerOptions &options);
+
+    void closeGaps();
+    /// Has targets that hold nothing double the slowest layers.
+    void relieve();
+    void addTo(PlacementPlan &plan) const;
+
+private:
+    [[nodiscard]] std::uint32_t holders(std::uint32_t layer) const;
+    [[nodiscard]] std::optional<LayerRange> firstGap(std::uint32_t from) const;
+    [[nodiscard]] Slot *largestEmpty();
+    /// Puts the target where it closes the gap's beginning.
+    void place(Slot &slot, LayerRange gap) const;
+    /// The smallest target, all of whose layers others hold too, that has more layers than `least`.
+    [[nodiscard]] Slot *spare(std::uint32_t least);
+    [[nodiscard]] bool isSpare(const Slot &slot) const;
+    /// How many of the gap's layers its neighbours have room for.
+    [[nodiscard]] std::uint32_t neighboursRoom(LayerRange gap);
+    void closeByNeighbours(LayerRange gap);
+    [[nodiscard]] Slot *neighbour(LayerIndex boundary, bool below);
+    [[nodiscard]] double rateAt(std::uint32_t layer) const;
+    /// The range of so many layers, among those that begin at `from` to `to`, that is run most slowly.
+    [[nodiscard]] LayerRange slowest(std::uint32_t size, std::uint32_t from, std::uint32_t to) const;
+
+    PlacementDemand m_demand;
+    std::vector<Slot> m_slots;
+};
+
+GroupPlan::GroupPlan(const Targets &targets,
+                     const PlacementDemand &demand,
+                     const PlacementPlan &current,
+                     const ChainPlannerOptions &options)
+    : m_demand(demand)
+{
+    for (const PlacementTarget &target : targets) {
+        Slot slot{.target = &target, .usualLayers = 0, .mostLayers = layersThatFit(target, demand), .layers = {}};
+        const double usualBytes = static_cast<double>(target.memory.value()) * options.weightShare;
+        const auto usual = static_cast<std::uint32_t>(usualBytes / static_cast<double>(demand.bytesPerLayer.value()));
+        slot.usualLayers = std::clamp(usual, std::min(1U, slot.mostLayers), slot.mostLayers);
+        const auto held = current.find(target.id);
+        const bool keeps =
+            held != current.end() && matches(demand, held->second) && held->second.layers.end.value() <= demand.layers;
+        if (keeps && held->second.layers.size() <= slot.mostLayers) {
+            slot.layers = held->second.layers;
+        }
+        if (slot.mostLayers > 0) {
+            m_slots.push_back(slot);
+        }
+    }
+    // Equal input gives an equal plan, whatever the order of the targets.
+    std::ranges::sort(m_slots, [](const Slot &left, const Slot &right) {
+        return left.mostLayers != right.mostLayers ? left.mostLayers > right.mostLayers
+                                                   : left.target->id < right.target->id;
+    });
+}
+
+std::uint32_t GroupPlan::holders(std::uint32_t layer) const
+{
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(m_slots, [&](const Slot &slot) { return slot.layers.contains(LayerIndex(layer)); }));
+}
+
+std::optional<LayerRange> GroupPlan::firstGap(std::uint32_t from) const
+{
+    std::uint32_t first = from;
+    while (first < m_demand.layers && holders(first) > 0) {
+        ++first;
+    }
+    if (first >= m_demand.layers) {
+        return std::nullopt;
+    }
+    std::uint32_t end = first;
+    while (end < m_demand.layers && holders(end) == 0) {
+        ++end;
+    }
+    return LayerRange{LayerIndex(first), LayerIndex(end)};
+}
+
+Slot *GroupPlan::largestEmpty()
+{
+    const auto found = std::ranges::find_if(m_slots, [](const Slot &slot) { return slot.layers.empty(); });
+    return found == m_slots.end() ? nullptr : &*found;
+}
+
+void GroupPlan::place(Slot &slot, LayerRange gap) const
+{
+    // A range that is larger than the gap doubles layers beside it.
+    const std::uint32_t first = gap.first.value();
+    const std::uint32_t more = slot.usualLayers > gap.size() ? slot.usualLayers - gap.size() : 0;
+    slot.layers = {};
+    slot.layers = slowest(slot.usualLayers, first - std::min(first, more), first);
+}
+
+bool GroupPlan::isSpare(const Slot &slot) const
+{
+    for (std::uint32_t layer = slot.layers.first.value(); layer < slot.layers.end.value(); ++layer) {
+        if (holders(layer) < 2) {
+            return false;
+        }
+    }
+    return !slot.layers.empty();
+}
+
+Slot *GroupPlan::spare(std::uint32_t least)
+{
+    Slot *best = nullptr;
+    for (Slot &slot : m_slots) {
+        if (isSpare(slot) && (best == nullptr || (slot.usualLayers < best->usualLayers && slot.usualLayers >= least))) {
+            best = &slot;
+        }
+    }
+    return best;
+}
+
+void GroupPlan::closeGaps()
+{
+    for (std::uint32_t from = 0; const auto gap = firstGap(from);) {
+        if (Slot *free = largestEmpty()) {
+            place(*free, *gap);
+        } else if (neighboursRoom(*gap) >= gap->size()) {
+            closeByNeighbours(*gap);
+        } else if (Slot *moved = spare(gap->size())) {
+            place(*moved, *gap);
+        } else {
+            closeByNeighbours(*gap);
+            from = gap->end.value();
+        }
+    }
+}
+
+std::uint32_t GroupPlan::neighboursRoom(LayerRange gap)
+{
+    std::uint32_t room = 0;
+    for (const Slot *slot : {neighbour(gap.first, true), neighbour(gap.end, false)}) {
+        room += slot != nullptr ? slot->mostLayers - slot->layers.size() : 0;
+    }
+    return room;
+}
+
+/// The target with the most room whose range ends at the boundary, or begins there.
+Slot *GroupPlan::neighbour(LayerIndex boundary, bool below)
+{
+    Slot *best = nullptr;
+    for (Slot &slot : m_slots) {
+        const bool adjoins = !slot.layers.empty() && (below ? slot.layers.end : slot.layers.first) == boundary;
+        if (adjoins
+            && (best == nullptr || slot.mostLayers - slot.layers.size() > best->mostLayers - best->layers.size())) {
+            best = &slot;
+        }
+    }
+    return best;
+}
+
+void GroupPlan::closeByNeighbours(LayerRange gap)
+{
+    Slot *below = neighbour(gap.first, true);
+    Slot *above = neighbour(gap.end, false);
+    const std::uint32_t roomBelow = below != nullptr ? below->mostLayers - below->layers.size() : 0;
+    const std::uint32_t roomAbove = above != nullptr ? above->mostLayers - above->layers.size() : 0;
+    if (roomBelow + roomAbove == 0) {
+        return;
+    }
+    const double shareBelow = static_cast<double>(roomBelow) / (roomBelow + roomAbove);
+    auto growBelow = static_cast<std::uint32_t>(shareBelow * gap.size() + 0.5);
+    growBelow = std::min({growBelow, roomBelow, gap.size()});
+    const std::uint32_t growAbove = std::min(roomAbove, gap.size() - growBelow);
+    if (below != nullptr) {
+        below->layers.end = LayerIndex(below->layers.end.value() + growBelow);
+    }
+    if (above != nullptr) {
+        above->layers.first = LayerIndex(above->layers.first.value() - growAbove);
+    }
+}
+
+/// Tokens a second that the layer's holders run through all that they hold.
+double GroupPlan::rateAt(std::uint32_t layer) const
+{
+    double rate = 0;
+    for (const Slot &slot : m_slots) {
+        if (slot.layers.contains(LayerIndex(layer))) {
+            rate += slot.target->layerTokensPerSecond / slot.layers.size();
+        }
+    }
+    return rate;
+}
+
+LayerRange GroupPlan::slowest(std::uint32_t size, std::uint32_t from, std::uint32_t to) const
+{
+    std::vector<double> rates;
+    for (std::uint32_t layer = 0; layer < m_demand.layers; ++layer) {
+        rates.push_back(rateAt(layer));
+    }
+    const std::uint32_t last = m_demand.layers - size;
+    std::uint32_t best = std::min(to, last);
+    double least = std::numeric_limits<double>::max();
+    for (std::uint32_t first = std::min(from, last); first <= std::min(to, last); ++first) {
+        const double rate = std::accumulate(rates.begin() + first, rates.begin() + first + size, 0.0);
+        if (rate < least) {
+            least = rate;
+            best = first;
+        }
+    }
+    return {LayerIndex(best), LayerIndex(best + size)};
+}
+
+void GroupPlan::relieve()
+{
+    while (Slot *free = largestEmpty()) {
+        free->layers = slowest(free->usualLayers, 0, m_demand.layers);
+    }
+}
+
+void GroupPlan::addTo(PlacementPlan &plan) const
+{
+    for (const Slot &slot : m_slots) {
+        if (!slot.layers.empty()) {
+            plan[slot.target->id] = {m_demand.model, m_demand.version, m_demand.adapter, slot.layers};
+        }
+    }
+}
+
+} // namespace
+
+PlacementPlan ChainPlanner::plan(const Targets &targets,
+                                 const std::vector<PlacementDemand> &demands,
+                                 const PlacementPlan &current) const
+{
+    PlacementPlan plan;
+    if (demands.empty() || targets.empty()) {
+        return plan;
+    }
+    const PlacementDemand &demand = demands.front();
+    for (const Targets &group : groupByFailureDomain(targets, demands)) {
+        GroupPlan groupPlan(group, demand, current, m_options);
+        groupPlan.closeGaps();
+        groupPlan.relieve();
+        groupPlan.addTo(plan);
+    }
+    // A layer that no failure domain holds stops all requests: it goes before chains within domains.
+    GroupPlan whole(targets, demand, plan, m_options);
+    whole.closeGaps();
+    whole.addTo(plan);
+    return plan;
+}
+
+} // namespace Carawaymill
--- a/src/placement/DomainPlan.cpp
+++ b/src/placement/DomainGroups.cpp
@@ -1,4 +1,4 @@
-#include "placement/DomainPlan.h"
+#include "placement/DomainGroups.h"
 
 #include <algorithm>
 #include <map>
@@ -26,8 +26,7 @@
     return fitting >= needed;
 }
 
-/// Groups of domains that can each hold all that is wanted; a rest that can't joins the last group.
-static std::vector<Targets> groupDomains(const Targets &targets, const std::vector<PlacementDemand> &demands)
+std::vector<Targets> groupByFailureDomain(const Targets &targets, const std::vector<PlacementDemand> &demands)
 {
     std::map<FailureDomainId, Targets> domains;
     for (const PlacementTarget &target : targets) {
@@ -49,17 +48,4 @@
     return groups;
 }
 
-PlacementPlan planByFailureDomain(const PlacementPlanner &planner,
-                                  const std::vector<PlacementTarget> &targets,
-                                  const std::vector<PlacementDemand> &demands,
-                                  const PlacementPlan &current)
-{
-    // What some domain lacks is served by the others meanwhile.
-    PlacementPlan plan;
-    for (const Targets &group : groupDomains(targets, demands)) {
-        plan.merge(planner.plan(group, demands, current));
-    }
-    return plan;
-}
-
 } // namespace Carawaymill
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -1,6 +1,5 @@
 #include "placement/PlacementController.h"
 
-#include "placement/DomainPlan.h"
 #include "placement/LayerHolders.h"
 
 #include <algorithm>
@@ -10,9 +9,21 @@
 /// An order that would be valid for less is not worth sending.
 static constexpr Duration leastValidity = std::chrono::milliseconds(100);
 
+static std::variant<PlacementPlanner, ChainPlanner>
+createPlanner(const std::variant<PlacementPlannerOptions, ChainPlannerOptions> &options)
+{
+    return std::visit(Overloaded{[](const PlacementPlannerOptions &planner) {
+                                     return std::variant<PlacementPlanner, ChainPlanner>(PlacementPlanner(planner));
+                                 },
+                                 [](const ChainPlannerOptions &planner) {
+                                     return std::variant<PlacementPlanner, ChainPlanner>(ChainPlanner(planner));
+                                 }},
+                      options);
+}
+
 PlacementController::PlacementController(PlacementControllerOptions options)
     : m_options(std::move(options))
-    , m_planner(m_options.planner)
+    , m_planner(createPlanner(m_options.planner))
     , m_targets(m_options)
     , m_engines(m_options)
 {
@@ -187,8 +198,7 @@
     }
     const std::vector<PlacementTarget> targets = m_targets.all();
     const PlacementPlan before = currentPlan(targets);
-    m_plan = m_options.planByFailureDomain ? planByFailureDomain(m_planner, targets, m_demands, before)
-                                           : m_planner.plan(targets, m_demands, before);
+    m_plan = std::visit([&](const auto &planner) { return planner.plan(targets, m_demands, before); }, m_planner);
     m_planOutdated = false;
     m_plannedAt = now;
     m_engines.retain(targets);
--- a/src/placement/PlacementController.h
+++ b/src/placement/PlacementController.h
@@ -52,7 +52,7 @@
     [[nodiscard]] Duration validity(TimePoint now) const;
 
     PlacementControllerOptions m_options;
-    PlacementPlanner m_planner;
+    std::variant<PlacementPlanner, ChainPlanner> m_planner;
     ScopeTargets m_targets;
     EngineLedger m_engines;
     std::optional<Holding> m_holding;
--- a/src/placement/PlacementMessages.h
+++ b/src/placement/PlacementMessages.h
@@ -14,8 +14,10 @@
 struct PlacementTarget
 {
     TargetId id;
-    /// Memory for layers; what the KV cache needs is already taken off.
+    /// Memory for layers; what the KV cache needs at least is already taken off.
     ByteCount layerMemory;
+    /// Memory for layers and KV cache together; 0 when it is not known.
+    ByteCount memory = {};
     double layerTokensPerSecond = 0;
     double linkBytesPerSecond = 0;
     FailureDomainId failureDomain;
--- a/src/placement/PlacementOptions.h
+++ b/src/placement/PlacementOptions.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include "placement/ChainPlanner.h"
 #include "placement/EngineOrders.h"
 #include "placement/PlacementPlanner.h"
 #include "support/Time.h"
 
 #include <cstdint>
+#include <variant>
 
 namespace Carawaymill {
 
 struct PlacementControllerOptions
 {
     PlacementScope scope;
-    PlacementPlannerOptions planner;
+    /// How layers are given to targets: for the most throughput, or as chains within failure domains.
+    std::variant<PlacementPlannerOptions, ChainPlannerOptions> planner;
     /// No order is valid for longer.
     Duration orderValidity = std::chrono::seconds(2);
     /// Orders end so long before the lease does. Covers the drift of clocks and a write that the network holds back.
@@ -45,9 +48,6 @@
     std::uint32_t concurrentLoads = 4;
     /// Engines hold one range of layers, and an order names all of it rather than what is to be added and dropped.
     bool ordersNameWholeRange = false;
-    /// Each failure domain that has the memory for a whole model is planned for itself, since links between domains
-    /// carry less than those within.
-    bool planByFailureDomain = false;
     Duration firstRetryDelay = std::chrono::seconds(1);
     Duration lastRetryDelay = std::chrono::seconds(60);
 };
--- a/src/placement/PlacementPlanner.cpp
+++ b/src/placement/PlacementPlanner.cpp
@@ -127,7 +127,7 @@
     }
     placeFree(workspace, free, m_options.passes);
     moveFew(workspace, placed, targets, demands, m_options);
-    if (m_options.startAnewWhenIncomplete && !workspace.complete() && !placed.empty()) {
+    if (!workspace.complete() && !placed.empty()) {
         // What is held stands in the way of a whole model: service goes before few moves.
         PlacementWorkspace fresh(targets, demands);
         placeFree(fresh, all, m_options.passes);
--- a/src/placement/PlacementPlanner.h
+++ b/src/placement/PlacementPlanner.h
@@ -14,8 +14,6 @@
     double moveThreshold = 1.5;
     /// How often each target that holds nothing yet is weighed again against all others.
     std::uint32_t passes = 4;
-    /// Whether everything is placed anew when the targets that are free and the few moves don't complete a model.
-    bool startAnewWhenIncomplete = true;
 };
 
 /// Decides which target holds which layers. Keeps no state: the same input gives the same plan.
