--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -51,6 +51,7 @@
     , m_random(stableHash("forwarder", m_options.targets.seed))
     , m_targets(m_options.targets)
     , m_retries(m_options.retries)
+    , m_queue(m_options.queue)
 {
 }
 
@@ -158,9 +159,47 @@
         refuse(call, otherwise, turn);
         return;
     }
+    // A stream that its caller has begun to read goes on at once.
+    if (chosen->crowded && !call.streaming) {
+        enqueue(call, turn);
+        return;
+    }
     handOver(call, std::move(*chosen), turn);
 }
 
+void Forwarder::enqueue(Call &call, Turn &turn)
+{
+    if (!m_queue.accepts(turn.now)) {
+        refuse(call, ForwardFailure::Overloaded, turn);
+        return;
+    }
+    m_queue.add({.id = call.id,
+                 .priority = call.route->priority,
+                 .arrivedAt = call.receivedAt,
+                 .latencyObjective = call.route->latencyObjective});
+}
+
+void Forwarder::serveQueue(Turn &turn)
+{
+    for (const RequestId id : m_queue.takeOverdue(turn.now)) {
+        refuse(m_calls.at(id), ForwardFailure::Overloaded, turn);
+    }
+    for (const RequestId id : m_queue.order(turn.now)) {
+        Call &call = m_calls.at(id);
+        auto chosen = m_targets.choose(call.service, *call.request, call.tried, turn.router, turn.now);
+        if (chosen && chosen->crowded) {
+            // Those behind are rarely smaller, and each choice takes time.
+            return;
+        }
+        m_queue.remove(id);
+        if (chosen) {
+            handOver(call, std::move(*chosen), turn);
+        } else {
+            refuse(call, ForwardFailure::NoTarget, turn);
+        }
+    }
+}
+
 void Forwarder::handOver(Call &call, ChosenTargets chosen, Turn &turn)
 {
     call.attempt = call.attempt.next();
@@ -173,6 +212,7 @@
     call.progressAt = turn.now;
     call.askedAt.reset();
     m_targets.begun(chosen, turn.router);
+    m_queue.started(turn.now);
     ForwardToTarget action{.id = call.id,
                            .attempt = call.attempt,
                            .target = chosen.target,
@@ -375,6 +415,7 @@
 void Forwarder::on(const Tick &, Turn &turn)
 {
     m_targets.tick(turn.router, turn.now);
+    serveQueue(turn);
     std::vector<RequestId> due;
     for (const auto &[id, call] : m_calls) {
         due.push_back(id);
@@ -516,6 +557,7 @@
         line += " configuration=" + std::to_string(call.table->configuration().version.value());
     }
     turn.actions.emplace_back(ForwardDecision{std::move(line)});
+    m_queue.remove(call.id);
     m_calls.erase(call.id);
 }
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -5,6 +5,7 @@
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
+#include "forwarding/StartQueue.h"
 
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 {
     ForwardTargetsOptions targets;
     FleetRetryBudgetOptions retries;
+    StartQueueOptions queue;
     /// A stream whose next event is due for this part of its objective, or longer than `leastSilence`, is looked into.
     double silenceOfObjective = 2;
     Duration leastSilence = 350ms;
@@ -157,6 +159,10 @@
     /// Hands the call to a target, or ends it with `otherwise` when that can't be done.
     void dispatch(Call &call, ForwardFailure otherwise, Turn &turn);
     void handOver(Call &call, ChosenTargets chosen, Turn &turn);
+    /// Lets the call wait for room, or refuses it when that would take too long.
+    void enqueue(Call &call, Turn &turn);
+    /// Starts what waits, as far as there is room now, and ends what has waited too long.
+    void serveQueue(Turn &turn);
     void dispatchAgain(Call &call, ForwardFailure otherwise, Turn &turn);
     [[nodiscard]] bool mayRunAgain(const Call &call) const;
     /// The present attempt is over; its connection is closed if it is still open.
@@ -183,6 +189,7 @@
     FleetRetryBudget m_retries;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
+    StartQueue m_queue;
     std::optional<TimePoint> m_refuseFrom;
 };
 
