Daemon: Serve metrics, bound the log, and check settings whole

Cause: a failure could be explained by an unbounded log only, and settings told of one fault at a time. Tests of the new slices.

--- a/src/daemon/CarawaymilldMain.cpp
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <glog/logging.h>
 
+#include <fcntl.h>
 #include <popt.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -83,6 +85,8 @@
     // A signal that stops the process must not come before it is handled.
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);
+    // A reader of the log that falls behind loses lines rather than holding up requests.
+    (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     const CommandLine line = readCommandLine(argc, argv);
     DaemonSettings settings = readSettings(line.settingsFile);
     if (line.checkOnly) {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Daemon.h"
 
+#include "daemon/LogLimiter.h"
 #include "hostlist/HostListHttpClient.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
@@ -60,6 +61,11 @@
                                : listen(m_settings.operators, &Implementation::takeOperatorRequest, m_operators)) {
             return failure;
         }
+        if (m_settings.forwarding && m_settings.forwarding->metrics.port != 0) {
+            if (auto failure = listen(m_settings.forwarding->metrics, &Implementation::answerMetrics, m_metrics)) {
+                return failure;
+            }
+        }
         auto link = PeerLink::create(
             m_context,
             {.host = m_settings.host, .listenAddress = m_settings.peerAddress, .key = m_settings.peerKey},
@@ -164,6 +170,14 @@
         responder->send({.status = ready ? statusReady : statusNotReady, .headers = {}, .body = {}});
     }
 
+    // Takes its arguments like the other request takers.
+    void answerMetrics(HttpRequest /*request*/, Responder responder) // NOLINT(performance-unnecessary-value-param)
+    {
+        responder->send({.status = 200,
+                         .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                         .body = m_node->metrics(readBootClock())});
+    }
+
     void feed(const NodeEvent &event)
     {
         for (NodeAction &action : m_node->handle(event, readBootClock())) {
@@ -347,7 +361,16 @@
                               .idleTimeout = action.limits.idleTimeout});
     }
 
-    static void perform(WriteLog &action) { LOG(INFO) << action.line; }
+    void perform(WriteLog &action)
+    {
+        const TimePoint now = readBootClock();
+        if (const auto dropped = m_log.takeDropped(now)) {
+            LOG(INFO) << "Daemon: event=log-lines-dropped count=" << *dropped;
+        }
+        if (m_log.admits(action.line, now)) {
+            LOG(INFO) << action.line;
+        }
+    }
 
     boost::asio::io_context &m_context;
     DaemonSettings m_settings;
@@ -356,6 +379,7 @@
     EngineHttpClient m_engines;
     KeyValueHttpClient m_keyValue;
     TargetClient m_targets;
+    LogLimiter m_log{LogLimiterOptions{}};
     boost::asio::steady_timer m_tick;
     std::unique_ptr<PeerLink> m_peers;
     std::unique_ptr<HostListHttpClient> m_hostList;
@@ -365,6 +389,7 @@
     TimePoint m_drainAtLeastUntil{};
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<HttpServer> m_metrics;
     std::unique_ptr<HttpServer> m_operators;
 };
 
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -216,6 +216,8 @@
     SettingsReader reader(parent.child("forwarding"), "/forwarding");
     ForwardingSettings forwarding;
     forwarding.readiness = readListener(reader, "readiness");
+    forwarding.metrics = {.address = settings.host.value(),
+                          .port = static_cast<std::uint16_t>(reader.number("metricsPort", 0, largestPort))};
     const std::uint64_t peerPort = reader.number("peerPort", 0, largestPort);
     settings.peerAddress = "tcp://" + settings.host.value() + ":" + std::to_string(peerPort);
     settings.peers = readSeeds(reader, settings.host, peerPort);
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -27,6 +27,8 @@
 {
     /// Where the platform asks whether the host may be given new connections.
     ListenSettings readiness;
+    /// Where counters and latencies are served; port 0 serves none.
+    ListenSettings metrics;
     FleetRetryBudgetOptions retries;
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration configurationMaximumAge = 3500ms;
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -58,3 +58,55 @@
     settings["peers"] = {{{"host", "entry-2"}}};
     CHECK(wrongField(settings) == "/peers/0/peerAddress");
 }
+
+static nlohmann::json platformSettings()
+{
+    return {{"host", "10.1.0.40"},
+            {"failureDomain", "seq-a"},
+            {"region", "seq"},
+            {"callers", "10.1.0.40:8227"},
+            {"peerKey", "0123456789abcdef"},
+            {"keyValueService", "10.200.1.7:8223"},
+            {"forwarding",
+             {{"readiness", "10.1.0.40:8220"},
+              {"metricsPort", 9464},
+              {"peerPort", 7340},
+              {"seedHosts", {"10.1.0.40:8229", "10.2.0.29:8229"}},
+              {"retryRatio", 0.2},
+              {"retryBurst", 196},
+              {"retryWindowSeconds", 10},
+              {"revocationMilliseconds", 5000},
+              {"graceSeconds", 8}}}};
+}
+
+TEST_CASE("settings of a host on a platform are read")
+{
+    const auto read = readDaemonSettings(platformSettings().dump());
+    REQUIRE(std::holds_alternative<DaemonSettings>(read));
+    const auto &settings = std::get<DaemonSettings>(read);
+    CHECK(settings.callers.port == 8227);
+    CHECK(settings.forwarding->readiness.port == 8220);
+    CHECK(settings.forwarding->configurationMaximumAge == 3500ms);
+    CHECK(settings.peerAddress == "tcp://10.1.0.40:7340");
+    REQUIRE(settings.peers.size() == 1);
+    CHECK(settings.peers.front().peerAddress == "tcp://10.2.0.29:7340");
+    CHECK(settings.drainTimeout == 7500ms);
+}
+
+TEST_CASE("every fault of the settings is told at once")
+{
+    nlohmann::json settings = platformSettings();
+    settings.erase("host");
+    settings["callers"] = "nowhere";
+    settings["forwarding"]["retryRatio"] = -1;
+    settings["forwarding"]["seedHosts"] = {"x"};
+    settings["forwarding"]["typo"] = 1;
+    const auto read = readDaemonSettings(settings.dump());
+    REQUIRE(std::holds_alternative<InvalidSettings>(read));
+    std::vector<std::string> fields;
+    for (const SettingFault &fault : std::get<InvalidSettings>(read).faults) {
+        fields.push_back(fault.field);
+    }
+    CHECK(fields
+          == std::vector<std::string>{"/host", "/callers", "/forwarding/retryRatio", "/forwarding/typo", "/seedHosts"});
+}
--- a/src/enginestandin/EngineStandInMain.cpp
+++ b/src/enginestandin/EngineStandInMain.cpp
@@ -96,12 +96,12 @@
         auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
         timer->async_wait([timer, callback = std::move(callback)](const boost::system::error_code &) { callback(); });
     });
-    auto server =
-        HttpServer::create(context,
-                           {.port = static_cast<std::uint16_t>(line.port), .limits = {.bodyBytes = ByteCount(64U << 20U)}},
-                           [&](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
-                               engine.handle(request, std::move(responder), readBootClock());
-                           });
+    auto server = HttpServer::create(
+        context,
+        {.port = static_cast<std::uint16_t>(line.port), .limits = {.bodyBytes = ByteCount(64U << 20U)}},
+        [&](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
+            engine.handle(request, std::move(responder), readBootClock());
+        });
     if (const auto *failure = std::get_if<ListenFailure>(&server)) {
         std::cerr << "Engine stand-in: cannot listen: " << failure->reason << ".\n";
         return EXIT_FAILURE;
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -557,6 +557,7 @@
         line += " configuration=" + std::to_string(call.table->configuration().version.value());
     }
     turn.actions.emplace_back(ForwardDecision{std::move(line)});
+    turn.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = turn.now - call.receivedAt});
     m_queue.remove(call.id);
     m_calls.erase(call.id);
 }
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -55,6 +55,13 @@
     std::string line;
 };
 
+/// Action, for the metrics: how a request ended, and how long it took.
+struct ForwardEnded
+{
+    std::string outcome;
+    Duration took{};
+};
+
 using ForwarderAction = std::variant<ForwardToTarget,
                                      AbandonAttempt,
                                      AskProgress,
@@ -64,7 +71,8 @@
                                      WriteStream,
                                      EndStream,
                                      BreakStream,
-                                     ForwardDecision>;
+                                     ForwardDecision,
+                                     ForwardEnded>;
 
 /// Hands callers' requests on to targets, and passes the answers back.
 ///
--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -40,6 +40,7 @@
     std::vector<QueuedRequest> waiting = m_waiting;
     std::ranges::sort(waiting, {}, rank);
     std::vector<RequestId> order;
+    order.reserve(waiting.size());
     for (const QueuedRequest &request : waiting) {
         order.push_back(request.id);
     }
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -13,6 +13,8 @@
     profile.concurrency = 16;
     profile.stepSeconds = 0.001;
     profile.promptTokensPerSecond = 100000;
+    profile.domainLinkBytesPerSecond = 1e6;
+    profile.domainDelay = 420us;
     profile.usualPromptTokens = TokenCount(100);
     profile.usualAnswerTokens = TokenCount(20);
     // Beside four layers there is room for the cache of 500 tokens.
--- /dev/null
+++ b/src/forwarding/tests/KeepersTest.cpp
@@ -0,0 +1,305 @@
+#include "forwarding/ConfigurationKeeper.h"
+#include "forwarding/DirectoryKeeper.h"
+#include "forwarding/FleetRetryBudget.h"
+#include "forwarding/HostRegistry.h"
+#include "forwarding/LoadDigest.h"
+#include "forwarding/RouteTable.h"
+
+#include <doctest/doctest.h>
+
+using namespace Carawaymill;
+
+static constexpr TimePoint start{1h};
+
+/// A configuration is its version's number here, and a target is `address` or `address leaving`.
+static PublicationFormat testFormat()
+{
+    return {.configurationKey = "op/config",
+            .directoryPrefix = "servers/",
+            .readConfiguration = [](const std::string &value) -> Result<RoutingConfiguration, DecodeFailure> {
+                if (value.find_first_not_of("0123456789") != std::string::npos) {
+                    return DecodeFailure{.field = "version"};
+                }
+                RoutingConfiguration configuration;
+                configuration.version = ConfigurationVersion(std::stoull(value));
+                return configuration;
+            },
+            .readTarget = [](const TargetId &id, const std::string &value) -> Result<DirectoryTarget, DecodeFailure> {
+                if (value.empty()) {
+                    return DecodeFailure{.field = "address"};
+                }
+                DirectoryTarget target;
+                target.id = id;
+                target.address = value;
+                return target;
+            }};
+}
+
+static KeyValueRecord record(const std::string &key, const std::string &value)
+{
+    return {.key = key, .value = value, .revision = Revision(1), .lease = {}};
+}
+
+template<typename Action, typename Actions>
+static const Action *find(const Actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+static RangeRead read(std::vector<KeyValueRecord> records)
+{
+    return {.records = std::move(records), .storeRevision = Revision(10)};
+}
+
+TEST_CASE("the configuration is as old as the call that confirmed it, however late the answer came")
+{
+    ConfigurationKeeper keeper({.format = testFormat()});
+    const auto actions = keeper.handle(Tick{}, start);
+    const auto *call = find<KeyValueCall>(actions);
+    REQUIRE(call != nullptr);
+    const auto changes =
+        keeper.handle(KeyValueReply{.id = call->id, .result = read({record("op/config", "7")})}, start + 700ms);
+    CHECK(find<ConfigurationChanged>(changes) != nullptr);
+    CHECK(keeper.age(start + 700ms) == 700ms);
+    CHECK(keeper.fresh(start + 3500ms));
+    CHECK(!keeper.fresh(start + 3501ms));
+}
+
+TEST_CASE("an older or unreadable configuration changes nothing")
+{
+    ConfigurationKeeper keeper({.format = testFormat()});
+    const auto first = keeper.handle(Tick{}, start);
+    (void)keeper.handle(KeyValueReply{.id = find<KeyValueCall>(first)->id, .result = read({record("op/config", "7")})},
+                        start);
+    TimePoint now = start;
+    for (const std::string value : {"6", "not a number"}) {
+        now += 10ms;
+        const auto next = keeper.handle(Tick{}, now);
+        const auto *call = find<KeyValueCall>(next);
+        REQUIRE(call != nullptr);
+        const RangeChanged changed{
+            .written = {record("op/config", value)}, .deletedKeys = {}, .storeRevision = Revision(11)};
+        const auto actions = keeper.handle(KeyValueReply{.id = call->id, .result = changed}, now);
+        CHECK(find<ConfigurationChanged>(actions) == nullptr);
+        CHECK(find<ConfigurationIgnored>(actions) != nullptr);
+        CHECK(keeper.configuration()->version == ConfigurationVersion(7));
+    }
+}
+
+TEST_CASE("a host that cannot reach the service takes news and proof of freshness from one that can")
+{
+    ConfigurationKeeper reaching({.format = testFormat()});
+    ConfigurationKeeper cut({.format = testFormat()});
+    const auto learn = [](ConfigurationKeeper &keeper, const std::string &version, TimePoint now) {
+        const auto actions = keeper.handle(Tick{}, now);
+        const auto *call = find<KeyValueCall>(actions);
+        REQUIRE(call != nullptr);
+        (void)keeper.handle(KeyValueReply{.id = call->id, .result = read({record("op/config", version)})}, now);
+    };
+    learn(cut, "7", start);
+    learn(reaching, "9", start + 1500ms);
+    const auto asked = cut.handle(Tick{}, start + 2s);
+    const auto *question = find<SendConfigurationMessage>(asked);
+    REQUIRE(question != nullptr);
+    const auto answered = reaching.handle(
+        ConfigurationMessageReceived{.from = HostId("cut"), .message = question->message}, start + 2100ms);
+    const auto *answer = find<SendConfigurationMessage>(answered);
+    REQUIRE(answer != nullptr);
+    CHECK(answer->to == HostId("cut"));
+    // Messages cross the wire as JSON.
+    const nlohmann::json wire = answer->message;
+    const auto decoded = std::get<ConfigurationMessage>(decode<ConfigurationMessage>(wire));
+    const auto adopted =
+        cut.handle(ConfigurationMessageReceived{.from = HostId("reaching"), .message = decoded}, start + 2200ms);
+    REQUIRE(find<ConfigurationChanged>(adopted) != nullptr);
+    CHECK(cut.configuration()->version == ConfigurationVersion(9));
+    // 600 ms old when it was vouched for, and asked for at 2 s.
+    CHECK(cut.age(start + 2s) == 600ms);
+}
+
+TEST_CASE("a host with an old configuration vouches for nothing")
+{
+    ConfigurationKeeper keeper({.format = testFormat()});
+    const auto actions = keeper.handle(Tick{}, start);
+    (void)keeper.handle(
+        KeyValueReply{.id = find<KeyValueCall>(actions)->id, .result = read({record("op/config", "7")})}, start);
+    const ConfigurationMessageReceived asked{
+        .from = HostId("b"), .message = ConfigurationAsked{.number = 1, .version = ConfigurationVersion(7)}};
+    CHECK(find<SendConfigurationMessage>(keeper.handle(asked, start + 3s)) != nullptr);
+    CHECK(find<SendConfigurationMessage>(keeper.handle(asked, start + 4s)) == nullptr);
+}
+
+TEST_CASE("a watch that lost its history reads the range anew, and a failure is tried again later")
+{
+    RangeWatch watch({.prefix = "a/"});
+    auto call = watch.nextCall(start);
+    REQUIRE(call);
+    CHECK(std::holds_alternative<ReadRange>(call->request));
+    CHECK(!watch.nextCall(start));
+    REQUIRE(watch.handle({.id = call->id, .result = read({})}, start));
+    call = watch.nextCall(start);
+    REQUIRE(call);
+    CHECK(std::get<WatchRange>(call->request).after == Revision(10));
+    CHECK(!watch.handle({.id = call->id, .result = WatchCompacted{}}, start));
+    CHECK(!watch.nextCall(start));
+    call = watch.nextCall(start + 1s);
+    REQUIRE(call);
+    CHECK(std::holds_alternative<ReadRange>(call->request));
+    // No answer at all.
+    CHECK(!watch.nextCall(start + 2s));
+    CHECK(!watch.nextCall(start + 5s));
+    CHECK(watch.failures() == 2);
+    CHECK(watch.nextCall(start + 6s));
+}
+
+TEST_CASE("records that lapsed while the service was away may come back for a moment")
+{
+    DirectoryKeeper keeper({.format = testFormat()});
+    TimePoint now = start;
+    std::vector<DirectoryKeeperAction> pending = keeper.handle(Tick{}, now);
+    const auto reply = [&](const KeyValueResult &result) {
+        const auto *call = find<KeyValueCall>(pending);
+        REQUIRE(call != nullptr);
+        pending = keeper.handle(KeyValueReply{.id = call->id, .result = result}, now);
+        const std::vector<DirectoryKeeperAction> actions = pending;
+        if (find<KeyValueCall>(pending) == nullptr) {
+            now += 1s;
+            pending = keeper.handle(Tick{}, now);
+        }
+        return actions;
+    };
+    reply(read({record("servers/a", "a:1"), record("servers/b", "b:1")}));
+    CHECK(keeper.targets().size() == 2);
+    // Without an outage a record that goes is gone.
+    const auto gone = reply(RangeChanged{.written = {}, .deletedKeys = {"servers/b"}, .storeRevision = Revision(12)});
+    CHECK(find<TargetUnlisted>(gone) != nullptr);
+    reply(ServiceUnavailable{});
+    reply(ServiceUnavailable{});
+    reply(WatchCompacted{});
+    reply(read({}));
+    CHECK(keeper.targets().size() == 1);
+    const auto later = keeper.handle(Tick{}, now + 2s);
+    CHECK(find<TargetUnlisted>(later) != nullptr);
+}
+
+TEST_CASE("a record that cannot be read names no target and disturbs no other")
+{
+    DirectoryKeeper keeper({.format = testFormat()});
+    const auto actions = keeper.handle(Tick{}, start);
+    const auto taken =
+        keeper.handle(KeyValueReply{.id = find<KeyValueCall>(actions)->id,
+                                    .result = read({record("servers/a", ""), record("servers/b", "b:1")})},
+                      start);
+    CHECK(find<TargetRecordIgnored>(taken) != nullptr);
+    CHECK(keeper.targets().size() == 1);
+}
+
+TEST_CASE("a host registers under a lease, again when the lease has ended, and lists the others")
+{
+    HostRegistry registry({.self = {.host = HostId("h1"), .peerAddress = "tcp://h1:1"}});
+    TimePoint now = start;
+    std::vector<KeyValueCall> own;
+    const auto collect = [&](const std::vector<HostRegistryAction> &actions) {
+        for (const HostRegistryAction &action : actions) {
+            if (const auto *call = std::get_if<KeyValueCall>(&action);
+                call != nullptr && !std::holds_alternative<ReadRange>(call->request)) {
+                own.push_back(*call);
+            }
+        }
+    };
+    const auto reply = [&](const KeyValueResult &result) {
+        const CallId id = own.back().id;
+        collect(registry.handle(KeyValueReply{.id = id, .result = result}, now));
+    };
+    collect(registry.handle(Tick{}, now));
+    REQUIRE(std::holds_alternative<GrantLease>(own.back().request));
+    reply(LeaseGranted{.lease = LeaseId("5"), .timeToLive = 3s});
+    REQUIRE(std::holds_alternative<Commit>(own.back().request));
+    const Commit &commit = std::get<Commit>(own.back().request);
+    CHECK(std::get<WriteOperation>(commit.operations.front()).key == "hosts/h1");
+    // A record of this host's former life is overwritten once it is seen.
+    reply(CommitConflict{.present = {record("hosts/h1", "{}")}, .storeRevision = Revision(9)});
+    CHECK(std::get<WriteOperation>(std::get<Commit>(own.back().request).operations.front()).expected == Revision(1));
+    reply(Committed{.revision = Revision(10)});
+    now += 1s;
+    collect(registry.handle(Tick{}, now));
+    REQUIRE(std::holds_alternative<RenewLease>(own.back().request));
+    reply(LeaseNotFound{});
+    CHECK(std::holds_alternative<GrantLease>(own.back().request));
+}
+
+TEST_CASE("the longest prefix of the request's host wins, and keys name their organisation")
+{
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    for (const std::string prefix : {"/", "/a/", "/a/b/"}) {
+        configuration->routes.push_back({.name = prefix, .host = "h", .prefix = prefix});
+    }
+    configuration->organisations = {{.id = OrganisationId("club"), .keys = {"k1", "k2"}}};
+    const RouteTable table(configuration);
+    CHECK(table.route("h", "/a/b/c")->name == "/a/b/");
+    CHECK(table.route("h", "/a/x")->name == "/a/");
+    CHECK(table.route("h", "/b")->name == "/");
+    CHECK(table.route("other", "/a/") == nullptr);
+    CHECK(table.organisation("k2")->id == OrganisationId("club"));
+    CHECK(table.organisation("k3") == nullptr);
+}
+
+TEST_CASE("hosts that spend all of their retries stay within the bound together, in any window")
+{
+    static constexpr double ratio = 0.2;
+    static constexpr double burst = 20;
+    static constexpr std::size_t hostCount = 4;
+    const ServiceId service("desk");
+    std::vector<FleetRetryBudget> hosts(hostCount, FleetRetryBudget({.window = 10s, .ratio = ratio, .burst = burst}));
+
+    struct Event
+    {
+        TimePoint at;
+        bool retry = false;
+    };
+
+    std::vector<Event> events;
+    for (TimePoint now = start; now < start + 40s; now += 20ms) {
+        for (std::size_t host = 0; host < hostCount; ++host) {
+            hosts[host].setHosts(hostCount);
+            // Load that stops now and then.
+            if ((now - start) / 5s % 2 == 0) {
+                hosts[host].recordRequest(service, now);
+                events.push_back({.at = now});
+            }
+            while (hosts[host].tryRetry(service, now)) {
+                events.push_back({.at = now, .retry = true});
+            }
+        }
+    }
+    for (TimePoint from = start; from < start + 30s; from += 500ms) {
+        const auto count = [&](TimePoint begin, bool retry) {
+            return static_cast<double>(std::ranges::count_if(events, [&](const Event &event) {
+                return event.retry == retry && event.at >= begin && event.at < begin + 10s;
+            }));
+        };
+        const double requests = std::max({count(from, false), count(from - 10s, false), count(from - 5s, false)});
+        CHECK(count(from, true) <= ratio * requests + burst);
+    }
+}
+
+TEST_CASE("loads of other hosts add up, and those of a silent host are forgotten")
+{
+    OtherHostsLoads loads;
+    const TargetId target("t");
+    const auto digest = [&](double layers) {
+        return std::get<LoadDigest>(
+            readLoadDigest(toJson({{target, {.openLayers = layers, .cacheLayerTokens = 10 * layers}}})));
+    };
+    loads.told(HostId("a"), digest(3), start);
+    loads.told(HostId("b"), digest(4), start + 2s);
+    CHECK(loads.sums(start + 2s).at(target).openLayers == 7);
+    CHECK(loads.sums(start + 4s).at(target).cacheLayerTokens == 40);
+    CHECK(loads.sums(start + 6s).at(target).openLayers == 0);
+    CHECK(std::holds_alternative<DecodeFailure>(readLoadDigest({1, 2})));
+}
--- a/src/hostlist/HostListHttpClient.h
+++ b/src/hostlist/HostListHttpClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http/HttpClient.h"
 #include "hostlist/HostListMessages.h"
+#include "http/HttpClient.h"
 
 #include <functional>
 #include <memory>
--- a/src/hostlist/tests/HostListCodecTest.cpp
+++ b/src/hostlist/tests/HostListCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "hostlist/HostListCodec.h"
+#include "support/Codec.h"
 
 #include <doctest/doctest.h>
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -48,17 +48,18 @@
 
 std::string serialise(const HttpRequest &request, const std::string &address)
 {
-    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    std::string text = request.method;
+    text.append(" ").append(request.target).append(" HTTP/1.1\r\n");
     if (headerValue(request.headers, "Host").empty()) {
-        text += "Host: " + address + "\r\n";
+        text.append("Host: ").append(address).append("\r\n");
     }
     for (const auto &[name, value] : request.headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
     }
-    return text + "\r\n" + request.body;
+    return text.append("\r\n").append(request.body);
 }
 
 /// The idle timeout that the other end states in `Keep-Alive: timeout=N`.
--- a/src/lease/LeaseSession.h
+++ b/src/lease/LeaseSession.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lease/LeaseOptions.h"
 #include "keyvalue/KeyValueMessages.h"
+#include "lease/LeaseOptions.h"
 #include "support/Backoff.h"
 #include "support/Random.h"
 
--- a/src/ledger/ShardStore.h
+++ b/src/ledger/ShardStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ledger/BillBook.h"
 #include "keyvalue/KeyValueMessages.h"
+#include "ledger/BillBook.h"
 
 #include <map>
 #include <string>
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "membership/MembershipMessages.h"
 #include "hostlist/HostListMessages.h"
+#include "membership/MembershipMessages.h"
 #include "support/Time.h"
 
 #include <map>
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "hostlist/HostListMessages.h"
 #include "membership/ActiveClock.h"
 #include "membership/GossipQueue.h"
 #include "membership/MemberTable.h"
 #include "membership/MembershipMessages.h"
 #include "membership/MembershipOptions.h"
-#include "hostlist/HostListMessages.h"
 #include "support/Random.h"
 #include "support/Time.h"
 #include "support/Variant.h"
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -182,11 +182,35 @@
     const bool fresh = m_configuration.fresh(context.now);
     for (ForwarderAction &action : m_forwarder.handle(event, fresh, context.targets.router(), context.now)) {
         std::visit(Overloaded{[&](ForwardDecision &decision) { context.output.log(std::move(decision.line)); },
+                              [&](ForwardEnded &ended) { m_metrics.requestEnded(ended.outcome, ended.took); },
+                              [&](ForwardToTarget &dispatch) {
+                                  m_metrics.count("dispatches");
+                                  context.output.add(std::move(dispatch));
+                              },
                               [&](auto &any) { context.output.add(std::move(any)); }},
                    action);
     }
 }
 
+std::string ForwardingDesk::metrics(TimePoint now) const
+{
+    std::string text = m_metrics.text();
+    const auto gauge = [&text](const std::string &name, std::uint64_t value) {
+        text.append("carawaymill_").append(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    gauge("requests_in_progress", m_forwarder.inProgress());
+    gauge("targets_listed", m_directory.targets().size());
+    gauge("ready", ready(now) ? 1 : 0);
+    if (const SharedConfiguration &configuration = m_configuration.configuration()) {
+        gauge("configuration_version", configuration->version.value());
+    }
+    if (const auto age = m_configuration.age(now)) {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+        gauge("configuration_age_milliseconds", static_cast<std::uint64_t>(std::max<std::int64_t>(milliseconds, 0)));
+    }
+    return text;
+}
+
 const EngineProfile *ForwardingDesk::engineOf(const DirectoryTarget &target) const
 {
     if (!m_configuration.configuration()) {
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/ConfigurationKeeper.h"
 #include "forwarding/DirectoryKeeper.h"
+#include "forwarding/ForwardMetrics.h"
 #include "forwarding/Forwarder.h"
 #include "forwarding/HostRegistry.h"
 #include "forwarding/LoadDigest.h"
@@ -45,6 +46,9 @@
 
     [[nodiscard]] std::size_t inProgress() const { return m_forwarder.inProgress(); }
 
+    /// Counters and latencies in the usual text format.
+    [[nodiscard]] std::string metrics(TimePoint now) const;
+
     /// True once after each change of what placement depends on.
     [[nodiscard]] bool takeFleetChange() { return std::exchange(m_fleetChanged, false); }
 
@@ -70,6 +74,7 @@
     DirectoryKeeper m_directory;
     HostRegistry m_registry;
     Forwarder m_forwarder;
+    ForwardMetrics m_metrics;
     OtherHostsLoads m_otherLoads;
     TimePoint m_nextDigest{};
     std::optional<HostListRead> m_hostList;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -149,6 +149,11 @@
     return m_draining && m_calls.inProgress() == 0 && m_ledger.unrecordedBills() == 0 && m_ledger.waitingReports() == 0;
 }
 
+std::string Node::metrics(TimePoint now) const
+{
+    return m_forwarding ? m_forwarding->metrics(now) : std::string();
+}
+
 std::size_t Node::placementRegionsHeld(TimePoint now) const
 {
     return m_placement.scopesHeld(m_scopes.keeper(), now);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -52,6 +52,9 @@
     /// Regions whose placement this host decides.
     [[nodiscard]] std::size_t placementRegionsHeld(TimePoint now) const;
 
+    /// Counters and latencies in the usual text format; empty where no requests are forwarded by published routes.
+    [[nodiscard]] std::string metrics(TimePoint now) const;
+
     [[nodiscard]] const LedgerDesk &ledger() const { return m_ledger; }
 
 private:
--- a/src/node/tests/NodeWorld.h
+++ b/src/node/tests/NodeWorld.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <queue>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -236,6 +237,14 @@
     void perform(Host &host, KeyValueCall &action);
     void perform(Host &host, SendToPeer &action);
     void perform(Host &host, WriteLog &action);
+
+    /// The world's nodes serve the catalogue's entries; none of them forwards by published routes.
+    template<typename ForwardingAction>
+    void perform(Host & /*host*/, ForwardingAction & /*action*/)
+    {
+        throw std::logic_error("an action that no node of this world may return");
+    }
+
     void pollWatch(Host &host, std::uint64_t start, KeyValueCall call, TimePoint until);
     void advanceEngines();
     void readHostList();
--- a/src/placement/ChainPlanner.cpp
+++ b/src/placement/ChainPlanner.cpp
@@ -3,6 +3,7 @@
 #include "placement/DomainGroups.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <optional>
@@ -192,7 +193,7 @@
         return;
     }
     const double shareBelow = static_cast<double>(roomBelow) / (roomBelow + roomAbove);
-    auto growBelow = static_cast<std::uint32_t>(shareBelow * gap.size() + 0.5);
+    auto growBelow = static_cast<std::uint32_t>(std::lround(shareBelow * gap.size()));
     growBelow = std::min({growBelow, roomBelow, gap.size()});
     const std::uint32_t growAbove = std::min(roomAbove, gap.size() - growBelow);
     if (below != nullptr) {
--- a/src/routing/tests/ChainRouterTest.cpp
+++ b/src/routing/tests/ChainRouterTest.cpp
@@ -1,4 +1,5 @@
 #include "routing/ChainRouter.h"
+#include "routing/CheapestChain.h"
 
 #include <doctest/doctest.h>
 
@@ -232,3 +233,32 @@
     CHECK(line.starts_with("Routing: job job-1 model glider chain a[0,4)"));
     CHECK(line.find("(not b ") != std::string::npos);
 }
+
+TEST_CASE("a chain crosses to another failure domain only where that is worth its cost")
+{
+    const auto range = [](std::uint32_t first, std::uint32_t end) {
+        return LayerRange{LayerIndex(first), LayerIndex(end)};
+    };
+    // Domain 1 is twice as fast from layer 4 on.
+    const std::vector<StageOffer> offers = {{.layers = range(0, 4), .secondsPerLayer = 1},
+                                            {.layers = range(4, 8), .secondsPerLayer = 2},
+                                            {.layers = range(4, 8), .secondsPerLayer = 1, .domain = 1}};
+    const auto last = [&](double crossing) {
+        return cheapestChain(range(0, 8), offers, {.secondsBetweenStages = crossing}).back().offer;
+    };
+    CHECK(last(3) == 2);
+    CHECK(last(5) == 1);
+}
+
+TEST_CASE("no offer is used for two stages of a chain")
+{
+    const auto range = [](std::uint32_t first, std::uint32_t end) {
+        return LayerRange{LayerIndex(first), LayerIndex(end)};
+    };
+    const std::vector<StageOffer> offers = {{.layers = range(0, 8), .secondsPerLayer = 10},
+                                            {.layers = range(2, 4), .secondsPerLayer = 1}};
+    const std::vector<OfferedStage> stages = cheapestChain(range(0, 8), offers);
+    REQUIRE(stages.size() == 1);
+    CHECK(stages.front().offer == 0);
+    CHECK(stages.front().layers == range(0, 8));
+}
--- a/src/standins/KeyValueServerMain.cpp
+++ b/src/standins/KeyValueServerMain.cpp
@@ -1,7 +1,7 @@
 #include "http/HttpServer.h"
-#include "support/BootClock.h"
 #include "standins/PlatformServer.h"
 #include "standins/PlatformSettings.h"
+#include "support/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -71,12 +71,13 @@
 {
     boost::asio::io_context context;
     PlatformServer platform(std::move(options));
-    auto listening = HttpServer::create(
-        context,
-        HttpServerOptions{.port = static_cast<std::uint16_t>(commandLine.port), .limits = {.bodyBytes = platformBodyLimit}},
-        [&platform](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
-            platform.handle(request, std::move(responder), readBootClock());
-        });
+    auto listening =
+        HttpServer::create(context,
+                           HttpServerOptions{.port = static_cast<std::uint16_t>(commandLine.port),
+                                             .limits = {.bodyBytes = platformBodyLimit}},
+                           [&platform](const HttpRequest &request, std::unique_ptr<HttpResponder> responder) {
+                               platform.handle(request, std::move(responder), readBootClock());
+                           });
     if (const auto *failure = std::get_if<ListenFailure>(&listening)) {
         std::cerr << "Platform: cannot listen, " << failure->reason << '\n';
         return 1;
--- a/src/standins/tests/PlatformServerTest.cpp
+++ b/src/standins/tests/PlatformServerTest.cpp
@@ -1,7 +1,7 @@
 #include "standins/PlatformServer.h"
-#include "http/HttpServer.h"
 #include "hostlist/HostListCodec.h"
 #include "hostlist/HostListHttpClient.h"
+#include "http/HttpServer.h"
 #include "keyvalue/KeyValueCodec.h"
 #include "keyvalue/KeyValueHttpClient.h"
 #include "standins/PlatformSettings.h"
@@ -105,7 +105,8 @@
     Served served;
     // Nothing listens on port 1; the destroyed client's calls are still answered.
     auto keyValue = std::make_unique<KeyValueHttpClient>(
-        served.client, KeyValueHttpClientOptions{.protocol = gatewayProtocol(), .addresses = {"127.0.0.1:1", served.address}});
+        served.client,
+        KeyValueHttpClientOptions{.protocol = gatewayProtocol(), .addresses = {"127.0.0.1:1", served.address}});
     std::vector<KeyValueResult> results;
     for (std::size_t call = 1; call <= 3; ++call) {
         keyValue->carryOut({.id = CallId(call), .request = ReadRange{.prefix = "a/"}},
