Forwarding: Read the directory's changes together

Change: at least 250 ms between two watches of the directory, 1 s between two of the hosts' register.

--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -108,5 +108,6 @@
         fields.push_back(fault.field);
     }
     CHECK(fields
-          == std::vector<std::string>{"/host", "/callers", "/forwarding/retryRatio", "/forwarding/typo", "/seedHosts"});
+          == std::vector<std::string>{
+              "/host", "/callers", "/forwarding/seedHosts", "/forwarding/retryRatio", "/forwarding/typo"});
 }
--- a/src/forwarding/DirectoryKeeper.cpp
+++ b/src/forwarding/DirectoryKeeper.cpp
@@ -9,7 +9,10 @@
 
 DirectoryKeeper::DirectoryKeeper(DirectoryKeeperOptions options)
     : m_options(std::move(options))
-    , m_watch({.prefix = m_options.format.directoryPrefix, .seed = m_options.seed})
+    , m_watch({.prefix = m_options.format.directoryPrefix,
+               .seed = m_options.seed,
+               .wait = m_options.watchWait,
+               .leastInterval = m_options.leastInterval})
 {
 }
 
--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -33,6 +33,7 @@
     , m_watch({.prefix = registryPrefix,
                .seed = stableHash("watch", m_options.seed),
                .wait = m_options.watchWait,
+               .leastInterval = m_options.leastWatchInterval,
                .callTimeout = m_options.callTimeout})
     , m_random(m_options.seed)
     , m_backoff({.initial = 150ms, .maximum = m_options.renewInterval})
--- a/src/forwarding/HostRegistry.h
+++ b/src/forwarding/HostRegistry.h
@@ -20,6 +20,7 @@
     Duration callTimeout = 800ms;
     /// Newcomers may stay unknown for so long.
     Duration watchWait = 3s;
+    Duration leastWatchInterval = 1s;
 };
 
 /// Action: the hosts that are registered now.
--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/RangeWatch.h"
 
+#include <algorithm>
+
 namespace Carawaymill {
 
 /// The driver answers each call; a call whose answer is overdue by this much is taken as lost all the same.
@@ -56,7 +58,7 @@
     m_confirmedAt = sentAt;
     m_failures = 0;
     m_backoff.reset();
-    m_nextAt = now;
+    m_nextAt = std::max(now, sentAt + m_options.leastInterval);
     return update;
 }
 
--- a/src/forwarding/RangeWatch.h
+++ b/src/forwarding/RangeWatch.h
@@ -18,6 +18,8 @@
     /// A watch is answered after so long even when nothing has changed. Bounds how long a silent connection to the
     /// service goes unnoticed, and how old a confirmed reading gets.
     Duration wait = 1s;
+    /// Least time between two calls, so that changes in quick succession are read together.
+    Duration leastInterval{};
     /// On top of the wait. Well above the answer time of a slow service.
     Duration callTimeout = 800ms;
     BackoffOptions backoff = {.initial = 100ms, .maximum = 800ms};
--- a/src/forwarding/tests/KeepersTest.cpp
+++ b/src/forwarding/tests/KeepersTest.cpp
@@ -157,6 +157,20 @@
     CHECK(watch.nextCall(start + 6s));
 }
 
+TEST_CASE("changes in quick succession are read together")
+{
+    RangeWatch watch({.prefix = "a/", .leastInterval = 250ms});
+    auto call = watch.nextCall(start);
+    REQUIRE(watch.handle({.id = call->id, .result = read({})}, start + 10ms));
+    CHECK(!watch.nextCall(start + 240ms));
+    call = watch.nextCall(start + 250ms);
+    REQUIRE(call);
+    // A watch that has waited for longer is followed by the next at once.
+    const RangeChanged nothing{.written = {}, .deletedKeys = {}, .storeRevision = Revision(10)};
+    REQUIRE(watch.handle({.id = call->id, .result = nothing}, start + 1250ms));
+    CHECK(watch.nextCall(start + 1250ms));
+}
+
 TEST_CASE("records that lapsed while the service was away may come back for a moment")
 {
     DirectoryKeeper keeper({.format = testFormat()});
