--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -309,7 +309,7 @@
     void perform(CallTarget &action)
     {
         m_client.send(action.address,
-                      std::move(action.request),
+                      action.request,
                       {.timeout = action.timeout, .freshConnection = true},
                       [this, job = action.job, attempt = action.attempt](HttpResult result) {
                           feed(TargetReturned{.job = job, .attempt = attempt, .result = std::move(result)});
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -6,6 +6,8 @@
 
 namespace Carawaymill {
 
+/// The request was wrong, from here on; the target failed, from `firstFailureStatus` on.
+static constexpr unsigned firstErrorStatus = 400;
 static constexpr unsigned firstFailureStatus = 500;
 static constexpr unsigned statusOk = 200;
 /// A time to come back is at most this part of what the caller has left, so that a second try still has time.
@@ -361,11 +363,12 @@
         finish(call, "streamed", turn);
         return;
     }
-    const bool success = head.status < firstFailureStatus;
-    if (success && !call.head->sealed && head.status < 400) {
+    // A success is the target's own only if the target has signed it.
+    if (head.status < firstErrorStatus && !call.head->sealed) {
         answerLost(call, turn);
         return;
     }
+    const bool success = head.status < firstFailureStatus;
     HttpResponse response{.status = head.status, .headers = head.headers, .body = std::move(call.body)};
     if (!success && mayRunAgain(call)) {
         call.targetFailure = std::move(response);
--- a/src/forwarding/tests/KeepersTest.cpp
+++ b/src/forwarding/tests/KeepersTest.cpp
@@ -180,7 +180,7 @@
         const auto *call = find<KeyValueCall>(pending);
         REQUIRE(call != nullptr);
         pending = keeper.handle(KeyValueReply{.id = call->id, .result = result}, now);
-        const std::vector<DirectoryKeeperAction> actions = pending;
+        std::vector<DirectoryKeeperAction> actions = pending;
         if (find<KeyValueCall>(pending) == nullptr) {
             now += 1s;
             pending = keeper.handle(Tick{}, now);
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -25,12 +25,12 @@
     {
     }
 
-    [[nodiscard]] HttpResult exchange(HttpRequest request, HttpSendOptions options = {})
+    [[nodiscard]] HttpResult exchange(const HttpRequest &request, HttpSendOptions options = {})
     {
         std::optional<HttpResult> result;
         m_client.send("127.0.0.1:" + std::to_string(m_server->port()),
-                      std::move(request),
-                      options,
+                      request,
+                      std::move(options),
                       [&](HttpResult got) { result = std::move(got); });
         runUntil([&] { return result.has_value(); });
         return *result;
--- a/src/tool/CarawaymillctlMain.cpp
+++ b/src/tool/CarawaymillctlMain.cpp
@@ -45,7 +45,7 @@
     HttpResult received = HttpNotSent{};
     request.headers.emplace_back("Authorization", "Bearer " + token);
     const HttpSendOptions sendOptions{.timeout = answerTimeout, .freshConnection = true};
-    client.send(options.host, std::move(request), sendOptions, [&](HttpResult result) {
+    client.send(options.host, request, sendOptions, [&](HttpResult result) {
         received = std::move(result);
         context.stop();
     });
