Platform: Read the test's field names where the macro can see them

Cause: clang refuses a structured binding inside the test library's capture. Conclusion: no change of behaviour.

--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -119,7 +119,9 @@
                                                                             {"LayerCount", {{1, 2}}}}) {
         nlohmann::json bad = good;
         bad[field] = value;
-        CAPTURE(field);
+        // The macro cannot capture a structured binding.
+        const std::string &name = field;
+        CAPTURE(name);
         CHECK(std::holds_alternative<DecodeFailure>(readTarget(TargetId("i"), bad.dump())));
     }
     CHECK(std::holds_alternative<DecodeFailure>(readTarget(TargetId("i"), "\xff\xfe")));
