Platform: Call the key-value port's own rules for lost answers and changes

Cause: StoreProtocol wrote again which calls may have taken effect without an answer, and the fold of a watch's events into the last change of each key. Change: resultWithoutAnswer and noteChange stand in KeyValueCodec, and both protocols call them.

--- a/src/keyvalue/KeyValueCodec.cpp
+++ b/src/keyvalue/KeyValueCodec.cpp
@@ -106,7 +106,7 @@
     return !std::holds_alternative<ReadRange>(request) && !std::holds_alternative<WatchRange>(request);
 }
 
-static KeyValueResult noAnswer(const KeyValueRequest &request)
+KeyValueResult resultWithoutAnswer(const KeyValueRequest &request)
 {
     if (isKeyValueWrite(request)) {
         return OutcomeUnknown{};
@@ -138,6 +138,17 @@
     return conflict;
 }
 
+void noteChange(RangeChanged &changes, KeyValueRecord record, bool deleted)
+{
+    std::erase_if(changes.written, [&](const KeyValueRecord &older) { return older.key == record.key; });
+    std::erase(changes.deletedKeys, record.key);
+    if (deleted) {
+        changes.deletedKeys.push_back(std::move(record.key));
+    } else {
+        changes.written.push_back(std::move(record));
+    }
+}
+
 /// A watch's response is a stream of documents, one a line, each with a `result`.
 static KeyValueResult decodeWatch(const WatchRange &watch, const std::string &body)
 {
@@ -161,14 +172,7 @@
             continue;
         }
         for (const nlohmann::json &event : arrayAt(result, "events")) {
-            KeyValueRecord record = recordFromJson(event.at("kv"));
-            std::erase_if(changed.written, [&](const KeyValueRecord &older) { return older.key == record.key; });
-            std::erase(changed.deletedKeys, record.key);
-            if (event.value("type", "PUT") == "DELETE") {
-                changed.deletedKeys.push_back(record.key);
-            } else {
-                changed.written.push_back(std::move(record));
-            }
+            noteChange(changed, recordFromJson(event.at("kv")), event.value("type", "PUT") == "DELETE");
         }
         changed.storeRevision = std::max(changed.storeRevision, revisionOfHeader(result));
     }
@@ -225,7 +229,7 @@
     if (code == codeResourceExhausted || message == messageNoLeader) {
         return ServiceUnavailable{};
     }
-    return noAnswer(request);
+    return resultWithoutAnswer(request);
 }
 
 KeyValueResult decodeKeyValueResponse(const KeyValueRequest &request, const HttpResult &response)
@@ -235,14 +239,14 @@
     }
     const auto *answer = std::get_if<HttpResponse>(&response);
     if (answer == nullptr) {
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     }
     try {
         return answer->status == statusOk ? decodeSuccess(request, answer->body) : decodeError(request, answer->body);
     } catch (const nlohmann::json::exception &) {
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     } catch (const KeyValueJsonError &) {
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     }
 }
 
--- a/src/keyvalue/KeyValueCodec.h
+++ b/src/keyvalue/KeyValueCodec.h
@@ -20,4 +20,10 @@
 /// Whether the call counts as a write and may have taken effect when no answer came.
 [[nodiscard]] bool isKeyValueWrite(const KeyValueRequest &request);
 
+/// The result of a call that was sent and not answered, or whose answer cannot be read.
+[[nodiscard]] KeyValueResult resultWithoutAnswer(const KeyValueRequest &request);
+
+/// Adds a later change to those of a watch, which keep the last one of each key.
+void noteChange(RangeChanged &changes, KeyValueRecord record, bool deleted);
+
 } // namespace Carawaymill
--- a/src/platform/StoreProtocol.cpp
+++ b/src/platform/StoreProtocol.cpp
@@ -1,5 +1,6 @@
 #include "platform/StoreProtocol.h"
 
+#include "keyvalue/KeyValueCodec.h"
 #include "support/Base64.h"
 #include "support/Codec.h"
 
@@ -144,14 +145,8 @@
     RangeChanged changed{
         .written = {}, .deletedKeys = {}, .storeRevision = Revision(json.at("At").get<std::uint64_t>())};
     for (const nlohmann::json &event : json.at("events")) {
-        const auto key = event.at("Key").get<std::string>();
-        std::erase_if(changed.written, [&](const KeyValueRecord &older) { return older.key == key; });
-        std::erase(changed.deletedKeys, key);
-        if (event.value("Deleted", false)) {
-            changed.deletedKeys.push_back(key);
-        } else {
-            changed.written.push_back(readRecord(event));
-        }
+        const bool deleted = event.value("Deleted", false);
+        noteChange(changed, readRecord(event), deleted);
     }
     return changed;
 }
@@ -182,13 +177,6 @@
         request);
 }
 
-/// A read without an answer had no effect; anything else may have been carried out, or may be later.
-static KeyValueResult noAnswer(const KeyValueRequest &request)
-{
-    const bool isRead = std::holds_alternative<ReadRange>(request) || std::holds_alternative<WatchRange>(request);
-    return isRead ? KeyValueResult(ServiceUnavailable{}) : KeyValueResult(OutcomeUnknown{});
-}
-
 static KeyValueResult readFailure(const KeyValueRequest &request, const HttpResponse &response)
 {
     switch (response.status) {
@@ -207,7 +195,7 @@
     case statusUnavailable:
         return ServiceUnavailable{};
     default:
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     }
 }
 
@@ -218,12 +206,12 @@
     }
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr) {
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     }
     try {
         return response->status == statusOk ? readSuccess(request, response->body) : readFailure(request, *response);
     } catch (const nlohmann::json::exception &) {
-        return noAnswer(request);
+        return resultWithoutAnswer(request);
     }
 }
 
