Ledger: Hold the end of an answer until its bill would outlive the host

Cause: a job was answered and billed in one go, and the copy of the bill left only after up to 50 ms.

Change: what completes an answer waits in BilledAnswers until the bill is recorded or its keeper has confirmed the copy, which is sent at once and again after 100 ms. The wait ends after 1 s, and there is none without a keeper.

--- a/src/ledger/BillOutbox.cpp
+++ b/src/ledger/BillOutbox.cpp
@@ -19,9 +19,9 @@
 {
 }
 
-void BillOutbox::Resend::sent(const BillOutboxOptions &options, TimePoint now)
+void BillOutbox::Resend::sent(Duration shortest, Duration longest, TimePoint now)
 {
-    pause = std::clamp(2 * pause, options.resendInterval, options.maximumResendInterval);
+    pause = std::clamp(2 * pause, shortest, longest);
     next = now + pause;
 }
 
@@ -47,7 +47,7 @@
 {
     Actions actions;
     std::visit(Overloaded{
-                   [&](const BillEarned &bill) { earned(bill, actions); },
+                   [&](const BillEarned &bill) { earned(bill, now, actions); },
                    [&](const CopyKeeperChosen &chosen) { keeperChosen(chosen); },
                    [&](const BillSourceGone &gone) {
                        IncarnationNumber &last = m_gone[gone.source.host];
@@ -67,13 +67,14 @@
     return actions;
 }
 
-void BillOutbox::earned(const BillEarned &earned, Actions &actions)
+void BillOutbox::earned(const BillEarned &earned, TimePoint now, Actions &actions)
 {
     if (!hasRoom()) {
         actions.emplace_back(BillLost{.bill = earned.bill});
         return;
     }
     m_own.bills.push_back(earned.bill);
+    sendCopies(now, actions);
 }
 
 void BillOutbox::keeperChosen(const CopyKeeperChosen &chosen)
@@ -146,7 +147,7 @@
     }
     if (kept.through > m_copiedThrough) {
         m_copyResend.acknowledged();
-        m_copyResend.next = now + m_options.resendInterval;
+        m_copyResend.next = now + m_options.copyResendInterval;
     }
     // A keeper that was restarted has fewer copies than before.
     m_copiedThrough = std::max(kept.through, recordedThrough());
@@ -163,6 +164,11 @@
     m_formerKeepers.clear();
 }
 
+BillSequence BillOutbox::safeThrough() const
+{
+    return m_keeper ? std::clamp(m_copiedThrough, recordedThrough(), m_own.last()) : m_own.last();
+}
+
 std::size_t BillOutbox::uncopied() const
 {
     return m_own.last().value() - std::clamp(m_copiedThrough, recordedThrough(), m_own.last()).value();
@@ -203,7 +209,7 @@
     }
     part.sentThrough = std::min(part.last(), BillSequence(part.first.value() + m_options.batchLimit - 1));
     part.nextSend = now + m_options.sendInterval;
-    part.resend.sent(m_options, now);
+    part.resend.sent(m_options.resendInterval, m_options.maximumResendInterval, now);
     actions.emplace_back(
         SendLedgerMessage{.to = owner->second,
                           .message = BillsReported{.shard = shard,
@@ -222,12 +228,11 @@
     const BillSequence from =
         std::max(resend ? m_copiedThrough : std::max(m_copiedThrough, m_copySentThrough), recordedThrough()).next();
     std::vector<Bill> bills = m_own.slice(from, m_options.batchLimit);
-    if (!resend && (bills.empty() || now < m_nextCopy)) {
+    if (!resend && bills.empty()) {
         return;
     }
     m_copySentThrough = BillSequence(from.value() + bills.size() - 1);
-    m_nextCopy = now + m_options.sendInterval;
-    m_copyResend.sent(m_options, now);
+    m_copyResend.sent(m_options.copyResendInterval, m_options.maximumResendInterval, now);
     actions.emplace_back(SendLedgerMessage{
         .to = *m_keeper,
         .message = BillsCopied{
--- a/src/ledger/BillOutbox.h
+++ b/src/ledger/BillOutbox.h
@@ -54,6 +54,8 @@
     Duration sendInterval = 50ms;
     /// Bills without an acknowledgement are sent again after this pause, which doubles up to `maximumResendInterval`.
     Duration resendInterval = 500ms;
+    /// The same for copies, which answers wait for: some round trips between failure domains.
+    Duration copyResendInterval = 100ms;
     Duration maximumResendInterval = 15s;
 };
 
@@ -83,6 +85,13 @@
     /// Own bills that would be lost if this host ended now: neither recorded nor known to be copied.
     [[nodiscard]] std::size_t uncopied() const;
 
+    /// The bill that was earned last.
+    [[nodiscard]] BillSequence last() const { return m_own.last(); }
+
+    /// Bills up to here outlive this host: they are recorded, or known to be copied. All of them while there is no
+    /// keeper, as nothing is gained by waiting.
+    [[nodiscard]] BillSequence safeThrough() const;
+
     /// Copies that are kept for other hosts.
     [[nodiscard]] std::size_t copies() const;
 
@@ -95,7 +104,7 @@
         Duration pause{};
         TimePoint next;
 
-        void sent(const BillOutboxOptions &options, TimePoint now);
+        void sent(Duration shortest, Duration longest, TimePoint now);
 
         void acknowledged() { *this = {}; }
     };
@@ -120,7 +129,7 @@
 
     explicit BillOutbox(BillOutboxOptions options);
 
-    void earned(const BillEarned &earned, Actions &actions);
+    void earned(const BillEarned &earned, TimePoint now, Actions &actions);
     void keeperChosen(const CopyKeeperChosen &chosen);
     void received(const LedgerMessageReceived &received, TimePoint now, Actions &actions);
     void recorded(const BillsRecorded &recorded);
@@ -141,7 +150,6 @@
     /// The keeper has copies of all own bills up to here.
     BillSequence m_copiedThrough;
     BillSequence m_copySentThrough;
-    TimePoint m_nextCopy;
     Resend m_copyResend;
     std::map<HostLife, Unrecorded> m_kept;
     /// Largest incarnation of each host that is known to have ended.
--- /dev/null
+++ b/src/node/BilledAnswers.cpp
@@ -0,0 +1,34 @@
+#include "node/BilledAnswers.h"
+
+#include "node/NodeOutput.h"
+
+namespace Carawaymill {
+
+/// A keeper that has not answered for so long is as good as gone: several resends of the copy have failed.
+static constexpr Duration longestCopyWait = 1s;
+
+void BilledAnswers::hold(BillSequence bill, JobId job, std::vector<NodeAction> answer, TimePoint now)
+{
+    m_held.push_back({.bill = bill, .job = std::move(job), .actions = std::move(answer), .since = now});
+}
+
+void BilledAnswers::release(BillSequence safeThrough, NodeContext &context)
+{
+    while (!m_held.empty()) {
+        HeldAnswer &answer = m_held.front();
+        const bool safe = answer.bill <= safeThrough;
+        if (!safe && context.now - answer.since < longestCopyWait) {
+            return;
+        }
+        if (!safe) {
+            context.output.logDecision(
+                answer.job, "Node: job " + answer.job.value() + " is answered although its bill is not copied yet.");
+        }
+        for (NodeAction &action : answer.actions) {
+            context.output.add(std::move(action));
+        }
+        m_held.pop_front();
+    }
+}
+
+} // namespace Carawaymill
--- a/src/node/CallDesk.cpp
+++ b/src/node/CallDesk.cpp
@@ -332,6 +332,11 @@
     settleEnded(ledger, context);
 }
 
+void CallDesk::sendAnswers(const LedgerDesk &ledger, NodeContext &context)
+{
+    m_answers.release(ledger.billsSafeThrough(), context);
+}
+
 /// Lets jobs that lost a stage go on, once it is known whether they are to blame.
 void CallDesk::judgeHeldJobs(NodeContext &context)
 {
@@ -471,7 +476,8 @@
 
 std::size_t CallDesk::inProgress() const
 {
-    return m_modelJobs.inProgress() + m_serviceJobs.inProgress() + m_claiming.size() + m_offered.size();
+    return m_modelJobs.inProgress() + m_serviceJobs.inProgress() + m_claiming.size() + m_offered.size()
+           + m_answers.waiting();
 }
 
 nlohmann::json CallDesk::suspects() const
@@ -502,7 +508,7 @@
     judgeHeldJobs(context);
     // Each end may let a waiting call start, and that may end at once.
     for (auto ended = m_modelJobs.takeEnded(); !ended.empty(); ended = m_modelJobs.takeEnded()) {
-        for (const ModelJobEnded &job : ended) {
+        for (ModelJobEnded &job : ended) {
             settle(job, ledger, context);
         }
     }
@@ -529,18 +535,19 @@
 /// Each token costs one millionth of the unit of account.
 static constexpr MicroPrice pricePerToken(1);
 
-void CallDesk::settle(const ModelJobEnded &ended, LedgerDesk &ledger, NodeContext &context)
+void CallDesk::settle(ModelJobEnded &ended, LedgerDesk &ledger, NodeContext &context)
 {
     const AcceptedCall &call = ended.start.call;
     TokenCount used(0);
     if (ended.completed) {
         used = ended.completed->promptTokens + ended.completed->generatedTokens;
-        ledger.bill({.job = call.job,
-                     .organisation = call.organisation,
-                     .period = periodOf(call.receivedAt),
-                     .tokens = used,
-                     .price = MicroPrice(used.value() * pricePerToken.value())},
-                    context);
+        const BillSequence bill = ledger.bill({.job = call.job,
+                                               .organisation = call.organisation,
+                                               .period = periodOf(call.receivedAt),
+                                               .tokens = used,
+                                               .price = MicroPrice(used.value() * pricePerToken.value())},
+                                              context);
+        m_answers.hold(bill, call.job, std::move(ended.answer), context.now);
         context.output.logDecision(
             call.job, "Node: job " + call.job.value() + " is billed " + std::to_string(used.value()) + " tokens.");
         feedQuarantine(RequestCompleted{.fingerprint = call.fingerprint,
--- a/src/node/CallDesk.h
+++ b/src/node/CallDesk.h
@@ -3,6 +3,7 @@
 #include "admission/AdmissionQueue.h"
 #include "admission/SharedLimits.h"
 #include "node/AcceptedCall.h"
+#include "node/BilledAnswers.h"
 #include "node/LedgerDesk.h"
 #include "node/ModelJobs.h"
 #include "node/NodeContext.h"
@@ -46,6 +47,8 @@
     void limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void quarantineReceived(const nlohmann::json &body, LedgerDesk &ledger, NodeContext &context);
     void quarantineReply(const KeyValueReply &reply, LedgerDesk &ledger, NodeContext &context);
+    /// Sends the complete answers whose bills are safe by now; after each event.
+    void sendAnswers(const LedgerDesk &ledger, NodeContext &context);
     void catalogueChanged(NodeContext &context);
     void membersChanged(NodeContext &context);
 
@@ -87,7 +90,7 @@
     void feedLimits(const SharedLimitsEvent &event, NodeContext &context);
     /// Settles everything that ended while the present event was handled.
     void settleEnded(LedgerDesk &ledger, NodeContext &context);
-    void settle(const ModelJobEnded &ended, LedgerDesk &ledger, NodeContext &context);
+    void settle(ModelJobEnded &ended, LedgerDesk &ledger, NodeContext &context);
     void settle(const ServiceJobEnded &ended, LedgerDesk &ledger, NodeContext &context);
     [[nodiscard]] JobId nextJobId();
 
@@ -99,6 +102,7 @@
     Quarantine m_quarantine;
     ModelJobs m_modelJobs;
     ServiceJobs m_serviceJobs;
+    BilledAnswers m_answers;
     std::map<CallId, ClaimingCall> m_claiming;
     bool m_targetsReserved = false;
     std::uint64_t m_lastJob = 0;
--- a/src/node/LedgerDesk.cpp
+++ b/src/node/LedgerDesk.cpp
@@ -74,9 +74,10 @@
     feedClient(CallEnded{.call = call, .outcome = std::move(outcome)}, context);
 }
 
-void LedgerDesk::bill(Bill bill, NodeContext &context)
+BillSequence LedgerDesk::bill(Bill bill, NodeContext &context)
 {
     feedOutbox(BillEarned{.bill = std::move(bill)}, context);
+    return m_outbox.last();
 }
 
 void LedgerDesk::tick(NodeContext &context)
--- a/src/node/LedgerDesk.h
+++ b/src/node/LedgerDesk.h
@@ -29,7 +29,8 @@
 
     void want(const ClaimWanted &wanted, NodeContext &context);
     void ended(CallId call, ClaimOutcome outcome, NodeContext &context);
-    void bill(Bill bill, NodeContext &context);
+    /// Bills a job; the number tells by `billsSafeThrough` when the bill would outlive this host.
+    [[nodiscard]] BillSequence bill(Bill bill, NodeContext &context);
 
     void tick(NodeContext &context);
     void scopeChanged(const ScopeChange &change, NodeContext &context);
@@ -43,6 +44,9 @@
     /// Whether another job can be billed.
     [[nodiscard]] bool hasRoom() const { return m_outbox.hasRoom(); }
 
+    /// Bills up to here are recorded, or copied to another host where there is one to keep copies.
+    [[nodiscard]] BillSequence billsSafeThrough() const { return m_outbox.safeThrough(); }
+
     [[nodiscard]] std::size_t unrecordedBills() const { return m_outbox.unrecorded(); }
 
     [[nodiscard]] std::size_t waitingReports() const { return m_client.waitingReports(); }
--- a/src/node/ModelJobs.cpp
+++ b/src/node/ModelJobs.cpp
@@ -219,7 +219,7 @@
                                                             .stream = cancel.stream});
                           },
                           [&](const TokenAccepted &token) { emitToken(job, token, context.output); },
-                          [&](const JobCompleted &completed) { complete(job, completed, context.output); },
+                          [&](const JobCompleted &completed) { complete(job, completed); },
                           [&](const JobFailed &failed) { fail(job, failed, context.output); },
                           [&](const StageIncident &incident) { noteIncident(job, incident, context); }},
                action);
@@ -293,19 +293,19 @@
     output.add(WriteStream{.id = request, .chunk = completionStreamToken(job.start.head(), token.text)});
 }
 
-void ModelJobs::complete(Job &job, const JobCompleted &completed, NodeOutput &output)
+void ModelJobs::complete(Job &job, const JobCompleted &completed)
 {
     job.completed = completed;
     const RequestId request = job.start.call.request;
     const bool reachedMaximum = completed.generatedTokens >= job.start.completion().maximumTokens;
     if (job.streaming) {
-        output.add(
+        job.answer.emplace_back(
             WriteStream{.id = request, .chunk = completionStreamEnd(job.start.head(), completed, reachedMaximum)});
-        output.add(EndStream{.id = request});
+        job.answer.emplace_back(EndStream{.id = request});
         return;
     }
     job.response = completionResponse(job.start.head(), completed, reachedMaximum);
-    output.respond(request, *job.response);
+    job.answer.emplace_back(Respond{.id = request, .response = *job.response});
 }
 
 static Problem problemOf(const JobFailed &failed)
@@ -382,6 +382,7 @@
                        .completed = std::move(job.completed),
                        .failed = job.failed,
                        .response = std::move(job.response),
+                       .answer = std::move(job.answer),
                        .targets = job.pipeline.usedTargets()});
     m_jobs.erase(found);
 }
--- a/src/node/ModelJobs.h
+++ b/src/node/ModelJobs.h
@@ -53,8 +53,10 @@
     ModelJobStart start;
     std::optional<JobCompleted> completed;
     std::optional<JobFailed> failed;
-    /// The response that the caller was given; a stream has none.
+    /// The response to the caller; a stream has none.
     std::optional<HttpResponse> response;
+    /// What completes the answer of a completed job: to be sent once the job is billed.
+    std::vector<NodeAction> answer;
     std::vector<TargetId> targets;
 };
 
@@ -107,6 +109,7 @@
         std::optional<JobCompleted> completed;
         std::optional<JobFailed> failed;
         std::optional<HttpResponse> response;
+        std::vector<NodeAction> answer;
         /// A question for a route that is not answered before the quarantine has judged the job.
         std::optional<std::variant<RequestChain, RequestReplacement>> heldRequest;
         /// The next question for a route is held.
@@ -124,7 +127,7 @@
     [[nodiscard]] PipelineEvent route(Job &job, const RequestReplacement &request, NodeContext &context);
     void noteIncident(Job &job, const StageIncident &incident, NodeContext &context);
     void emitToken(Job &job, const TokenAccepted &token, NodeOutput &output);
-    void complete(Job &job, const JobCompleted &completed, NodeOutput &output);
+    void complete(Job &job, const JobCompleted &completed);
     void fail(Job &job, const JobFailed &failed, NodeOutput &output);
     void recount(Job &job, TargetTable &targets);
     void removeIfEnded(const JobId &id);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -84,7 +84,7 @@
     if (m_forwarding) {
         PlacementControllerOptions controller;
         controller.concurrentLoads = forwardingConcurrentLoads;
-        controller.ordersNameWholeRange = true;
+        controller.orderForm = OrderForm::WholeRange;
         controller.planner = ChainPlannerOptions{};
         controller.lossGrace = forwardingLossGrace;
         controller.planInterval = forwardingPlanInterval;
