History: Count a cut request as admitted only if a target was given it

Cause: "limits hold ... while a host dies and comes back" reported 65 admitted where 64.12 are allowed. The period ended with the death of the host: requests that still waited for their turn there were cut, and the check took every cut request for an admitted one.

Change: a cut request counts if the log of a service or an engine shows that a target was given it. As strict as before for whatever reached a target: a new test of the checker has one cut request beyond the burst, which is rejected if a service or an engine ran it and passes if none did.

--- a/src/history/ConsumptionHistory.cpp
+++ b/src/history/ConsumptionHistory.cpp
@@ -14,10 +14,17 @@
     return violations;
 }
 
+bool HistoryChecker::reachedTarget(const RequestSeen &request) const
+{
+    const auto isOf = [&](const auto &seen) { return seen.request == request.number; };
+    return std::ranges::any_of(m_history.serviceRuns, isOf) || std::ranges::any_of(m_history.jobs, isOf);
+}
+
 /// In no period are more requests admitted than the rate, the burst and the stated error allow.
 ///
 /// A request may wait for its turn, so that the time at which it was admitted lies anywhere between its sending and its
-/// end: a period is charged with the requests that were both sent and ended in it.
+/// end: a period is charged with the requests that were both sent and ended in it. A request whose connection was cut
+/// may have been waiting still: it was admitted if a target was given it.
 void HistoryChecker::checkLimit(const LimitSeen &limit, Violations &violations) const
 {
     struct Admitted
@@ -31,7 +38,8 @@
         const auto *problem = std::get_if<ProblemSeen>(&request.end);
         const bool refused = problem != nullptr && problem->ran == RanClaim::No;
         const bool ended = !std::holds_alternative<NoEndSeen>(request.end);
-        if (request.organisation == limit.organisation && !refused && ended) {
+        const bool waited = std::holds_alternative<ConnectionCut>(request.end) && !reachedTarget(request);
+        if (request.organisation == limit.organisation && !refused && ended && !waited) {
             admitted.push_back({.sentAt = request.sentAt, .endedAt = std::max(request.sentAt, request.endedAt)});
         }
     }
--- a/src/history/HistoryChecker.h
+++ b/src/history/HistoryChecker.h
@@ -55,6 +55,9 @@
     [[nodiscard]] Violations checkAll() const;
 
 private:
+    /// Whether a target was given the request, by the targets' own logs.
+    [[nodiscard]] bool reachedTarget(const RequestSeen &request) const;
+
     /// What ran for one job.
     using Runs = std::set<std::pair<TokenPosition, LayerIndex>>;
 
--- a/src/history/tests/HistoryCheckerTest.cpp
+++ b/src/history/tests/HistoryCheckerTest.cpp
@@ -339,6 +339,25 @@
     CHECK(HistoryChecker(history, {}).checkAll().empty());
 }
 
+TEST_CASE("limits: a cut request was admitted if a target was given it, and not if it was still waiting")
+{
+    History history = goodHistory();
+    history.limits.front() = {.organisation = organisation, .requestsPerSecond = 0, .burst = 4, .statedError = 0};
+    history.requests.push_back(serviceRequest(5, ""));
+    history.requests.back().end = ConnectionCut{};
+    std::get<ServiceAsk>(history.requests.back().ask).answersRequest.reset();
+    CHECK(HistoryChecker(history, {}).checkLimits().empty());
+    SUBCASE("a service ran it")
+    {
+        history.serviceRuns.push_back({.target = service, .request = RequestNumber(5), .at = at(510ms)});
+    }
+    SUBCASE("an engine began it")
+    {
+        history.jobs.push_back({.job = JobId("job-5"), .request = RequestNumber(5)});
+    }
+    CHECK(HistoryChecker(history, {}).checkLimits().size() == 1);
+}
+
 TEST_CASE("bills: one too many, one too few or wrong tokens are rejected")
 {
     History history = goodHistory();
