Placement: Never let two holders of a layer drop it in the same round

Cause: orders of a whole range were checked against the state before the round, so that two engines could each count on the other for a layer that both were told to drop; and an engine with an order under way still counted as holder of what that order drops.

Change: the scheduler itself widens a step to the whole range, with its count of holders, and names what is dropped. The ledger of engines takes out what an order drops until the engine is read again, also if the order stays unanswered.

Result: LoadScheduleTest and EngineLedgerTest fail on the old behaviour and pass now.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -128,6 +128,7 @@
     std::visit([&](const auto &concrete) { on(concrete, context); }, event);
     passScopeChanges(context);
     m_calls.takeVerdicts(m_ledger, context);
+    m_calls.sendAnswers(m_ledger, context);
     return output.take();
 }
 
--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -11,6 +11,29 @@
 {
 }
 
+/// What is left of `held` without `dropped`.
+static std::vector<ModelLayers> without(std::vector<ModelLayers> held, const std::vector<ModelLayers> &dropped)
+{
+    for (const ModelLayers &drop : dropped) {
+        std::vector<ModelLayers> rest;
+        const auto keep = [&](ModelLayers layers, LayerIndex first, LayerIndex end) {
+            if (layers.layers = {first, end}; !layers.layers.empty()) {
+                rest.push_back(std::move(layers));
+            }
+        };
+        for (const ModelLayers &layers : held) {
+            if (layers.model != drop.model || layers.version != drop.version || layers.adapter != drop.adapter) {
+                rest.push_back(layers);
+                continue;
+            }
+            keep(layers, layers.layers.first, std::min(layers.layers.end, drop.layers.first));
+            keep(layers, std::max(layers.layers.first, drop.layers.end), layers.layers.end);
+        }
+        held = std::move(rest);
+    }
+    return held;
+}
+
 void EngineLedger::startAgain(TimePoint now)
 {
     m_engines.clear();
@@ -104,6 +127,10 @@
         engine.retryAt = now + std::min(delay, m_options.lastRetryDelay);
         engine.failures += 1;
     }
+    if (engine.state) {
+        // Until the next reading nobody counts on what the order drops: without an answer it may still be carried out.
+        engine.state->held = without(std::move(engine.state->held), engine.order->unloads);
+    }
     if (accepted && engine.state) {
         // Until the next reading the loads count as under way.
         engine.state->loading.insert(
@@ -134,6 +161,7 @@
     EngineState state = *found->second.state;
     if (const auto &order = found->second.order) {
         state.loading.insert(state.loading.end(), order->loads.begin(), order->loads.end());
+        state.held = without(std::move(state.held), order->unloads);
     }
     return state;
 }
--- a/src/placement/EngineLedger.h
+++ b/src/placement/EngineLedger.h
@@ -36,7 +36,8 @@
     /// Gives up orders whose answer is overdue.
     void dropOverdueOrders(TimePoint now);
 
-    /// The last read state, with the loads of an order under way added to those being loaded.
+    /// The last read state, with the loads of an order under way added to those being loaded, and without what it
+    /// drops.
     [[nodiscard]] std::optional<EngineState> state(const TargetId &target) const;
 
     /// Whether the engine has been read since `readAfter` and since its last order, and no order or delay is pending.
--- a/src/placement/LoadSchedule.cpp
+++ b/src/placement/LoadSchedule.cpp
@@ -40,6 +40,9 @@
     /// Adds what makes room for the step's loads. False when there is no room.
     [[nodiscard]] bool makeRoom(const ScheduledEngine &engine, const ModelLayers &wanted, LoadStep &step);
 
+    /// Makes the step one of the whole range. False when the target is the last holder of a layer outside of it.
+    [[nodiscard]] bool widen(const ScheduledEngine &engine, const ModelLayers &wanted, LoadStep &step) const;
+
     /// Counts the step as being done.
     void begin(const ScheduledEngine &engine, const LoadStep &step);
 
@@ -180,6 +183,17 @@
     return needed <= available;
 }
 
+bool Scheduler::widen(const ScheduledEngine &engine, const ModelLayers &wanted, LoadStep &step) const
+{
+    step.loads = {wanted};
+    step.unloads = unwanted(engine.state, wanted);
+    return step.reason == LoadReason::RestoresService
+           || std::ranges::all_of(step.unloads, [&](const ModelLayers &layers) {
+                  const LayerHolders *holders = holdersOf(layers);
+                  return !holders || holders->spare(layers.layers);
+              });
+}
+
 void Scheduler::begin(const ScheduledEngine &engine, const LoadStep &step)
 {
     for (LayerHolders &holders : m_holders) {
@@ -197,7 +211,8 @@
 std::vector<LoadStep> scheduleLoads(const std::vector<ScheduledEngine> &engines,
                                     const std::vector<PlacementDemand> &demands,
                                     const PlacementPlan &plan,
-                                    std::size_t most)
+                                    std::size_t most,
+                                    OrderForm form)
 {
     Scheduler scheduler(engines, demands);
     std::vector<const ScheduledEngine *> waiting;
@@ -225,7 +240,9 @@
         }
         const ScheduledEngine &engine = *waiting[position];
         waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(position));
-        if (scheduler.makeRoom(engine, plan.at(engine.target.id), *best)) {
+        const ModelLayers &wanted = plan.at(engine.target.id);
+        if (form == OrderForm::WholeRange ? scheduler.widen(engine, wanted, *best)
+                                          : scheduler.makeRoom(engine, wanted, *best)) {
             scheduler.begin(engine, *best);
             steps.push_back(std::move(*best));
         }
--- a/src/placement/LoadSchedule.h
+++ b/src/placement/LoadSchedule.h
@@ -20,14 +20,23 @@
 
 [[nodiscard]] std::string describe(LoadReason reason);
 
+/// What an order says of the layers of a target.
+enum class OrderForm {
+    /// The ranges to load, and those to drop for them.
+    Changes,
+    /// The one range that the target holds from then on: everything outside of it is dropped.
+    WholeRange,
+};
+
 /// What one target is to do next.
 struct LoadStep
 {
     TargetId target;
     LoadReason reason = LoadReason::Capacity;
-    /// Layers that are equally urgent; less urgent ones of the same target follow in a later step.
+    /// Layers that are equally urgent; less urgent ones of the same target follow in a later step. With
+    /// `OrderForm::WholeRange` all layers that the target is to hold.
     std::vector<ModelLayers> loads;
-    /// What makes room for them. Layers that are not in the way stay as spares.
+    /// What makes room for them, or lies outside of the whole range. Layers that are not in the way stay as spares.
     std::vector<ModelLayers> unloads;
 };
 
@@ -48,6 +57,7 @@
 [[nodiscard]] std::vector<LoadStep> scheduleLoads(const std::vector<ScheduledEngine> &engines,
                                                   const std::vector<PlacementDemand> &demands,
                                                   const PlacementPlan &plan,
-                                                  std::size_t most);
+                                                  std::size_t most,
+                                                  OrderForm form = OrderForm::Changes);
 
 } // namespace Carawaymill
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -231,38 +231,6 @@
     return engines;
 }
 
-/// Whether an engine other than `target` holds the layer.
-static bool heldElsewhere(const std::vector<ScheduledEngine> &engines,
-                          const TargetId &target,
-                          const ModelLayers &layers,
-                          std::uint32_t layer)
-{
-    return std::ranges::any_of(engines, [&](const ScheduledEngine &engine) {
-        return engine.target.id != target && std::ranges::any_of(engine.state.held, [&](const ModelLayers &held) {
-                   return held.model == layers.model && held.version == layers.version
-                          && held.layers.contains(LayerIndex(layer));
-               });
-    });
-}
-
-bool PlacementController::widenToWholeRange(LoadStep &step, const std::vector<ScheduledEngine> &engines) const
-{
-    const ModelLayers &wanted = m_plan.at(step.target);
-    const auto engine =
-        std::ranges::find_if(engines, [&](const ScheduledEngine &known) { return known.target.id == step.target; });
-    for (const ModelLayers &held : engine->state.held) {
-        for (std::uint32_t layer = held.layers.first.value(); layer < held.layers.end.value(); ++layer) {
-            if (!wanted.layers.contains(LayerIndex(layer)) && step.reason != LoadReason::RestoresService
-                && !heldElsewhere(engines, step.target, held, layer)) {
-                return false;
-            }
-        }
-    }
-    step.unloads = engine->state.held;
-    step.loads = {wanted};
-    return true;
-}
-
 void PlacementController::giveOrders(Actions &actions, TimePoint now)
 {
     const std::size_t loading = m_engines.loadingEngines();
@@ -271,10 +239,8 @@
         return;
     }
     const std::vector<ScheduledEngine> engines = scheduledEngines(now);
-    for (LoadStep &step : scheduleLoads(engines, m_demands, m_plan, m_options.concurrentLoads - loading)) {
-        if (m_options.ordersNameWholeRange && !widenToWholeRange(step, engines)) {
-            continue;
-        }
+    const std::size_t most = m_options.concurrentLoads - loading;
+    for (LoadStep &step : scheduleLoads(engines, m_demands, m_plan, most, m_options.orderForm)) {
         m_lastOrder = m_lastOrder.next();
         const auto state = m_engines.state(step.target);
         SendEngineOrder send{.order = {.target = step.target,
--- a/src/placement/PlacementController.h
+++ b/src/placement/PlacementController.h
@@ -45,8 +45,6 @@
     [[nodiscard]] PlacementPlan currentPlan(const std::vector<PlacementTarget> &targets) const;
     [[nodiscard]] PlanChanged compare(const PlacementPlan &before) const;
     void giveOrders(Actions &actions, TimePoint now);
-    /// Has the step bring the engine to its whole planned range at once. False when a layer would lose its last holder.
-    [[nodiscard]] bool widenToWholeRange(LoadStep &step, const std::vector<ScheduledEngine> &engines) const;
     [[nodiscard]] std::vector<ScheduledEngine> scheduledEngines(TimePoint now) const;
     /// How long an order may be valid now; zero when the lease is too near its end.
     [[nodiscard]] Duration validity(TimePoint now) const;
--- a/src/placement/PlacementOptions.h
+++ b/src/placement/PlacementOptions.h
@@ -2,6 +2,7 @@
 
 #include "placement/ChainPlanner.h"
 #include "placement/EngineOrders.h"
+#include "placement/LoadSchedule.h"
 #include "placement/PlacementPlanner.h"
 #include "support/Time.h"
 
@@ -46,8 +47,8 @@
     Duration planInterval = std::chrono::seconds(1);
     /// Targets that load at the same time: the weight store is rate-limited, so that more would delay the most urgent.
     std::uint32_t concurrentLoads = 4;
-    /// Engines hold one range of layers, and an order names all of it rather than what is to be added and dropped.
-    bool ordersNameWholeRange = false;
+    /// `WholeRange` for engines that hold one range of layers.
+    OrderForm orderForm = OrderForm::Changes;
     Duration firstRetryDelay = std::chrono::seconds(1);
     Duration lastRetryDelay = std::chrono::seconds(60);
 };
