Forwarder: Let requests wait while a host reads its first configuration

Change: requests that come before both were read wait, for 500 ms from the start of the host at most; then they are refused at once as before.

Result: tests of both cases.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -60,6 +60,7 @@
 std::vector<ForwarderAction>
 Forwarder::handle(const ForwarderEvent &event, bool fresh, ChainRouter &router, TimePoint now)
 {
+    m_startedAt = m_startedAt.value_or(now);
     Turn turn{.router = router, .now = now, .fresh = fresh, .actions = {}};
     std::visit([&](const auto &concrete) { on(concrete, turn); }, event);
     return std::move(turn.actions);
@@ -132,24 +133,50 @@
 
 void Forwarder::on(const ForwardRequested &event, Turn &turn)
 {
-    const auto [entry, isNew] = m_calls.try_emplace(event.id);
+    if (starting(turn.now)) {
+        m_early.push_back({.event = event, .receivedAt = turn.now});
+    } else {
+        accept(event.request, event.id, turn.now, turn);
+    }
+}
+
+bool Forwarder::starting(TimePoint now) const
+{
+    const bool draining = m_refuseFrom && now >= *m_refuseFrom;
+    const bool knowsAll = m_table && m_directoryRead;
+    return !knowsAll && !draining && now - *m_startedAt < m_options.startPatience;
+}
+
+void Forwarder::serveEarly(Turn &turn)
+{
+    if (starting(turn.now)) {
+        return;
+    }
+    for (const EarlyRequest &early : std::exchange(m_early, {})) {
+        accept(early.event.request, early.event.id, early.receivedAt, turn);
+    }
+}
+
+void Forwarder::accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, Turn &turn)
+{
+    const auto [entry, isNew] = m_calls.try_emplace(id);
     Call &call = entry->second;
-    call.id = event.id;
-    call.request = std::make_shared<const ForwardRequest>(event.request);
+    call.id = id;
+    call.request = std::make_shared<const ForwardRequest>(request);
     call.table = m_table;
-    call.receivedAt = turn.now;
-    call.deadline = turn.now + event.request.timeLeft.value_or(30s);
-    call.relay = EventStreamRelay(event.request.resumeAfter);
-    if (const auto failure = admit(event.request, call, turn)) {
+    call.receivedAt = receivedAt;
+    call.deadline = receivedAt + request.timeLeft.value_or(30s);
+    call.relay = EventStreamRelay(request.resumeAfter);
+    if (const auto failure = admit(request, call, turn)) {
         refuse(call, *failure, turn);
         return;
     }
-    if (event.request.timeLeft) {
-        call.callerDeadline = turn.now + *event.request.timeLeft;
+    if (request.timeLeft) {
+        call.callerDeadline = receivedAt + *request.timeLeft;
         call.deadline = *call.callerDeadline - answerLead;
     }
-    call.deadline = std::min(call.deadline, turn.now + call.route->timeout);
-    call.service = drawService(*call.route, event.request.attempt);
+    call.deadline = std::min(call.deadline, receivedAt + call.route->timeout);
+    call.service = drawService(*call.route, request.attempt);
     m_retries.recordRequest(call.service, turn.now);
     dispatch(call, ForwardFailure::NoTarget, turn);
 }
@@ -268,6 +295,7 @@
 
 void Forwarder::on(const CallerLeft &event, Turn &turn)
 {
+    std::erase_if(m_early, [&](const EarlyRequest &early) { return early.event.id == event.id; });
     if (const auto found = m_calls.find(event.id); found != m_calls.end()) {
         leaveAttempt(found->second, true, turn);
         finish(found->second, "caller-left", turn);
@@ -418,6 +446,7 @@
 void Forwarder::on(const Tick &, Turn &turn)
 {
     m_targets.tick(turn.router, turn.now);
+    serveEarly(turn);
     serveQueue(turn);
     std::vector<RequestId> due;
     for (const auto &[id, call] : m_calls) {
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -34,6 +34,9 @@
     Duration suspicion = 4s;
     /// A target that turned a request down, or that another target could not reach, gets no new ones for so long.
     Duration pauseAfterRefusal = 400ms;
+    /// In so long after its start a host reads configuration and directory, which takes some round trips to the
+    /// service. Requests that come before wait for that; callers abandon one that is not read within a second.
+    Duration startPatience = 500ms;
     /// Told to callers of a request that no target can take now.
     Duration retryAfter = 500ms;
     /// Told to callers of a host that shuts down: another one can serve them at once.
@@ -91,12 +94,15 @@
     void targetListed(const DirectoryTarget &target, ChainRouter &router);
     void targetUnlisted(const TargetId &target, ChainRouter &router);
 
+    /// The directory has been read whole; targets that are not listed by now do not exist.
+    void directoryRead() { m_directoryRead = true; }
+
     void setHosts(std::size_t hosts) { m_retries.setHosts(hosts); }
 
     /// New requests are turned away from then on, since the host shuts down.
     void refuseFrom(TimePoint time) { m_refuseFrom = time; }
 
-    [[nodiscard]] std::size_t inProgress() const { return m_calls.size(); }
+    [[nodiscard]] std::size_t inProgress() const { return m_calls.size() + m_early.size(); }
 
     [[nodiscard]] const ForwardTargets &targets() const { return m_targets; }
 
@@ -140,6 +146,13 @@
         std::optional<TimePoint> askedAt;
     };
 
+    /// A request that came before the host knew its routes and targets.
+    struct EarlyRequest
+    {
+        ForwardRequested event;
+        TimePoint receivedAt;
+    };
+
     /// What is shared while one event is handled.
     struct Turn
     {
@@ -158,6 +171,11 @@
     void on(const TargetAnswerFailed &event, Turn &turn);
     void on(const ProgressReported &event, Turn &turn);
 
+    /// Lets requests go on that wait for the start of the host, or have waited too long for it.
+    void serveEarly(Turn &turn);
+    /// Whether what comes now may wait for the start of the host.
+    [[nodiscard]] bool starting(TimePoint now) const;
+    void accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, Turn &turn);
     /// The call, if this attempt of it is the present one.
     [[nodiscard]] Call *present(RequestId id, AttemptNumber attempt);
     /// Nothing when the request may go on.
@@ -198,6 +216,10 @@
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
     StartQueue m_queue;
+    std::vector<EarlyRequest> m_early;
+    /// Time of the first event.
+    std::optional<TimePoint> m_startedAt;
+    bool m_directoryRead = false;
     std::optional<TimePoint> m_refuseFrom;
 };
 
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -80,7 +80,7 @@
             .held = {}};
 }
 
-ForwarderFixture::ForwarderFixture(ForwarderOptions options)
+ForwarderFixture::ForwarderFixture(ForwarderOptions options, bool known)
     : router({.ownFailureDomain = FailureDomainId("a"),
               .ownRegion = RegionId("seq"),
               .candidatesPerSegment = 12,
@@ -92,6 +92,13 @@
         options.retries.burst = 100;
         return options;
     }())
+{
+    if (known) {
+        learn();
+    }
+}
+
+void ForwarderFixture::learn()
 {
     forwarder.configurationChanged(configuration(), router);
     const LayerRange lower{LayerIndex(0), LayerIndex(4)};
@@ -103,6 +110,7 @@
     for (const std::string id : {"desk1", "desk2", "desk3"}) {
         forwarder.targetListed(desk(id), router);
     }
+    forwarder.directoryRead();
 }
 
 std::vector<ForwarderAction> ForwarderFixture::feed(const ForwarderEvent &event)
--- a/src/forwarding/tests/ForwarderFixture.h
+++ b/src/forwarding/tests/ForwarderFixture.h
@@ -12,7 +12,11 @@
 class ForwarderFixture
 {
 public:
-    explicit ForwarderFixture(ForwarderOptions options = {});
+    /// `known`: whether the forwarder knows routes and targets from the start.
+    explicit ForwarderFixture(ForwarderOptions options = {}, bool known = true);
+
+    /// Tells the forwarder of routes and targets.
+    void learn();
 
     /// Feeds an event now.
     std::vector<ForwarderAction> feed(const ForwarderEvent &event);
--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -237,3 +237,32 @@
     fixture.feed(ForwarderFixture::began(accepted));
     CHECK(has<EndStream>(fixture.feed(ForwarderFixture::ended(accepted))));
 }
+
+TEST_CASE("requests that come while a host starts are served as soon as it knows its targets")
+{
+    ForwarderFixture fixture({}, false);
+    CHECK(fixture.feed(ForwarderFixture::request(1, "/read/x")).empty());
+    CHECK(fixture.feed(ForwarderFixture::request(2, "/read/x")).empty());
+    fixture.feed(CallerLeft{RequestId(2)});
+    CHECK(fixture.forwarder.inProgress() == 1);
+    CHECK(!has<RefuseCaller>(fixture.pass(100ms)));
+    fixture.learn();
+    const auto actions = fixture.pass(20ms);
+    const auto dispatch = only<ForwardToTarget>(actions);
+    CHECK(dispatch.id == RequestId(1));
+    // The wait counts.
+    CHECK(*dispatch.timeLeft < 19950ms);
+    CHECK(fixture.forwarder.inProgress() == 1);
+}
+
+TEST_CASE("a host that cannot learn its routes refuses what has waited, with a time to come back")
+{
+    ForwarderFixture fixture({}, false);
+    CHECK(fixture.feed(ForwarderFixture::request(1, "/read/x")).empty());
+    const auto refusal = only<RefuseCaller>(fixture.pass(600ms));
+    CHECK(refusal.reason == ForwardFailure::NoConfiguration);
+    CHECK(!refusal.mayHaveRun);
+    CHECK(refusal.retryAfter);
+    // What comes later is not held any more.
+    CHECK(only<RefuseCaller>(fixture.feed(ForwarderFixture::request(2, "/read/x"))).id == RequestId(2));
+}
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -160,6 +160,9 @@
                               [&](const TargetRecordIgnored &ignored) { context.output.log(describe(ignored)); }},
                    action);
     }
+    if (m_directory.hasRead()) {
+        m_forwarder.directoryRead();
+    }
 }
 
 void ForwardingDesk::feedRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
