Forwarding: Share loads within failure domains, and their sums between them

Cause: each host sent its digest to every other host within 12 KB/s, which in a fleet of 24 hosts and 98 targets comes to one digest in some 3.4 s; after 3 s it was forgotten.

Change: LoadExchange. Hosts of one failure domain tell each other every 200 ms; one of them, its collector, tells the other domains the sum every 500 ms.

--- a/src/forwarding/tests/KeepersTest.cpp
+++ b/src/forwarding/tests/KeepersTest.cpp
@@ -2,7 +2,6 @@
 #include "forwarding/DirectoryKeeper.h"
 #include "forwarding/FleetRetryBudget.h"
 #include "forwarding/HostRegistry.h"
-#include "forwarding/LoadDigest.h"
 #include "forwarding/RouteTable.h"
 
 #include <doctest/doctest.h>
@@ -301,19 +300,3 @@
         CHECK(count(from, true) <= ratio * requests + burst);
     }
 }
-
-TEST_CASE("loads of other hosts add up, and those of a silent host are forgotten")
-{
-    OtherHostsLoads loads;
-    const TargetId target("t");
-    const auto digest = [&](double layers) {
-        return std::get<LoadDigest>(
-            readLoadDigest(toJson({{target, {.openLayers = layers, .cacheLayerTokens = 10 * layers}}})));
-    };
-    loads.told(HostId("a"), digest(3), start);
-    loads.told(HostId("b"), digest(4), start + 2s);
-    CHECK(loads.sums(start + 2s).at(target).openLayers == 7);
-    CHECK(loads.sums(start + 4s).at(target).cacheLayerTokens == 40);
-    CHECK(loads.sums(start + 6s).at(target).openLayers == 0);
-    CHECK(std::holds_alternative<DecodeFailure>(readLoadDigest({1, 2})));
-}
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -10,12 +10,9 @@
 
 namespace Carawaymill {
 
-/// A request takes some seconds, so that loads change little in this time.
-static constexpr Duration leastDigestInterval = 200ms;
-/// Sizes on the wire, and what digests may use of the control traffic. In a large fleet they come less often.
-static constexpr std::size_t digestEntryBytes = 24;
-static constexpr std::size_t digestFrameBytes = 80;
-static constexpr double digestBytesPerSecond = 12000;
+/// Time between two looks at the loads of other hosts: less than the digests' own interval, and rare enough that adding
+/// them up costs little.
+static constexpr Duration loadsInterval = 100ms;
 
 ForwardingDesk::ForwardingDesk(const NodeOptions &options)
     : m_options(options)
@@ -29,6 +26,7 @@
                            .failureDomain = options.failureDomain,
                            .region = options.region},
                   .seed = stableHash("registry", options.seed)})
+    , m_loads({.self = options.host, .failureDomain = options.failureDomain})
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
                                .seed = stableHash("forwarding", options.seed)},
@@ -41,38 +39,54 @@
     feedConfiguration(Tick{}, context);
     feedDirectory(Tick{}, context);
     feedRegistry(Tick{}, context);
-    shareLoads(context);
+    if (context.now >= m_nextLoadsAt) {
+        m_nextLoadsAt = context.now + loadsInterval;
+        shareLoads(context);
+    }
     forward(Tick{}, context);
 }
 
 void ForwardingDesk::shareLoads(NodeContext &context)
 {
-    if (context.now < m_nextDigest) {
-        return;
-    }
-    std::vector<HostId> others;
+    std::vector<LoadExchangePeer> peers;
+    std::vector<HostId> ownDomain;
     for (const Member &member : context.fleet.members()) {
-        if (member.host != m_options.host && member.state != MemberState::Dead) {
-            others.push_back(member.host);
+        if (member.state == MemberState::Dead) {
+            continue;
+        }
+        if (member.profile.failureDomain == m_options.failureDomain) {
+            ownDomain.push_back(member.host);
+        }
+        if (member.host != m_options.host) {
+            peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
         }
     }
-    const LoadDigest digest = context.targets.router().ownLoads();
-    const nlohmann::json body = toJson(digest);
-    const auto bytes = static_cast<double>(others.size() * (digest.size() * digestEntryBytes + digestFrameBytes));
-    const std::chrono::duration<double> affordable(bytes / digestBytesPerSecond);
-    m_nextDigest = context.now + std::max(leastDigestInterval, std::chrono::duration_cast<Duration>(affordable));
-    for (const HostId &other : others) {
-        context.fleet.send(other, PeerChannel::Load, body, context.output);
+    const HostId collector = firstRanked(m_options.failureDomain.value(), ownDomain);
+    const LoadDigest own = context.targets.router().ownLoads();
+    for (const SendLoadDigest &send : m_loads.due(own, peers, collector, context.now)) {
+        const nlohmann::json body = toJson(send.digest);
+        for (const HostId &host : send.to) {
+            context.fleet.send(host, PeerChannel::Load, body, context.output);
+        }
     }
-    for (const auto &[target, load] : m_otherLoads.sums(context.now)) {
+    for (const auto &[target, load] : m_loads.sums(context.now)) {
         context.targets.router().setOtherLoad(target, load);
     }
 }
 
 void ForwardingDesk::loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
-    if (auto digest = readLoadDigest(body); std::holds_alternative<LoadDigest>(digest)) {
-        m_otherLoads.told(from, std::get<LoadDigest>(std::move(digest)), context.now);
+    auto digest = readLoadDigest(body);
+    if (!std::holds_alternative<LoadDigest>(digest)) {
+        return;
+    }
+    for (const Member &member : context.fleet.members()) {
+        if (member.host == from) {
+            m_loads.told({.host = from, .failureDomain = member.profile.failureDomain},
+                         std::get<LoadDigest>(std::move(digest)),
+                         context.now);
+            return;
+        }
     }
 }
 
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -5,7 +5,7 @@
 #include "forwarding/ForwardMetrics.h"
 #include "forwarding/Forwarder.h"
 #include "forwarding/HostRegistry.h"
-#include "forwarding/LoadDigest.h"
+#include "forwarding/LoadExchange.h"
 #include "node/NodeContext.h"
 #include "node/NodeMessages.h"
 #include "node/NodeOptions.h"
@@ -73,10 +73,10 @@
     ConfigurationKeeper m_configuration;
     DirectoryKeeper m_directory;
     HostRegistry m_registry;
+    LoadExchange m_loads;
     Forwarder m_forwarder;
     ForwardMetrics m_metrics;
-    OtherHostsLoads m_otherLoads;
-    TimePoint m_nextDigest{};
+    TimePoint m_nextLoadsAt{};
     std::optional<HostListRead> m_hostList;
     bool m_fleetChanged = false;
 };
