Forwarding: Let one host of a failure domain watch the service for all of it

Change: RangeQuestions sends a host's watches to the collector of its failure domain, RangeAnswers answers them there from the collector's own watches, at once when there is news. Answers carry an upper bound of their age, so that what a host vouches for is no younger than it was before. A collector that is silent, lags, or lacks the history is passed over and the service asked.

--- a/src/forwarding/ConfigurationKeeper.cpp
+++ b/src/forwarding/ConfigurationKeeper.cpp
@@ -41,7 +41,7 @@
 
 ConfigurationKeeper::ConfigurationKeeper(ConfigurationKeeperOptions options)
     : m_options(std::move(options))
-    , m_watch({.prefix = m_options.format.configurationKey, .seed = m_options.seed})
+    , m_watch({.prefix = m_options.format.configurationKey, .seed = m_options.seed, .wait = m_options.watchWait})
 {
 }
 
--- a/src/forwarding/ConfigurationKeeper.h
+++ b/src/forwarding/ConfigurationKeeper.h
@@ -15,10 +15,13 @@
 {
     PublicationFormat format;
     std::uint64_t seed = 0;
+    /// A watch is answered after so long, which confirms the configuration: twice this, and the wait of a host that
+    /// has the answer from another one, stay below `askPeersAfter`.
+    Duration watchWait = 800ms;
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration maximumAge = 3500ms;
     /// The other hosts are asked once the service has not confirmed the configuration for so long.
-    Duration askPeersAfter = 1800ms;
+    Duration askPeersAfter = 1900ms;
     /// Time between two such questions.
     Duration askPeersInterval = 300ms;
 };
--- a/src/forwarding/DirectoryKeeper.h
+++ b/src/forwarding/DirectoryKeeper.h
@@ -18,7 +18,7 @@
     /// A change may stay unknown for so long: much less than a leaving target goes on serving.
     Duration leastInterval = 250ms;
     /// A silent connection to the service goes unnoticed for about so long.
-    Duration watchWait = 1500ms;
+    Duration watchWait = 1200ms;
     /// Records that lapsed while the service was away come back within this time; one that is still missing is gone.
     Duration returnGrace = 1900ms;
 };
--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -46,7 +46,8 @@
     if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
         if (reply->id.value() % 2 == 1) {
             answered(*reply, now);
-        } else if (const auto update = m_watch.handle({CallId(reply->id.value() / 2), reply->result}, now)) {
+        } else if (const auto update = m_watch.handle(
+                       {.id = CallId(reply->id.value() / 2), .result = reply->result, .age = reply->age}, now)) {
             take(*update, actions);
         }
     }
--- /dev/null
+++ b/src/forwarding/RangeAnswers.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "forwarding/RangeMessages.h"
+#include "support/Time.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Carawaymill {
+
+struct RangeAnswersOptions
+{
+    /// What was confirmed longer ago is not passed on: the asking host may reach the service though this one does not.
+    /// Twice the wait of the range's watch, and the time that a slow service takes to answer.
+    Duration maximumConfigurationAge = 2s;
+    Duration maximumDirectoryAge = 2800ms;
+    Duration maximumHostsAge = 6500ms;
+    /// Changes are kept so long for hosts that have not heard of them.
+    Duration history = 20s;
+    /// Larger answers would fill a host's link when many ask at once: each host reads these from the service.
+    std::size_t maximumBytes = 128 * 1024;
+};
+
+/// A call that this host has made at the service.
+struct RangeCall
+{
+    RelayedRange range = RelayedRange::Configuration;
+    CallId id;
+    /// Revision after which changes were asked for; nothing where the whole range was.
+    std::optional<Revision> after;
+    TimePoint sentAt;
+};
+
+/// Answers other hosts' questions for changes of a range from what this host's own watches bring, so that one host's
+/// watches serve a whole failure domain.
+class RangeAnswers
+{
+public:
+    explicit RangeAnswers(RangeAnswersOptions options)
+        : m_options(options)
+    {
+    }
+
+    /// The service has answered this host's own call.
+    [[nodiscard]] std::vector<SendRangeMessage>
+    learned(const RangeCall &call, const KeyValueResult &result, TimePoint now);
+
+    [[nodiscard]] std::vector<SendRangeMessage> asked(const HostId &from, const RangeAsked &asked, TimePoint now);
+
+    /// Answers those that have waited for as long as they asked to.
+    [[nodiscard]] std::vector<SendRangeMessage> tick(TimePoint now);
+
+private:
+    /// The changes between two revisions.
+    struct Changes
+    {
+        Revision through;
+        std::vector<KeyValueRecord> written;
+        std::vector<std::string> deletedKeys;
+        TimePoint at;
+    };
+
+    struct Known
+    {
+        /// Nothing is known of changes up to here.
+        Revision begin;
+        Revision revision;
+        TimePoint confirmedAt;
+        std::deque<Changes> changes;
+    };
+
+    struct Question
+    {
+        HostId from;
+        RangeAsked asked;
+        TimePoint arrivedAt;
+    };
+
+    [[nodiscard]] Duration maximumAge(RelayedRange range) const;
+    void take(const RangeCall &call, const RangeChanged &changed, TimePoint now);
+    [[nodiscard]] std::vector<SendRangeMessage> answerDue(TimePoint now);
+    /// Nothing while the question has to wait.
+    [[nodiscard]] std::optional<RangeMessage> answer(const Question &question, TimePoint now) const;
+
+    RangeAnswersOptions m_options;
+    std::map<RelayedRange, Known> m_known;
+    std::vector<Question> m_waiting;
+};
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/RangeMessages.cpp
@@ -0,0 +1,71 @@
+#include "forwarding/RangeMessages.h"
+
+namespace Carawaymill {
+
+static constexpr const char *askedKind = "asked";
+static constexpr const char *toldKind = "told";
+static constexpr const char *notKnownKind = "unknown";
+
+static RelayedRange rangeOf(const nlohmann::json &json)
+{
+    const auto number = json.get<std::uint8_t>();
+    if (number > static_cast<std::uint8_t>(RelayedRange::Hosts)) {
+        throw nlohmann::json::other_error::create(501, "no such range", &json);
+    }
+    return static_cast<RelayedRange>(number);
+}
+
+void to_json(nlohmann::json &json, const RangeMessage &message)
+{
+    std::visit(Overloaded{[&](const RangeAsked &asked) {
+                              json = {askedKind, asked.number, asked.range, asked.after.value(), asked.wait.count()};
+                          },
+                          [&](const RangeTold &told) {
+                              nlohmann::json written = nlohmann::json::array();
+                              for (const KeyValueRecord &record : told.written) {
+                                  written.push_back({record.key, record.value, record.revision.value()});
+                              }
+                              json = {toldKind,
+                                      told.number,
+                                      told.range,
+                                      told.revision.value(),
+                                      told.age.count(),
+                                      std::move(written),
+                                      told.deletedKeys};
+                          },
+                          [&](const RangeNotKnown &notKnown) {
+                              json = {notKnownKind, notKnown.number};
+                          }},
+               message);
+}
+
+void from_json(const nlohmann::json &json, RangeMessage &message)
+{
+    const auto number = json.at(1).get<std::uint64_t>();
+    if (json.at(0) == askedKind) {
+        message = RangeAsked{.number = number,
+                             .range = rangeOf(json.at(2)),
+                             .after = Revision(json.at(3).get<std::uint64_t>()),
+                             .wait = Duration(json.at(4).get<Duration::rep>())};
+        return;
+    }
+    if (json.at(0) == notKnownKind) {
+        message = RangeNotKnown{.number = number};
+        return;
+    }
+    RangeTold told{.number = number,
+                   .range = rangeOf(json.at(2)),
+                   .written = {},
+                   .deletedKeys = json.at(6).get<std::vector<std::string>>(),
+                   .revision = Revision(json.at(3).get<std::uint64_t>()),
+                   .age = Duration(json.at(4).get<Duration::rep>())};
+    for (const nlohmann::json &record : json.at(5)) {
+        told.written.push_back({.key = record.at(0).get<std::string>(),
+                                .value = record.at(1).get<std::string>(),
+                                .revision = Revision(record.at(2).get<std::uint64_t>()),
+                                .lease = std::nullopt});
+    }
+    message = std::move(told);
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/RangeMessages.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "keyvalue/KeyValueMessages.h"
+#include "support/Codec.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Carawaymill {
+
+/// The ranges of the key-value service that hosts watch for each other.
+enum class RelayedRange : std::uint8_t {
+    Configuration = 0,
+    Directory = 1,
+    Hosts = 2,
+};
+
+/// A host waits for changes of a range after a revision.
+struct RangeAsked
+{
+    /// Chosen by the asking host, repeated in the answer.
+    std::uint64_t number = 0;
+    RelayedRange range = RelayedRange::Configuration;
+    Revision after;
+    /// Answered after so long even when nothing has changed.
+    Duration wait{};
+};
+
+/// The changes since the revision that was asked for.
+struct RangeTold
+{
+    std::uint64_t number = 0;
+    RelayedRange range = RelayedRange::Configuration;
+    std::vector<KeyValueRecord> written;
+    std::vector<std::string> deletedKeys;
+    /// Watch again from here.
+    Revision revision;
+    /// The service held this at most so long before the question arrived; negative when it did so later.
+    Duration age{};
+};
+
+/// The asked host does not know the range well enough: the service is to be asked.
+struct RangeNotKnown
+{
+    std::uint64_t number = 0;
+};
+
+using RangeMessage = std::variant<RangeAsked, RangeTold, RangeNotKnown>;
+
+void to_json(nlohmann::json &json, const RangeMessage &message);
+void from_json(const nlohmann::json &json, RangeMessage &message);
+
+/// Action: send to one host.
+struct SendRangeMessage
+{
+    HostId to;
+    RangeMessage message;
+};
+
+} // namespace Carawaymill
--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -55,7 +55,7 @@
         return std::nullopt;
     }
     m_inFlight.reset();
-    m_confirmedAt = sentAt;
+    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), sentAt - reply.age);
     m_failures = 0;
     m_backoff.reset();
     m_nextAt = std::max(now, sentAt + m_options.leastInterval);
--- a/src/keyvalue/KeyValueMessages.h
+++ b/src/keyvalue/KeyValueMessages.h
@@ -195,6 +195,9 @@
 {
     CallId id;
     KeyValueResult result;
+    /// For an answer that does not come from the service itself: the service held it at most so long before the call
+    /// was made.
+    Duration age{};
 };
 
 } // namespace Carawaymill
--- a/src/node/Fleet.h
+++ b/src/node/Fleet.h
@@ -21,6 +21,7 @@
     Quarantine = 4,
     Configuration = 5,
     Load = 6,
+    Range = 7,
 };
 
 /// A peer's message together with the slice that it is for.
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -14,6 +14,19 @@
 /// them up costs little.
 static constexpr Duration loadsInterval = 100ms;
 
+static KeyValueCaller callerOf(RelayedRange range)
+{
+    switch (range) {
+    case RelayedRange::Configuration:
+        return KeyValueCaller::Configuration;
+    case RelayedRange::Directory:
+        return KeyValueCaller::Directory;
+    case RelayedRange::Hosts:
+        break;
+    }
+    return KeyValueCaller::HostRegistry;
+}
+
 ForwardingDesk::ForwardingDesk(const NodeOptions &options)
     : m_options(options)
     , m_configuration({.format = options.forwarding->publications,
@@ -26,6 +39,8 @@
                            .failureDomain = options.failureDomain,
                            .region = options.region},
                   .seed = stableHash("registry", options.seed)})
+    , m_questions(RangeQuestionsOptions{})
+    , m_answers(RangeAnswersOptions{})
     , m_loads({.self = options.host, .failureDomain = options.failureDomain})
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
@@ -39,6 +54,10 @@
     feedConfiguration(Tick{}, context);
     feedDirectory(Tick{}, context);
     feedRegistry(Tick{}, context);
+    send(m_answers.tick(context.now), context);
+    for (RangeUnanswered &unanswered : m_questions.takeOverdue(context.now)) {
+        issueAtService(unanswered.range, std::move(unanswered.call), context);
+    }
     if (context.now >= m_nextLoadsAt) {
         m_nextLoadsAt = context.now + loadsInterval;
         shareLoads(context);
@@ -54,16 +73,16 @@
         if (member.state == MemberState::Dead) {
             continue;
         }
-        if (member.profile.failureDomain == m_options.failureDomain) {
+        if (member.state == MemberState::Alive && member.profile.failureDomain == m_options.failureDomain) {
             ownDomain.push_back(member.host);
         }
         if (member.host != m_options.host) {
             peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
         }
     }
-    const HostId collector = firstRanked(m_options.failureDomain.value(), ownDomain);
+    m_collector = firstRanked(m_options.failureDomain.value(), ownDomain);
     const LoadDigest own = context.targets.router().ownLoads();
-    for (const SendLoadDigest &send : m_loads.due(own, peers, collector, context.now)) {
+    for (const SendLoadDigest &send : m_loads.due(own, peers, m_collector, context.now)) {
         const nlohmann::json body = toJson(send.digest);
         for (const HostId &host : send.to) {
             context.fleet.send(host, PeerChannel::Load, body, context.output);
@@ -101,8 +120,83 @@
     return m_configuration.fresh(now) && m_directory.hasRead();
 }
 
+void ForwardingDesk::issue(RelayedRange range, KeyValueCall call, NodeContext &context)
+{
+    const bool collects = m_collector == m_options.host || m_collector == HostId();
+    if (const auto question =
+            m_questions.ask(range, call, collects ? std::nullopt : std::optional(m_collector), context.now)) {
+        send({*question}, context);
+    } else {
+        issueAtService(range, std::move(call), context);
+    }
+}
+
+void ForwardingDesk::issueAtService(RelayedRange range, KeyValueCall call, NodeContext &context)
+{
+    const auto *watch = std::get_if<WatchRange>(&call.request);
+    if (watch != nullptr || std::holds_alternative<ReadRange>(call.request)) {
+        m_sent[range] = {.range = range,
+                         .id = call.id,
+                         .after = watch != nullptr ? std::optional(watch->after) : std::nullopt,
+                         .sentAt = context.now};
+    }
+    context.keyValue.issue(callerOf(range), 0, std::move(call), context.output);
+}
+
+void ForwardingDesk::learn(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
+{
+    if (const auto sent = m_sent.find(range); sent != m_sent.end() && sent->second.id == reply.id) {
+        send(m_answers.learned(sent->second, reply.result, context.now), context);
+    }
+}
+
+void ForwardingDesk::send(const std::vector<SendRangeMessage> &messages, NodeContext &context)
+{
+    for (const SendRangeMessage &message : messages) {
+        context.fleet.send(message.to, PeerChannel::Range, message.message, context.output);
+    }
+}
+
+void ForwardingDesk::rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    auto read = decode<RangeMessage>(body);
+    auto *message = std::get_if<RangeMessage>(&read);
+    if (message == nullptr) {
+        return;
+    }
+    std::visit(Overloaded{[&](const RangeAsked &asked) { send(m_answers.asked(from, asked, context.now), context); },
+                          [&](RangeTold &told) {
+                              if (const auto answered = m_questions.told(from, std::move(told))) {
+                                  rangeAnswered(answered->range, answered->reply, context);
+                              }
+                          },
+                          [&](const RangeNotKnown &notKnown) {
+                              if (auto unanswered = m_questions.notKnown(from, notKnown, context.now)) {
+                                  issueAtService(unanswered->range, std::move(unanswered->call), context);
+                              }
+                          }},
+               *message);
+}
+
+void ForwardingDesk::rangeAnswered(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
+{
+    switch (range) {
+    case RelayedRange::Configuration:
+        feedConfiguration(reply, context);
+        feedConfiguration(Tick{}, context);
+        break;
+    case RelayedRange::Directory:
+        feedDirectory(reply, context);
+        break;
+    case RelayedRange::Hosts:
+        feedRegistry(reply, context);
+        break;
+    }
+}
+
 void ForwardingDesk::configurationReply(const KeyValueReply &reply, NodeContext &context)
 {
+    learn(RelayedRange::Configuration, reply, context);
     feedConfiguration(reply, context);
     // The next watch goes out at once, so that no change waits for the next tick.
     feedConfiguration(Tick{}, context);
@@ -110,11 +204,13 @@
 
 void ForwardingDesk::directoryReply(const KeyValueReply &reply, NodeContext &context)
 {
+    learn(RelayedRange::Directory, reply, context);
     feedDirectory(reply, context);
 }
 
 void ForwardingDesk::registryReply(const KeyValueReply &reply, NodeContext &context)
 {
+    learn(RelayedRange::Hosts, reply, context);
     feedRegistry(reply, context);
 }
 
@@ -131,9 +227,7 @@
 {
     for (ConfigurationKeeperAction &action : m_configuration.handle(event, context.now)) {
         std::visit(
-            Overloaded{[&](KeyValueCall &call) {
-                           context.keyValue.issue(KeyValueCaller::Configuration, 0, std::move(call), context.output);
-                       },
+            Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Configuration, std::move(call), context); },
                        [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
                        [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
                        [&](const ConfigurationFreshnessChanged &changed) { context.output.log(describe(changed)); },
@@ -160,9 +254,7 @@
 void ForwardingDesk::feedDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
 {
     for (DirectoryKeeperAction &action : m_directory.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) {
-                                  context.keyValue.issue(KeyValueCaller::Directory, 0, std::move(call), context.output);
-                              },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), context); },
                               [&](const TargetListed &listed) {
                                   context.output.log(describe(listed));
                                   m_forwarder.targetListed(listed.target, context.targets.router());
@@ -182,10 +274,7 @@
 void ForwardingDesk::feedRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
 {
     for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) {
-                                  context.keyValue.issue(
-                                      KeyValueCaller::HostRegistry, 0, std::move(call), context.output);
-                              },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), context); },
                               [&](HostsRegistered &registered) {
                                   m_forwarder.setHosts(registered.hosts.size());
                                   m_hostList = HostListRead{.hosts = std::move(registered.hosts), .targets = {}};
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -6,6 +6,8 @@
 #include "forwarding/Forwarder.h"
 #include "forwarding/HostRegistry.h"
 #include "forwarding/LoadExchange.h"
+#include "forwarding/RangeAnswers.h"
+#include "forwarding/RangeQuestions.h"
 #include "node/NodeContext.h"
 #include "node/NodeMessages.h"
 #include "node/NodeOptions.h"
@@ -30,6 +32,7 @@
     void registryReply(const KeyValueReply &reply, NodeContext &context);
     void configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    void rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     /// Any event of a request.
     void forward(const ForwarderEvent &event, NodeContext &context);
     /// The host shuts down: it soon takes no new requests any more.
@@ -65,6 +68,13 @@
     void feedDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
     void feedRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
     void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
+    /// Has a call for a range answered by the collector of this failure domain, or by the service.
+    void issue(RelayedRange range, KeyValueCall call, NodeContext &context);
+    void issueAtService(RelayedRange range, KeyValueCall call, NodeContext &context);
+    /// Keeps what the service has answered for the hosts that ask this one.
+    void learn(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
+    void rangeAnswered(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
+    static void send(const std::vector<SendRangeMessage> &messages, NodeContext &context);
     /// Tells the other hosts what this host's streams take up, and takes in what they told.
     void shareLoads(NodeContext &context);
     [[nodiscard]] const EngineProfile *engineOf(const DirectoryTarget &target) const;
@@ -73,6 +83,12 @@
     ConfigurationKeeper m_configuration;
     DirectoryKeeper m_directory;
     HostRegistry m_registry;
+    RangeQuestions m_questions;
+    RangeAnswers m_answers;
+    /// The latest call for each range that went to the service.
+    std::map<RelayedRange, RangeCall> m_sent;
+    /// The host that watches and counts for all of this failure domain; empty before any host is known.
+    HostId m_collector;
     LoadExchange m_loads;
     Forwarder m_forwarder;
     ForwardMetrics m_metrics;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -372,6 +372,11 @@
             m_forwarding->loadReceived(event.from, message->body, context);
         }
         break;
+    case PeerChannel::Range:
+        if (m_forwarding) {
+            m_forwarding->rangeReceived(event.from, message->body, context);
+        }
+        break;
     }
 }
 
