Routing: Count half of the answer towards a stream's KV cache

Cause: the whole expected answer was reserved for a stream's whole life, and a tenth of the memory kept free besides, so that requests waited or were refused while engines had room.

Change: a stream takes up its prompt and half of its answer. After a 421 a target is left alone until the directory tells more, or for 3 s. A process that starts at the address of an earlier one takes its place in the directory.

--- a/src/forwarding/DirectoryKeeper.cpp
+++ b/src/forwarding/DirectoryKeeper.cpp
@@ -76,8 +76,12 @@
         unlist(id, actions);
         return;
     }
-    m_missing.erase(id);
     auto &target = std::get<DirectoryTarget>(read);
+    if (!supersede(target, actions)) {
+        unlist(id, actions);
+        return;
+    }
+    m_missing.erase(id);
     const auto [known, isNew] = m_targets.try_emplace(id, target);
     if (!isNew && known->second == target) {
         return;
@@ -86,6 +90,24 @@
     actions.emplace_back(TargetListed{std::move(target)});
 }
 
+bool DirectoryKeeper::supersede(const DirectoryTarget &target, Actions &actions)
+{
+    std::vector<TargetId> ended;
+    for (const auto &[id, known] : m_targets) {
+        if (id == target.id || known.address != target.address) {
+            continue;
+        }
+        if (known.incarnation > target.incarnation) {
+            return false;
+        }
+        ended.push_back(id);
+    }
+    for (const TargetId &id : ended) {
+        unlist(id, actions);
+    }
+    return true;
+}
+
 void DirectoryKeeper::unlist(const TargetId &target, Actions &actions)
 {
     m_missing.erase(target);
--- a/src/forwarding/DirectoryKeeper.h
+++ b/src/forwarding/DirectoryKeeper.h
@@ -63,6 +63,8 @@
 
     void take(const RangeUpdate &update, TimePoint now, Actions &actions);
     void list(const KeyValueRecord &record, Actions &actions);
+    /// Takes off an earlier target at the same address, whose process has ended; false if `target` is the earlier one.
+    [[nodiscard]] bool supersede(const DirectoryTarget &target, Actions &actions);
     void unlist(const TargetId &target, Actions &actions);
     [[nodiscard]] TargetId targetOf(const std::string &key) const;
 
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -90,7 +90,9 @@
 void ForwardTargets::listed(const DirectoryTarget &target, ChainRouter &router)
 {
     const auto known = m_targets.find(target.id);
-    if (known != m_targets.end() && known->second.incarnation != target.incarnation) {
+    const bool isNewProcess = known != m_targets.end() && known->second.incarnation != target.incarnation;
+    const bool holdsOthers = known != m_targets.end() && known->second.held != target.held;
+    if (isNewProcess || (holdsOthers && !stopped(target.id))) {
         m_suspectedUntil.erase(target.id);
         m_stopped.erase(target.id);
     }
@@ -130,6 +132,12 @@
     }
 }
 
+void ForwardTargets::refused(const TargetId &target, RefusalKind kind, ChainRouter &router, TimePoint now)
+{
+    const Duration pause = kind == RefusalKind::Outdated ? m_options.outdatedEntryPause : m_options.refusalPause;
+    suspect(target, pause, router, now);
+}
+
 void ForwardTargets::stop(const TargetId &target, Duration length, ChainRouter &router, TimePoint now)
 {
     suspect(target, length, router, now);
@@ -267,7 +275,7 @@
         chosen.path.push_back(
             {.target = stage.target, .address = m_targets.at(stage.target).address, .layers = stage.layers});
     }
-    chosen.tokens = request.promptTokens + request.expectedTokens;
+    chosen.tokens = cachedOnAverage(request.promptTokens, request.expectedTokens);
     chosen.crowded =
         std::ranges::any_of(chain->decision.stages, [](const StageDecision &stage) { return stage.crowded; });
     chosen.target = chosen.path.front().target;
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -20,6 +20,11 @@
     std::uint64_t seed = 0;
     /// A failure counts half after this time in the choice between targets.
     Duration failureHalfLife = 2s;
+    /// A target that turned a request down, or that another target could not reach, gets no new ones for so long.
+    Duration refusalPause = 400ms;
+    /// A target that is not what the directory tells is left alone for so long, unless the directory tells more before:
+    /// about the time in which a change is seen.
+    Duration outdatedEntryPause = 3s;
 };
 
 /// Where one request may go: a single target, or a path through several.
@@ -35,6 +40,14 @@
     bool crowded = false;
 };
 
+/// Why a target turned a request down.
+enum class RefusalKind {
+    /// It has no room, or some other target on the path did not answer.
+    Busy,
+    /// It is another one than the directory tells, or holds other layers.
+    Outdated,
+};
+
 /// The targets of the directory as the forwarding of requests sees them, and the choice between them.
 class ForwardTargets
 {
@@ -48,8 +61,8 @@
     /// Ends suspicions whose time has passed.
     void tick(ChainRouter &router, TimePoint now);
 
-    /// Keeps new requests off the target for a while.
-    void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
+    /// Keeps new requests off a target that has turned one down.
+    void refused(const TargetId &target, RefusalKind kind, ChainRouter &router, TimePoint now);
 
     /// The target was seen not to answer, rather than to refuse.
     void stop(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
@@ -85,6 +98,8 @@
         TimePoint failedAt{};
     };
 
+    /// Keeps new requests off the target for a while.
+    void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
     [[nodiscard]] const EngineProfile *profile(const ServiceId &service) const;
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -32,8 +32,6 @@
     /// A target that failed is left alone for so long, unless it registers as a new process before: the directory drops
     /// one that is silent after about this time.
     Duration suspicion = 4s;
-    /// A target that turned a request down, or that another target could not reach, gets no new ones for so long.
-    Duration pauseAfterRefusal = 400ms;
     /// In so long after its start a host reads configuration and directory, which takes some round trips to the
     /// service. Requests that come before wait for that; callers abandon one that is not read within a second.
     Duration startPatience = 500ms;
--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -266,3 +266,22 @@
     // What comes later is not held any more.
     CHECK(only<RefuseCaller>(fixture.feed(ForwarderFixture::request(2, "/read/x"))).id == RequestId(2));
 }
+
+TEST_CASE("an engine that holds other layers than the directory tells is left alone until the directory tells more")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
+    TargetAnswerBegan misdirected = ForwarderFixture::turnedDown(first);
+    misdirected.head.status = 421;
+    fixture.feed(misdirected);
+    const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::ended(first)));
+    CHECK(second.target != first.target);
+    (void)fixture.pass(1s);
+    for (std::uint64_t id = 2; id <= 4; ++id) {
+        CHECK(only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(id, "/stream/x"))).target != first.target);
+    }
+    DirectoryTarget changed = fixture.forwarder.targets().targets().at(first.target);
+    changed.held.front().layers.end = LayerIndex(5);
+    fixture.forwarder.targetListed(changed, fixture.router);
+    CHECK(!fixture.forwarder.targets().suspected(first.target));
+}
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -21,8 +21,8 @@
 /// A target without room for the job's KV cache is taken only where no other holds the layers: it would have to stop
 /// other streams, or refuse the job.
 static constexpr double crowdedSeconds = 1e3;
-/// Jobs may turn out longer than they were expected to be.
-static constexpr double nearlyFullCache = 0.9;
+/// From this share of a target's KV cache on it has no room.
+static constexpr double fullCache = 1;
 /// A change of speed by less than this part leaves the drawing weights as they are.
 static constexpr double negligibleChange = 0.1;
 
@@ -31,6 +31,11 @@
     return std::abs(left - right) > negligibleChange * std::max(left, right);
 }
 
+TokenCount cachedOnAverage(TokenCount prompt, TokenCount answer)
+{
+    return prompt + TokenCount(answer.value() / 2);
+}
+
 ChainRouter::ChainRouter(ChainRouterOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
@@ -215,7 +220,7 @@
     if (request.runAlone) {
         cost.secondsPerStage += cost.openLayers * disturbedLayerSeconds;
     }
-    if (target.cacheShare(held.layers, request.promptTokens + request.expectedTokens) > nearlyFullCache) {
+    if (target.cacheShare(held.layers, cachedOnAverage(request.promptTokens, request.expectedTokens)) > fullCache) {
         cost.secondsPerStage += crowdedSeconds;
     }
     return {.target = held.target, .layers = held.layers, .cost = cost, .cachedTokens = cachedTokens};
@@ -313,13 +318,13 @@
     RoutingDecision decision{.job = request.job, .model = request.model, .candidates = candidates.size()};
     for (const OfferedStage &stage : cheapestChain(layers, offers, crossing)) {
         const Candidate &chosen = candidates[stage.offer];
-        StageDecision why{
-            .stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
-            .seconds = chosen.cost.seconds(stage.layers),
-            .openLayers = chosen.cost.openLayers,
-            .cachedPrefixTokens = chosen.cachedTokens,
-            .crowded = m_targets[chosen.target].cacheShare(stage.layers, request.promptTokens + request.expectedTokens)
-                       > nearlyFullCache};
+        StageDecision why{.stage = {.target = m_targets[chosen.target].id(), .layers = stage.layers},
+                          .seconds = chosen.cost.seconds(stage.layers),
+                          .openLayers = chosen.cost.openLayers,
+                          .cachedPrefixTokens = chosen.cachedTokens,
+                          .crowded = m_targets[chosen.target].cacheShare(
+                                         stage.layers, cachedOnAverage(request.promptTokens, request.expectedTokens))
+                                     > fullCache};
         for (const Candidate &other : candidates) {
             if (&other != &chosen && other.layers.contains(stage.layers)) {
                 why.alternatives.push_back(
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -29,6 +29,10 @@
     PrefixIndexOptions prefixes;
 };
 
+/// What a stream takes up in the KV cache on average over its life. An answer grows evenly, and the streams of a target
+/// are at different points of theirs.
+[[nodiscard]] TokenCount cachedOnAverage(TokenCount prompt, TokenCount answer);
+
 /// Chooses the chains of targets that run jobs.
 ///
 /// For each run of layers a few holders are drawn at random, in proportion to their speed; among these the cheapest
