Node: Log who watches for a failure domain, and what peers say that is not understood

Cause: nothing told afterwards why a host asked the service itself, and messages of peers that could not be read were dropped without a word.

Change: a line for each change of the collector, each host that is passed over and each unreadable message; counters of calls to the service and of watches that went to the collector. A size is spelled out, as the linter asks.

Result: forwarding tests pass and the changed files are linted clean. No change to what is decided.

--- a/src/forwarding/RangeAnswers.h
+++ b/src/forwarding/RangeAnswers.h
@@ -20,7 +20,7 @@
     /// Changes are kept so long for hosts that have not heard of them.
     Duration history = 20s;
     /// Larger answers would fill a host's link when many ask at once: each host reads these from the service.
-    std::size_t maximumBytes = 128 * 1024;
+    std::size_t maximumBytes = 131'072;
 };
 
 /// A call that this host has made at the service.
--- a/src/forwarding/RangeQuestions.cpp
+++ b/src/forwarding/RangeQuestions.cpp
@@ -4,6 +4,25 @@
 
 namespace Carawaymill {
 
+static const char *rangeName(RelayedRange range)
+{
+    switch (range) {
+    case RelayedRange::Configuration:
+        return "configuration";
+    case RelayedRange::Directory:
+        return "directory";
+    case RelayedRange::Hosts:
+        break;
+    }
+    return "hosts";
+}
+
+std::string describe(const RangeUnanswered &unanswered)
+{
+    return "Relay: event=passed-over host=" + unanswered.host.value() + " range=" + rangeName(unanswered.range)
+           + " reason=" + (unanswered.silent ? "silent" : "not-known");
+}
+
 std::optional<SendRangeMessage>
 RangeQuestions::ask(RelayedRange range, const KeyValueCall &call, const std::optional<HostId> &host, TimePoint now)
 {
@@ -46,7 +65,8 @@
         return std::nullopt;
     }
     m_mutedUntil[{from, open->second.range}] = now + m_options.muteTime;
-    RangeUnanswered unanswered{.range = open->second.range, .call = std::move(open->second.call)};
+    RangeUnanswered unanswered{
+        .host = from, .silent = false, .range = open->second.range, .call = std::move(open->second.call)};
     m_open.erase(open);
     return unanswered;
 }
@@ -60,7 +80,7 @@
             return false;
         }
         m_mutedUntil[{question.host, question.range}] = now + m_options.muteTime;
-        overdue.push_back({.range = question.range, .call = question.call});
+        overdue.push_back({.host = question.host, .silent = true, .range = question.range, .call = question.call});
         return true;
     });
     return overdue;
--- a/src/forwarding/RangeQuestions.h
+++ b/src/forwarding/RangeQuestions.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -32,10 +33,17 @@
 /// A watch that goes to the service after all.
 struct RangeUnanswered
 {
+    /// The host that was asked, and is passed over for a while.
+    HostId host;
+    /// Whether it gave no answer at all, rather than that it does not know the range.
+    bool silent = false;
     RelayedRange range = RelayedRange::Configuration;
     KeyValueCall call;
 };
 
+/// For the log.
+[[nodiscard]] std::string describe(const RangeUnanswered &unanswered);
+
 /// Sends this host's watches to another host that watches the same ranges at the service.
 class RangeQuestions
 {
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -27,6 +27,12 @@
     return KeyValueCaller::HostRegistry;
 }
 
+/// A peer's message that is not understood changes nothing here; a host of another release may have sent it.
+static void logUnreadable(const HostId &from, const DecodeFailure &failure, NodeContext &context)
+{
+    context.output.log("Peer: event=unreadable host=" + from.value() + " reason=\"" + failure.field + "\"");
+}
+
 ForwardingDesk::ForwardingDesk(const NodeOptions &options)
     : m_options(options)
     , m_configuration({.format = options.forwarding->publications,
@@ -56,6 +62,7 @@
     feedRegistry(Tick{}, context);
     send(m_answers.tick(context.now), context);
     for (RangeUnanswered &unanswered : m_questions.takeOverdue(context.now)) {
+        context.output.log(describe(unanswered));
         issueAtService(unanswered.range, std::move(unanswered.call), context);
     }
     if (context.now >= m_nextLoadsAt) {
@@ -80,7 +87,11 @@
             peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
         }
     }
-    m_collector = firstRanked(m_options.failureDomain.value(), ownDomain);
+    if (const HostId collector = firstRanked(m_options.failureDomain.value(), ownDomain); collector != m_collector) {
+        m_collector = collector;
+        context.output.log("Relay: event=collector host=" + m_collector.value()
+                           + " hosts=" + std::to_string(ownDomain.size()));
+    }
     const LoadDigest own = context.targets.router().ownLoads();
     for (const SendLoadDigest &send : m_loads.due(own, peers, m_collector, context.now)) {
         const nlohmann::json body = toJson(send.digest);
@@ -96,7 +107,8 @@
 void ForwardingDesk::loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
     auto digest = readLoadDigest(body);
-    if (!std::holds_alternative<LoadDigest>(digest)) {
+    if (const auto *failure = std::get_if<DecodeFailure>(&digest)) {
+        logUnreadable(from, *failure, context);
         return;
     }
     for (const Member &member : context.fleet.members()) {
@@ -125,6 +137,7 @@
     const bool collects = m_collector == m_options.host || m_collector == HostId();
     if (const auto question =
             m_questions.ask(range, call, collects ? std::nullopt : std::optional(m_collector), context.now)) {
+        m_metrics.count("relayed_watches");
         send({*question}, context);
     } else {
         issueAtService(range, std::move(call), context);
@@ -133,6 +146,7 @@
 
 void ForwardingDesk::issueAtService(RelayedRange range, KeyValueCall call, NodeContext &context)
 {
+    m_metrics.count("service_calls");
     const auto *watch = std::get_if<WatchRange>(&call.request);
     if (watch != nullptr || std::holds_alternative<ReadRange>(call.request)) {
         m_sent[range] = {.range = range,
@@ -160,8 +174,8 @@
 void ForwardingDesk::rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
     auto read = decode<RangeMessage>(body);
-    auto *message = std::get_if<RangeMessage>(&read);
-    if (message == nullptr) {
+    if (const auto *failure = std::get_if<DecodeFailure>(&read)) {
+        logUnreadable(from, *failure, context);
         return;
     }
     std::visit(Overloaded{[&](const RangeAsked &asked) { send(m_answers.asked(from, asked, context.now), context); },
@@ -172,10 +186,11 @@
                           },
                           [&](const RangeNotKnown &notKnown) {
                               if (auto unanswered = m_questions.notKnown(from, notKnown, context.now)) {
+                                  context.output.log(describe(*unanswered));
                                   issueAtService(unanswered->range, std::move(unanswered->call), context);
                               }
                           }},
-               *message);
+               std::get<RangeMessage>(read));
 }
 
 void ForwardingDesk::rangeAnswered(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
@@ -216,11 +231,14 @@
 
 void ForwardingDesk::configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
-    if (auto read = decode<ConfigurationMessage>(body); std::holds_alternative<ConfigurationMessage>(read)) {
-        feedConfiguration(
-            ConfigurationMessageReceived{.from = from, .message = std::get<ConfigurationMessage>(std::move(read))},
-            context);
+    auto read = decode<ConfigurationMessage>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&read)) {
+        logUnreadable(from, *failure, context);
+        return;
     }
+    feedConfiguration(
+        ConfigurationMessageReceived{.from = from, .message = std::get<ConfigurationMessage>(std::move(read))},
+        context);
 }
 
 void ForwardingDesk::feedConfiguration(const ConfigurationKeeperEvent &event, NodeContext &context)
