Http: Tell nobody when a handler drops its responder

Cause: a daemon that stopped with requests in progress destroyed its table of responders; each gave its connection up and called back into the table and the node that were being destroyed.

Change: dropping the responder no longer calls onCallerGone.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -260,6 +260,8 @@
 
 void HttpSession::abandon()
 {
+    // Whoever drops the responder knows of it, and may be in the midst of being destroyed.
+    m_callerGone = nullptr;
     fail();
 }
 
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -147,6 +147,19 @@
     CHECK(fixture.server().requestsInProgress() == 0);
 }
 
+TEST_CASE("a handler that drops its responder is not told that its caller has gone")
+{
+    bool gone = false;
+    HttpFixture fixture([&](const HttpRequest &, std::unique_ptr<HttpResponder> responder) {
+        responder->onCallerGone([&] { gone = true; });
+        responder.reset();
+    });
+    CHECK(std::holds_alternative<HttpNoAnswer>(
+        fixture.exchange({.method = "GET", .target = "/", .headers = {}, .body = ""}, {.timeout = 1s})));
+    CHECK(!gone);
+    CHECK(fixture.server().requestsInProgress() == 0);
+}
+
 using boost::asio::ip::tcp;
 
 /// Answers one connection with the given bytes and closes it.
