Project: Let one piece of code serve what the platform's support wrote twice

Cause: found on reading the whole change once more. Ranges of layers were subtracted in LoadSchedule and again in EngineLedger; a service's engine and the memory of held layers were looked up in ForwardTargets and in ForwardingDesk; reading and writing times were worked out twice beside each other; the limits of callers stood as two types with a copy between them; `IP:port` was split in three files, seconds in four, JSON requests built in three. The forwarder read a status of the platform's protocol that its adapter is to decode.

Change: withoutRange beside mergeRanges, engineProfile, heldBytes, usualRequest, CallerLimits, splitHostPort, seconds, jsonRequest, BillOutbox::keptThrough. TargetAnswerBegan tells that a request was misdirected. An unused look-up and a failure that nothing raised go. No behaviour is meant to change.

--- a/src/admission/LimitAllowance.cpp
+++ b/src/admission/LimitAllowance.cpp
@@ -1,5 +1,7 @@
 #include "admission/LimitAllowance.h"
 
+#include "support/Seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,11 +19,6 @@
 /// Keeps rounding from turning a whole share into a part of a request.
 static constexpr double tolerance = 1e-6;
 
-static double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 static Duration fromSeconds(double value)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::ceil(value * 1e6) * 1e-6));
--- a/src/catalogue/CatalogueValidation.cpp
+++ b/src/catalogue/CatalogueValidation.cpp
@@ -1,12 +1,12 @@
 #include "catalogue/CatalogueValidation.h"
 
 #include "catalogue/CatalogueReplica.h"
+#include "support/HostPort.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 
 namespace Carawaymill {
@@ -42,14 +42,8 @@
 
 static bool isAddress(const std::string &text)
 {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    const std::string port = text.substr(colon + 1);
-    std::uint16_t number = 0;
-    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-    return error == std::errc{} && end == port.data() + port.size() && number > 0 && isIpNumber(text.substr(0, colon));
+    const auto split = splitHostPort(text);
+    return split && split->port > 0 && isIpNumber(split->host);
 }
 
 static Fault limitsFault(const Limits &limits)
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -353,13 +353,7 @@
         const auto responder = m_responders.extract(action.id);
     }
 
-    void perform(LimitCallers &action)
-    {
-        m_callers->setLimits({.headerBytes = action.limits.headerBytes,
-                              .bodyBytes = action.limits.bodyBytes,
-                              .readTimeout = action.limits.headerTimeout,
-                              .idleTimeout = action.limits.idleTimeout});
-    }
+    void perform(LimitCallers &action) { m_callers->setLimits(action.limits); }
 
     void perform(WriteLog &action)
     {
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/DaemonSettings.h"
 
-#include <charconv>
+#include "support/HostPort.h"
+
 #include <iterator>
 #include <set>
 
@@ -133,20 +134,14 @@
 
 } // namespace
 
-/// Splits `IP:port`; nothing when it is something else.
-static std::optional<ListenSettings> splitAddress(const std::string &text)
+/// Reads `IP:port`; nothing when it is something else.
+static std::optional<ListenSettings> readAddress(const std::string &text)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0) {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto [stopped, failure] = std::from_chars(text.data() + colon + 1, end, port);
-    if (failure != std::errc() || stopped != end) {
+    const auto split = splitHostPort(text);
+    if (!split || split->host.empty()) {
         return std::nullopt;
     }
-    return ListenSettings{.address = text.substr(0, colon), .port = port};
+    return ListenSettings{.address = split->host, .port = split->port};
 }
 
 /// Either `"IP:port"`, or an object of `address` and `port`.
@@ -154,7 +149,7 @@
 {
     const nlohmann::json &value = parent.child(name);
     if (value.is_string()) {
-        const auto listen = splitAddress(value.get<std::string>());
+        const auto listen = readAddress(value.get<std::string>());
         if (!listen) {
             parent.note(name, "An address like 10.0.0.1:8080 is needed.");
         }
@@ -177,7 +172,7 @@
         return seeds;
     }
     for (const nlohmann::json &entry : list) {
-        const auto seed = entry.is_string() ? splitAddress(entry.get<std::string>()) : std::nullopt;
+        const auto seed = entry.is_string() ? readAddress(entry.get<std::string>()) : std::nullopt;
         if (!seed) {
             parent.note("seedHosts", "Addresses like 10.0.0.1:8080 are needed.");
         } else if (seed->address != self.value()) {
--- a/src/forwarding/DirectoryKeeper.h
+++ b/src/forwarding/DirectoryKeeper.h
@@ -61,7 +61,8 @@
 private:
     using Actions = std::vector<DirectoryKeeperAction>;
 
-    void take(const RangeUpdate &update, TimePoint now, Actions &actions);
+    /// Records that are missing count as gone at `goneAt`.
+    void take(const RangeUpdate &update, TimePoint goneAt, Actions &actions);
     void list(const KeyValueRecord &record, Actions &actions);
     /// Takes off an earlier target at the same address, whose process has ended; false if `target` is the earlier one.
     [[nodiscard]] bool supersede(const DirectoryTarget &target, Actions &actions);
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -72,6 +72,8 @@
     HttpResponseHead head;
     /// The target vouches that the request was not run and never will be.
     bool notRun = false;
+    /// It is another target than the one that was meant, or holds other layers.
+    bool misdirected = false;
     /// The body is the target's own, whole and unchanged.
     bool sealed = false;
     /// The target on the path that could not do its part, if the answer names one.
@@ -161,7 +163,6 @@
     TargetsRefused,
     TimeoutReached,
     AnswerLost,
-    RequestCrashesTargets,
 };
 
 /// Action: the answer to a caller whose request ends without a target's answer.
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/ForwardTargets.h"
 
+#include "support/Seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,35 +16,57 @@
 /// What an answer loses that comes from a first stage in another failure domain; covers its traffic's price.
 static constexpr double secondsToEnterDomain = 0.01;
 
-static double seconds(Duration duration)
+namespace {
+
+/// A usual request on an accelerator of one kind that runs all layers and nothing else.
+struct UsualRequest
 {
-    return std::chrono::duration<double>(duration).count();
+    double promptTokens = 0;
+    double answerTokens = 0;
+    /// Seconds that the prompt and the answer take.
+    double reading = 0;
+    double writing = 0;
+};
+
+} // namespace
+
+static UsualRequest usualRequest(const EngineProfile &engine, const AcceleratorKind &kind)
+{
+    UsualRequest usual{.promptTokens = static_cast<double>(engine.usualPromptTokens.value()),
+                       .answerTokens = static_cast<double>(engine.usualAnswerTokens.value())};
+    if (engine.promptTokensPerSecond > 0) {
+        usual.reading = usual.promptTokens * kind.promptFactor / engine.promptTokensPerSecond;
+    }
+    usual.writing = usual.answerTokens * engine.stepSeconds * kind.stepFactor;
+    return usual;
 }
 
 double layerTokensPerSecond(const EngineProfile &engine, const AcceleratorKind &kind)
 {
-    const auto prompt = static_cast<double>(engine.usualPromptTokens.value());
-    const auto answer = static_cast<double>(engine.usualAnswerTokens.value());
-    const double reading =
-        engine.promptTokensPerSecond > 0 ? prompt * kind.promptFactor / engine.promptTokensPerSecond : 0;
-    const double writing = answer * engine.stepSeconds * kind.stepFactor;
-    const double whole = reading + writing;
-    return whole > 0 ? (prompt + answer) * engine.layers / whole : 0;
+    const UsualRequest usual = usualRequest(engine, kind);
+    const double whole = usual.reading + usual.writing;
+    return whole > 0 ? (usual.promptTokens + usual.answerTokens) * engine.layers / whole : 0;
 }
 
 /// How much longer one open request makes each step of the others, as a part of the step.
 static double batchedCost(const EngineProfile &engine, const AcceleratorKind &kind)
 {
-    const auto prompt = static_cast<double>(engine.usualPromptTokens.value());
-    const auto answer = static_cast<double>(engine.usualAnswerTokens.value());
-    const double writing = answer * engine.stepSeconds * kind.stepFactor;
-    if (writing <= 0) {
+    const UsualRequest usual = usualRequest(engine, kind);
+    if (usual.writing <= 0) {
         return 1;
     }
-    const double ownStep = engine.stepSecondsPerRequest + engine.stepSecondsPerContextToken * (prompt + answer / 2);
-    const double reading =
-        engine.promptTokensPerSecond > 0 ? prompt * kind.promptFactor / engine.promptTokensPerSecond : 0;
-    return ownStep / engine.stepSeconds + reading / writing;
+    const double ownStep = engine.stepSecondsPerRequest
+                           + engine.stepSecondsPerContextToken * (usual.promptTokens + usual.answerTokens / 2);
+    return ownStep / engine.stepSeconds + usual.reading / usual.writing;
+}
+
+ByteCount heldBytes(const EngineProfile &engine, const std::vector<ModelLayers> &held)
+{
+    std::uint64_t layers = 0;
+    for (const ModelLayers &range : held) {
+        layers += range.layers.size();
+    }
+    return ByteCount(layers * engine.bytesPerLayer.value());
 }
 
 /// Tokens times layers whose KV cache fits into the memory that the held layers leave.
@@ -66,15 +90,6 @@
 {
 }
 
-const EngineProfile *ForwardTargets::profile(const ServiceId &service) const
-{
-    if (!m_configuration) {
-        return nullptr;
-    }
-    const auto found = m_configuration->services.find(service);
-    return found != m_configuration->services.end() && found->second.engine ? &*found->second.engine : nullptr;
-}
-
 void ForwardTargets::configurationChanged(const SharedConfiguration &configuration, ChainRouter &router)
 {
     const bool sameServices = m_configuration && m_configuration->services == configuration->services;
@@ -163,7 +178,7 @@
 
 void ForwardTargets::updateRouter(const DirectoryTarget &target, ChainRouter &router) const
 {
-    const EngineProfile *engine = profile(target.service);
+    const EngineProfile *engine = engineProfile(m_configuration, target.service);
     if (engine == nullptr) {
         return;
     }
@@ -172,24 +187,23 @@
         return;
     }
     std::vector<HeldRange> held;
-    std::uint64_t heldBytes = 0;
     for (const ModelLayers &layers : target.held) {
-        heldBytes += layers.layers.size() * engine->bytesPerLayer.value();
         held.push_back({.target = target.id,
                         .model = routedModel(target.service),
                         .version = layers.version,
                         .adapter = {},
                         .layers = layers.layers});
     }
-    router.updateTarget(target.id,
-                        {.layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
-                         .batchedCost = batchedCost(*engine, kind->second),
-                         .cacheLayerTokens = cacheLayerTokens(*engine, kind->second.memory, ByteCount(heldBytes)),
-                         .linkBytesPerSecond = engine->linkBytesPerSecond,
-                         .linkDelay = {},
-                         .failureDomain = target.failureDomain,
-                         .region = m_options.ownRegion},
-                        std::move(held));
+    router.updateTarget(
+        target.id,
+        {.layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
+         .batchedCost = batchedCost(*engine, kind->second),
+         .cacheLayerTokens = cacheLayerTokens(*engine, kind->second.memory, heldBytes(*engine, target.held)),
+         .linkBytesPerSecond = engine->linkBytesPerSecond,
+         .linkDelay = {},
+         .failureDomain = target.failureDomain,
+         .region = m_options.ownRegion},
+        std::move(held));
     updateAvailability(target.id, router);
 }
 
@@ -206,7 +220,7 @@
                                                     ChainRouter &router,
                                                     TimePoint now)
 {
-    if (const EngineProfile *engine = profile(service)) {
+    if (const EngineProfile *engine = engineProfile(m_configuration, service)) {
         return chooseChain(service, *engine, request, excluded, router, now);
     }
     return choosePlain(service, excluded, now);
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -100,7 +100,6 @@
 
     /// Keeps new requests off the target for a while.
     void suspect(const TargetId &target, Duration length, ChainRouter &router, TimePoint now);
-    [[nodiscard]] const EngineProfile *profile(const ServiceId &service) const;
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
     [[nodiscard]] std::optional<ChosenTargets>
@@ -127,6 +126,9 @@
 /// request.
 [[nodiscard]] double layerTokensPerSecond(const EngineProfile &engine, const AcceleratorKind &kind);
 
+/// Memory that the ranges take up.
+[[nodiscard]] ByteCount heldBytes(const EngineProfile &engine, const std::vector<ModelLayers> &held);
+
 /// The name under which chains for a service's model are routed: two services may have models of one name.
 [[nodiscard]] ModelId routedModel(const ServiceId &service);
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -10,7 +10,6 @@
 static constexpr unsigned firstErrorStatus = 400;
 static constexpr unsigned firstFailureStatus = 500;
 static constexpr unsigned statusOk = 200;
-static constexpr unsigned statusMisdirected = 421;
 /// A time to come back is at most this part of what the caller has left, so that a second try still has time.
 static constexpr double retryAfterShare = 0.25;
 /// A stream that made progress this recently is not taken for stopped, though one of its targets is suspected.
@@ -43,8 +42,6 @@
         return "timeout-reached";
     case ForwardFailure::AnswerLost:
         return "answer-lost";
-    case ForwardFailure::RequestCrashesTargets:
-        return "request-crashes-targets";
     }
     return "";
 }
@@ -372,8 +369,8 @@
     }
     call.tried.insert(atFault);
     m_targets.failed(atFault, turn.now);
-    const bool outdated = call.head->head.status == statusMisdirected;
-    m_targets.refused(atFault, outdated ? RefusalKind::Outdated : RefusalKind::Busy, turn.router, turn.now);
+    const RefusalKind kind = call.head->misdirected ? RefusalKind::Outdated : RefusalKind::Busy;
+    m_targets.refused(atFault, kind, turn.router, turn.now);
     turn.actions.emplace_back(ForwardDecision{"Forward: event=turned-down request=" + call.request->attempt + " target="
                                               + atFault.value() + " status=" + std::to_string(call.head->head.status)});
     leaveAttempt(call, false, turn);
--- a/src/forwarding/RouteTable.cpp
+++ b/src/forwarding/RouteTable.cpp
@@ -39,10 +39,4 @@
     return found == m_organisations.end() ? nullptr : found->second;
 }
 
-const ServiceDescription *RouteTable::service(const ServiceId &service) const
-{
-    const auto found = m_configuration->services.find(service);
-    return found == m_configuration->services.end() ? nullptr : &found->second;
-}
-
 } // namespace Carawaymill
--- a/src/forwarding/RouteTable.h
+++ b/src/forwarding/RouteTable.h
@@ -24,9 +24,6 @@
     /// Null when no organisation holds the key.
     [[nodiscard]] const OrganisationKeys *organisation(const std::string &key) const;
 
-    /// Null when the service is not declared.
-    [[nodiscard]] const ServiceDescription *service(const ServiceId &service) const;
-
 private:
     SharedConfiguration m_configuration;
     /// By host; the longest prefix comes first.
--- a/src/forwarding/RoutingConfiguration.h
+++ b/src/forwarding/RoutingConfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/CallerLimits.h"
 #include "support/Identifiers.h"
 #include "support/Time.h"
 #include "support/Units.h"
@@ -134,17 +135,6 @@
     friend bool operator==(const OrganisationKeys &, const OrganisationKeys &) = default;
 };
 
-/// What a caller may send, and how long it may take.
-struct CallerLimits
-{
-    ByteCount headerBytes = ByteCount(16384);
-    ByteCount bodyBytes = ByteCount(1U << 20U);
-    Duration headerTimeout = 3s;
-    Duration idleTimeout = 15s;
-
-    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
-};
-
 struct RoutingConfiguration
 {
     ConfigurationVersion version;
@@ -159,4 +149,7 @@
 
 using SharedConfiguration = std::shared_ptr<const RoutingConfiguration>;
 
+/// Null for a plain service, an unknown one, and before the first configuration.
+[[nodiscard]] const EngineProfile *engineProfile(const SharedConfiguration &configuration, const ServiceId &service);
+
 } // namespace Carawaymill
--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/StartQueue.h"
 
+#include "support/Seconds.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -10,10 +12,9 @@
     while (!m_starts.empty() && now - m_starts.front() > m_options.rateWindow) {
         m_starts.pop_front();
     }
-    const double rate =
-        static_cast<double>(m_starts.size()) / std::chrono::duration<double>(m_options.rateWindow).count();
-    const double longest = std::chrono::duration<double>(m_options.longestWait).count();
-    return m_waiting.size() < m_options.leastLength || static_cast<double>(m_waiting.size()) < rate * longest;
+    const double rate = static_cast<double>(m_starts.size()) / seconds(m_options.rateWindow);
+    const double longestQueue = rate * seconds(m_options.longestWait);
+    return m_waiting.size() < m_options.leastLength || static_cast<double>(m_waiting.size()) < longestQueue;
 }
 
 void StartQueue::add(QueuedRequest request)
--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -273,6 +273,7 @@
     const auto first = only<ForwardToTarget>(fixture.feed(ForwarderFixture::request(1, "/stream/x")));
     TargetAnswerBegan misdirected = ForwarderFixture::turnedDown(first);
     misdirected.head.status = 421;
+    misdirected.misdirected = true;
     fixture.feed(misdirected);
     const auto second = only<ForwardToTarget>(fixture.feed(ForwarderFixture::ended(first)));
     CHECK(second.target != first.target);
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HttpConnectionPool.h"
 #include "http/HttpResponseParser.h"
+#include "support/HostPort.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,22 +29,16 @@
 
 namespace {
 
-/// Splits `IP:port`.
+/// Reads `IP:port`.
 std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
 {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
+    const auto split = splitHostPort(address);
+    if (!split || split->port == 0) {
         return std::nullopt;
     }
     error_code error;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const char *end = address.data() + address.size();
-    const auto [stopped, failure] = std::from_chars(address.data() + colon + 1, end, port);
-    if (error || failure != std::errc() || stopped != end || port == 0) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(ip, port);
+    const auto ip = boost::asio::ip::make_address(split->host, error);
+    return error ? std::nullopt : std::optional(tcp::endpoint(ip, split->port));
 }
 
 std::string serialise(const HttpRequest &request, const std::string &address)
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -62,7 +62,7 @@
         closeConnections();
     }
 
-    void setLimits(const HttpCallerLimits &limits) { m_shared->options.limits = limits; }
+    void setLimits(const CallerLimits &limits) { m_shared->options.limits = limits; }
 
     void closeConnections()
     {
@@ -113,7 +113,7 @@
     return m_implementation->requestsInProgress();
 }
 
-void HttpServer::setLimits(const HttpCallerLimits &limits)
+void HttpServer::setLimits(const CallerLimits &limits)
 {
     m_implementation->setLimits(limits);
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "http/CallerLimits.h"
 #include "http/HttpMessages.h"
 #include "http/HttpResponder.h"
-#include "support/Time.h"
-#include "support/Units.h"
+#include "support/Variant.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -17,24 +17,13 @@
 
 namespace Carawaymill {
 
-/// What a caller may send, and how long it may take.
-struct HttpCallerLimits
-{
-    ByteCount headerBytes = ByteCount(16384);
-    ByteCount bodyBytes = ByteCount(1U << 20U);
-    /// A request must be read whole within this time, counted from its first byte.
-    Duration readTimeout = 30s;
-    /// A connection without a request is closed after this time.
-    Duration idleTimeout = 30s;
-};
-
 struct HttpServerOptions
 {
     /// IP number to listen on.
     std::string address = "127.0.0.1";
     /// 0 takes a free port; `HttpServer::port` tells which.
     std::uint16_t port = 0;
-    HttpCallerLimits limits;
+    CallerLimits limits;
     std::size_t connectionLimit = 4096;
 };
 
@@ -64,7 +53,7 @@
     /// Requests that were handed to the handler and are not answered yet.
     [[nodiscard]] std::size_t requestsInProgress() const;
     /// Takes effect with the next request of each connection.
-    void setLimits(const HttpCallerLimits &limits);
+    void setLimits(const CallerLimits &limits);
     /// Closes idle connections, and every other one after its next answer; new ones are still accepted.
     void closeConnections();
     /// Closes the listener and idle connections; requests in progress are answered and their connections closed then.
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -133,7 +133,7 @@
 
 void HttpSession::readMessage()
 {
-    const HttpCallerLimits &limits = m_shared->options.limits;
+    const CallerLimits &limits = m_shared->options.limits;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes.value()));
     m_parser->body_limit(limits.bodyBytes.value());
--- a/src/ledger/BillOutbox.cpp
+++ b/src/ledger/BillOutbox.cpp
@@ -164,14 +164,19 @@
     m_formerKeepers.clear();
 }
 
+BillSequence BillOutbox::keptThrough() const
+{
+    return std::clamp(m_copiedThrough, recordedThrough(), m_own.last());
+}
+
 BillSequence BillOutbox::safeThrough() const
 {
-    return m_keeper ? std::clamp(m_copiedThrough, recordedThrough(), m_own.last()) : m_own.last();
+    return m_keeper ? keptThrough() : m_own.last();
 }
 
 std::size_t BillOutbox::uncopied() const
 {
-    return m_own.last().value() - std::clamp(m_copiedThrough, recordedThrough(), m_own.last()).value();
+    return m_own.last().value() - keptThrough().value();
 }
 
 std::size_t BillOutbox::copies() const
--- a/src/ledger/BillOutbox.h
+++ b/src/ledger/BillOutbox.h
@@ -139,6 +139,9 @@
     void sendDue(const HostLife &stream, Unrecorded &part, TimePoint now, Actions &actions);
     void sendCopies(TimePoint now, Actions &actions);
 
+    /// Own bills up to here are recorded or known to be copied.
+    [[nodiscard]] BillSequence keptThrough() const;
+
     [[nodiscard]] BillSequence recordedThrough() const { return BillSequence(m_own.first.value() - 1); }
 
     BillOutboxOptions m_options;
--- a/src/node/ForwardingDesk.cpp
+++ b/src/node/ForwardingDesk.cpp
@@ -335,16 +335,6 @@
     return text;
 }
 
-const EngineProfile *ForwardingDesk::engineOf(const DirectoryTarget &target) const
-{
-    if (!m_configuration.configuration()) {
-        return nullptr;
-    }
-    const auto &services = m_configuration.configuration()->services;
-    const auto service = services.find(target.service);
-    return service != services.end() && service->second.engine ? &*service->second.engine : nullptr;
-}
-
 static LeaseScopeId scopeOfService(const RegionId &region, const ServiceId &service)
 {
     return LeaseScopeId(placementScope(region).value() + "/" + service.value());
@@ -373,7 +363,7 @@
 {
     std::vector<PlacementTarget> usable;
     for (const auto &[id, target] : m_directory.targets()) {
-        const EngineProfile *engine = engineOf(target);
+        const EngineProfile *engine = engineProfile(m_configuration.configuration(), target.service);
         if (engine == nullptr || target.leaving || m_forwarder.targets().stopped(id)
             || scopeOfService(m_options.region, target.service) != scope) {
             continue;
@@ -407,17 +397,14 @@
     if (found == m_directory.targets().end()) {
         return state;
     }
-    const EngineProfile *engine = engineOf(found->second);
+    const EngineProfile *engine = engineProfile(m_configuration.configuration(), found->second.service);
     if (engine == nullptr) {
         return state;
     }
     const auto kind = engine->kinds.find(found->second.acceleratorKind);
-    std::uint64_t used = 0;
-    for (const ModelLayers &layers : state.held) {
-        used += layers.layers.size() * engine->bytesPerLayer.value();
-    }
-    if (kind != engine->kinds.end() && kind->second.memory.value() > used) {
-        state.freeMemory = ByteCount(kind->second.memory.value() - used);
+    const ByteCount used = heldBytes(*engine, state.held);
+    if (kind != engine->kinds.end() && kind->second.memory > used) {
+        state.freeMemory = kind->second.memory - used;
     }
     return state;
 }
--- a/src/node/ForwardingDesk.h
+++ b/src/node/ForwardingDesk.h
@@ -77,7 +77,6 @@
     static void send(const std::vector<SendRangeMessage> &messages, NodeContext &context);
     /// Tells the other hosts what this host's streams take up, and takes in what they told.
     void shareLoads(NodeContext &context);
-    [[nodiscard]] const EngineProfile *engineOf(const DirectoryTarget &target) const;
 
     NodeOptions m_options;
     ConfigurationKeeper m_configuration;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -134,11 +134,11 @@
 
 bool Node::ready(TimePoint now) const
 {
-    // The platform's host list may call this host leaving before anybody has asked it to drain.
-    const bool leaves = m_fleet.membership().state(m_options.host) == MemberState::Leaving;
     if (m_forwarding) {
         return !m_draining && m_forwarding->ready(now);
     }
+    // The platform's host list may call this host leaving before anybody has asked it to drain.
+    const bool leaves = m_fleet.membership().state(m_options.host) == MemberState::Leaving;
     return !m_draining && !leaves && m_catalogue.takesNewJobs(now);
 }
 
--- a/src/pipeline/EngineHttpClient.cpp
+++ b/src/pipeline/EngineHttpClient.cpp
@@ -1,17 +1,13 @@
 #include "pipeline/EngineHttpClient.h"
 
 #include "http/HttpClient.h"
+#include "http/JsonRequest.h"
 
 namespace Carawaymill {
 
 /// Freeing a stream is a courtesy; it must not hold a connection for long.
 static constexpr Duration dropTimeout = 1s;
 
-static HttpRequest jsonRequest(const std::string &method, const std::string &target, const nlohmann::json &body)
-{
-    return {.method = method, .target = target, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
-}
-
 static HttpRequest plainRequest(const std::string &method, const std::string &target)
 {
     return {.method = method, .target = target, .headers = {}, .body = {}};
--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -11,25 +11,10 @@
 {
 }
 
-/// What is left of `held` without `dropped`.
 static std::vector<ModelLayers> without(std::vector<ModelLayers> held, const std::vector<ModelLayers> &dropped)
 {
-    for (const ModelLayers &drop : dropped) {
-        std::vector<ModelLayers> rest;
-        const auto keep = [&](ModelLayers layers, LayerIndex first, LayerIndex end) {
-            if (layers.layers = {first, end}; !layers.layers.empty()) {
-                rest.push_back(std::move(layers));
-            }
-        };
-        for (const ModelLayers &layers : held) {
-            if (layers.model != drop.model || layers.version != drop.version || layers.adapter != drop.adapter) {
-                rest.push_back(layers);
-                continue;
-            }
-            keep(layers, layers.layers.first, std::min(layers.layers.end, drop.layers.first));
-            keep(layers, std::max(layers.layers.first, drop.layers.end), layers.layers.end);
-        }
-        held = std::move(rest);
+    for (const ModelLayers &layers : dropped) {
+        held = withoutRange(held, layers, modelOf);
     }
     return held;
 }
@@ -99,8 +84,7 @@
         if (state.busy && state.loading.empty()) {
             engine.state->loading = ordered;
         }
-        engine.state->held = mergeRanges(
-            state.held, [](const ModelLayers &range) { return std::tie(range.model, range.version, range.adapter); });
+        engine.state->held = mergeRanges(state.held, modelOf);
         engine.stateAsOf = *engine.readRequestedAt;
         engine.readRequestedAt = std::nullopt;
     }
--- a/src/placement/EngineOrders.h
+++ b/src/placement/EngineOrders.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// What a placement holder and an engine say to each other, and its JSON.
@@ -34,6 +35,12 @@
     friend auto operator<=>(const ModelLayers &, const ModelLayers &) = default;
 };
 
+/// What ranges of the same layers have in common.
+[[nodiscard]] inline auto modelOf(const ModelLayers &layers)
+{
+    return std::tie(layers.model, layers.version, layers.adapter);
+}
+
 /// Tells an engine which layers to load and which to drop. Orders are idempotent: to load what is held, or to drop what
 /// is not, changes nothing. Drops are done before loads.
 struct EngineOrder
--- a/src/placement/LoadSchedule.cpp
+++ b/src/placement/LoadSchedule.cpp
@@ -1,6 +1,7 @@
 #include "placement/LoadSchedule.h"
 
 #include "placement/LayerHolders.h"
+#include "routing/MergeRanges.h"
 
 #include <algorithm>
 #include <tuple>
@@ -137,22 +138,7 @@
 
 std::vector<ModelLayers> Scheduler::unwanted(const EngineState &state, const ModelLayers &wanted) const
 {
-    std::vector<ModelLayers> result;
-    const auto add = [&](ModelLayers layers, LayerIndex first, LayerIndex end) {
-        if (layers.layers = {first, end}; !layers.layers.empty()) {
-            result.push_back(std::move(layers));
-        }
-    };
-    for (const ModelLayers &held : state.held) {
-        const bool sameModel =
-            held.model == wanted.model && held.version == wanted.version && held.adapter == wanted.adapter;
-        if (!sameModel) {
-            result.push_back(held);
-            continue;
-        }
-        add(held, held.layers.first, std::min(held.layers.end, wanted.layers.first));
-        add(held, std::max(held.layers.first, wanted.layers.end), held.layers.end);
-    }
+    std::vector<ModelLayers> result = withoutRange(state.held, wanted, modelOf);
     // What no operator wants any more goes first.
     std::stable_partition(
         result.begin(), result.end(), [&](const ModelLayers &layers) { return holdersOf(layers) == nullptr; });
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -192,7 +192,8 @@
 {
     TargetAnswerBegan began{.id = id, .attempt = attempt, .head = std::move(head)};
     HttpHeaders &headers = began.head.headers;
-    began.notRun = !headerValue(headers, notRunHeader).empty() || began.head.status == statusMisdirected;
+    began.misdirected = began.head.status == statusMisdirected;
+    began.notRun = began.misdirected || !headerValue(headers, notRunHeader).empty();
     // A body that was encoded on the way is not the one that the target signed.
     began.sealed = !headerValue(headers, sealHeader).empty() && headerValue(headers, "Content-Encoding").empty();
     if (std::string address = headerValue(headers, atFaultHeader); !address.empty()) {
--- a/src/platform/EngineCodec.cpp
+++ b/src/platform/EngineCodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/EngineCodec.h"
 
+#include "http/JsonRequest.h"
 #include "platform/Publications.h"
 #include "support/Codec.h"
 
@@ -81,10 +82,9 @@
     if (order.ordersAccepted) {
         body["Precondition"] = *order.ordersAccepted;
     }
-    return {.method = "POST",
-            .target = "/v1/order",
-            .headers = {{"Content-Type", "application/json"}, {"X-Expect-Instance", order.target.value()}},
-            .body = body.dump()};
+    HttpRequest request = jsonRequest("POST", "/v1/order", body);
+    request.headers.emplace_back("X-Expect-Instance", order.target.value());
+    return request;
 }
 
 std::optional<EngineOrderReply> readOrderReply(const EngineOrder &order, const HttpResult &result)
--- a/src/platform/Publications.cpp
+++ b/src/platform/Publications.cpp
@@ -123,7 +123,7 @@
     const CallerLimits usual;
     return {.headerBytes = bytes(json, "MaxHeaderBytes", usual.headerBytes.value()),
             .bodyBytes = bytes(json, "MaxBodyBytes", usual.bodyBytes.value()),
-            .headerTimeout = milliseconds(json, "HeaderTimeoutMs", 3000),
+            .readTimeout = milliseconds(json, "HeaderTimeoutMs", 3000),
             .idleTimeout = milliseconds(json, "IdleTimeoutMs", 15000)};
 }
 
--- a/src/platform/StoreProtocol.cpp
+++ b/src/platform/StoreProtocol.cpp
@@ -1,5 +1,6 @@
 #include "platform/StoreProtocol.h"
 
+#include "http/JsonRequest.h"
 #include "keyvalue/KeyValueCodec.h"
 #include "support/Base64.h"
 #include "support/Codec.h"
@@ -37,11 +38,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-static HttpRequest post(const std::string &target, const nlohmann::json &body)
-{
-    return {.method = "POST", .target = target, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
-}
-
 static HttpRequest get(const std::string &target)
 {
     return {.method = "GET", .target = target, .headers = {}, .body = {}};
@@ -76,40 +72,42 @@
             removals.push_back(deletion->key);
         }
     }
-    return post("/v1/kv-txn", {{"Precondition", preconditions}, {"Write", writes}, {"Remove", removals}});
+    return jsonRequest(
+        "POST", "/v1/kv-txn", {{"Precondition", preconditions}, {"Write", writes}, {"Remove", removals}});
 }
 
 static HttpRequest encodeCall(const KeyValueRequest &request, const std::string &after)
 {
-    return std::visit(Overloaded{[&](const ReadRange &read) {
-                                     std::string target = "/v1/kv-range?Prefix=" + percentEncoded(read.prefix);
-                                     if (!after.empty()) {
-                                         target += "&After=" + percentEncoded(after);
-                                     }
-                                     return get(target);
-                                 },
-                                 [](const WatchRange &watch) {
-                                     return get("/v1/kv-watch?Prefix=" + percentEncoded(watch.prefix)
-                                                + "&After=" + std::to_string(watch.after.value())
-                                                + "&WaitMs=" + std::to_string(milliseconds(watch.wait)));
-                                 },
-                                 [](const Commit &commit) { return encodeCommit(commit); },
-                                 [](const GrantLease &grant) {
-                                     return post("/v1/kv-lease", {{"TtlMs", milliseconds(grant.timeToLive)}});
-                                 },
-                                 [](const RenewLease &renewal) {
-                                     return HttpRequest{.method = "POST",
-                                                        .target = "/v1/kv-keep/" + renewal.lease.value(),
-                                                        .headers = {},
-                                                        .body = {}};
-                                 },
-                                 [](const RevokeLease &revocation) {
-                                     return HttpRequest{.method = "DELETE",
-                                                        .target = "/v1/kv-lease-end/" + revocation.lease.value(),
-                                                        .headers = {},
-                                                        .body = {}};
-                                 }},
-                      request);
+    return std::visit(
+        Overloaded{[&](const ReadRange &read) {
+                       std::string target = "/v1/kv-range?Prefix=" + percentEncoded(read.prefix);
+                       if (!after.empty()) {
+                           target += "&After=" + percentEncoded(after);
+                       }
+                       return get(target);
+                   },
+                   [](const WatchRange &watch) {
+                       return get("/v1/kv-watch?Prefix=" + percentEncoded(watch.prefix)
+                                  + "&After=" + std::to_string(watch.after.value())
+                                  + "&WaitMs=" + std::to_string(milliseconds(watch.wait)));
+                   },
+                   [](const Commit &commit) { return encodeCommit(commit); },
+                   [](const GrantLease &grant) {
+                       return jsonRequest("POST", "/v1/kv-lease", {{"TtlMs", milliseconds(grant.timeToLive)}});
+                   },
+                   [](const RenewLease &renewal) {
+                       return HttpRequest{.method = "POST",
+                                          .target = "/v1/kv-keep/" + renewal.lease.value(),
+                                          .headers = {},
+                                          .body = {}};
+                   },
+                   [](const RevokeLease &revocation) {
+                       return HttpRequest{.method = "DELETE",
+                                          .target = "/v1/kv-lease-end/" + revocation.lease.value(),
+                                          .headers = {},
+                                          .body = {}};
+                   }},
+        request);
 }
 
 static KeyValueRecord readRecord(const nlohmann::json &item)
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -192,6 +192,8 @@
     CHECK(head(503, {{"X-Not-Executed", "1"}, {"At-Server", "10.0.0.2:1"}}).notRun);
     CHECK(head(503, {{"At-Server", "10.0.0.2:1"}}).addressAtFault == "10.0.0.2:1");
     CHECK(head(421, {}).notRun);
+    CHECK(head(421, {}).misdirected);
+    CHECK(!head(503, {{"X-Not-Executed", "1"}}).misdirected);
     CHECK(!head(503, {}).notRun);
     CHECK(!head(500, {{"X-Server-Seal", "s"}}).notRun);
     CHECK(head(200, {{"X-Server-Seal", "s"}}).sealed);
--- a/src/routing/MergeRanges.h
+++ b/src/routing/MergeRanges.h
@@ -28,4 +28,25 @@
     return merged;
 }
 
+/// What is left of the ranges without the layers of `dropped`, as far as `keyOf` is the same for both.
+template<typename Range, typename KeyOf>
+[[nodiscard]] std::vector<Range> withoutRange(const std::vector<Range> &ranges, const Range &dropped, KeyOf keyOf)
+{
+    std::vector<Range> rest;
+    for (const Range &range : ranges) {
+        if (keyOf(range) != keyOf(dropped)) {
+            rest.push_back(range);
+            continue;
+        }
+        for (const LayerRange part : {LayerRange{range.layers.first, std::min(range.layers.end, dropped.layers.first)},
+                                      LayerRange{std::max(range.layers.first, dropped.layers.end), range.layers.end}}) {
+            if (!part.empty()) {
+                rest.push_back(range);
+                rest.back().layers = part;
+            }
+        }
+    }
+    return rest;
+}
+
 } // namespace Carawaymill
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -1,5 +1,7 @@
 #include "routing/RoutingTarget.h"
 
+#include "support/Seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,11 +16,6 @@
 static constexpr double toleratedSlowdown = 4;
 static constexpr double mostSlowdown = 1000;
 
-static double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 RoutingTarget::RoutingTarget(TargetId id, RoutingTargetOptions options)
     : m_id(std::move(id))
     , m_options(options)
