Forwarding: Log how a stream was broken off and show what the retry budget is split by

Streams that end without a whole response now have the outcome broken-off, each final line says how the last attempt ended, and the metrics have the budget's hosts and what it granted and refused. No decision changes.

--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -43,8 +43,10 @@
     }
     const double burst = m_options.burst * usedBurstShare / static_cast<double>(std::max<std::size_t>(m_hosts, 1));
     if (retries > requests * m_options.ratio * usedRatioShare + burst) {
+        ++m_refused;
         return false;
     }
+    ++m_granted;
     current.retries += 1;
     return true;
 }
--- a/src/forwarding/FleetRetryBudget.h
+++ b/src/forwarding/FleetRetryBudget.h
@@ -3,6 +3,7 @@
 #include "forwarding/RoutingConfiguration.h"
 #include "support/Time.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 
@@ -35,6 +36,14 @@
     /// Consumes one retry from the budget; returns false if none is left.
     [[nodiscard]] bool tryRetry(const ServiceId &service, TimePoint now);
 
+    /// Number of hosts that share the burst, as far as this host knows.
+    [[nodiscard]] std::size_t hosts() const { return m_hosts; }
+
+    /// Number of retries that were granted and refused since the start of the process.
+    [[nodiscard]] std::uint64_t granted() const { return m_granted; }
+
+    [[nodiscard]] std::uint64_t refused() const { return m_refused; }
+
 private:
     /// Counts of one fraction of the window.
     struct Slot
@@ -48,6 +57,8 @@
 
     FleetRetryBudgetOptions m_options;
     std::size_t m_hosts = 1;
+    std::uint64_t m_granted = 0;
+    std::uint64_t m_refused = 0;
     std::map<ServiceId, std::deque<Slot>> m_slots;
 };
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -375,6 +375,7 @@
     context.actions.emplace_back(ForwardLogLine{"Forward: event=turned-down request=" + call.request->attempt
                                                 + " target=" + atFault.value()
                                                 + " status=" + std::to_string(call.head->head.status)});
+    call.lastAttemptEnd = "rejected";
     endAttempt(call, false, context);
     dispatchAgain(call, ForwardFailure::TargetsRefused, context);
 }
@@ -425,6 +426,7 @@
         call->tried.insert(target);
         m_targets.recordFailure(target, context.now);
         m_targets.markUnresponsive(target, m_options.suspicionPeriod, context.router, context.now);
+        call->lastAttemptEnd = "not-sent";
         endAttempt(*call, false, context);
         dispatchAgain(*call, ForwardFailure::NoTarget, context);
         return;
@@ -436,6 +438,7 @@
 {
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
+    call.lastAttemptEnd = "lost";
     endAttempt(call, true, context);
     if (!mayRunAgain(call)) {
         refuse(call, ForwardFailure::ResponseLost, context);
@@ -542,6 +545,7 @@
         call.countedRuns -= 1;
     }
     call.tried = std::move(excluded);
+    call.lastAttemptEnd = "moved";
     endAttempt(call, true, context);
     sendToTarget(call, std::move(*chosen), context);
 }
@@ -566,7 +570,9 @@
 
 void Forwarder::refuse(Call &call, ForwardFailure reason, HandlerContext &context)
 {
+    std::string outcome = "refused:";
     if (call.streaming) {
+        outcome = "broken-off:";
         context.actions.emplace_back(AbortStream{call.id});
     } else if (call.targetFailure) {
         context.actions.emplace_back(Respond{.id = call.id, .response = std::move(*call.targetFailure)});
@@ -578,7 +584,7 @@
         }
         context.actions.emplace_back(refusal);
     }
-    finish(call, std::string("refused:") + forwardFailureName(reason), context);
+    finish(call, outcome + forwardFailureName(reason), context);
 }
 
 void Forwarder::finish(Call &call, const std::string &outcome, HandlerContext &context)
@@ -587,7 +593,8 @@
     std::string line = "Forward: event=end request=" + call.request->attempt + " outcome=" + outcome
                        + " route=" + (call.route != nullptr ? call.route->name : "none")
                        + " ms=" + std::to_string(milliseconds.count())
-                       + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs);
+                       + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs)
+                       + " last-attempt=" + call.lastAttemptEnd;
     if (call.table) {
         line += " configuration=" + std::to_string(call.table->configuration().version.value());
     }
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -105,6 +105,8 @@
 
     [[nodiscard]] const ForwardTargets &targets() const { return m_targets; }
 
+    [[nodiscard]] const FleetRetryBudget &retries() const { return m_retries; }
+
 private:
     /// One caller's request.
     struct Call
@@ -131,6 +133,8 @@
         /// `maximumTargets`: targets that stopped responding do not count.
         std::uint32_t runs = 0;
         std::uint32_t countedRuns = 0;
+        /// How the last attempt that has ended did so, for the log.
+        const char *lastAttemptEnd = "none";
 
         std::optional<TargetResponseStarted> head;
         std::string body;
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -326,6 +326,9 @@
     };
     gauge("requests_in_progress", m_forwarder.inProgress());
     gauge("targets_listed", m_directory.targets().size());
+    gauge("retry_budget_hosts", m_forwarder.retries().hosts());
+    gauge("retries_granted_total", m_forwarder.retries().granted());
+    gauge("retries_refused_total", m_forwarder.retries().refused());
     gauge("ready", ready(now) ? 1 : 0);
     if (const SharedConfiguration &configuration = m_configuration.configuration()) {
         gauge("configuration_version", configuration->version.value());
