--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -189,6 +189,73 @@
     CHECK(second.resumeAfter == StreamPosition(1));
 }
 
+/// Lets the stream of `dispatch` stall until its first target has not replied to the progress query, and returns the
+/// actions that follow.
+static std::vector<ForwarderAction> stallAtSilentTarget(ForwarderFixture &fixture, const ForwardToTarget &dispatch)
+{
+    CHECK(only<QueryProgress>(fixture.advance(420ms)).attempt == dispatch.attempt);
+    return fixture.handle(
+        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}});
+}
+
+TEST_CASE("a stream of a silent target is not broken off when the target that it was moved to rejects it")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(first));
+    fixture.handle(ForwarderFixture::event(first, 1));
+    const auto second = only<ForwardToTarget>(stallAtSilentTarget(fixture, first));
+    fixture.handle(ForwarderFixture::rejected(second));
+    CHECK(!has<AbortStream>(fixture.handle(ForwarderFixture::ended(second))));
+    CHECK(has<WriteStream>(fixture.handle(ForwarderFixture::event(first, 2))));
+    CHECK(has<EndStream>(fixture.handle(ForwarderFixture::ended(first))));
+    CHECK(fixture.forwarder.inProgress() == 0);
+}
+
+TEST_CASE("a stream whose silent target goes on before the new one begins stays with it")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(first));
+    fixture.handle(ForwarderFixture::event(first, 1));
+    const auto second = only<ForwardToTarget>(stallAtSilentTarget(fixture, first));
+    const auto actions = fixture.handle(ForwarderFixture::event(first, 2));
+    CHECK(only<WriteStream>(actions).chunk.find("id: 2") != std::string::npos);
+    CHECK(only<AbandonAttempt>(actions).attempt == second.attempt);
+    CHECK(!fixture.forwarder.targets().isUnresponsive(first.target));
+    CHECK(has<EndStream>(fixture.handle(ForwarderFixture::ended(first))));
+}
+
+TEST_CASE("a stream leaves its silent target once the new one has sent an event")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(first));
+    fixture.handle(ForwarderFixture::event(first, 1));
+    const auto second = only<ForwardToTarget>(stallAtSilentTarget(fixture, first));
+    CHECK(second.target != first.target);
+    CHECK(!has<AbandonAttempt>(fixture.handle(ForwarderFixture::started(second))));
+    const auto actions = fixture.handle(ForwarderFixture::event(second, 2));
+    CHECK(has<WriteStream>(actions));
+    CHECK(only<AbandonAttempt>(actions).attempt == first.attempt);
+    CHECK(!has<WriteStream>(fixture.handle(ForwarderFixture::event(first, 2))));
+    CHECK(has<EndStream>(fixture.handle(ForwarderFixture::ended(second))));
+}
+
+TEST_CASE("a request that left a silent target runs on no more targets than its route allows")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.targetListed(ForwarderFixture::engine("c1", {LayerIndex(0), LayerIndex(4)}), fixture.router);
+    fixture.forwarder.targetListed(ForwarderFixture::engine("c2", {LayerIndex(4), LayerIndex(8)}), fixture.router);
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(first));
+    fixture.handle(ForwarderFixture::event(first, 1));
+    const auto second = only<ForwardToTarget>(stallAtSilentTarget(fixture, first));
+    fixture.handle(ForwarderFixture::started(second));
+    fixture.handle(ForwarderFixture::event(second, 2));
+    CHECK(!has<ForwardToTarget>(stallAtSilentTarget(fixture, second)));
+}
+
 TEST_CASE("a stalled stream stays at its targets if no other chain is available")
 {
     ForwarderFixture fixture;
--- a/src/forwarding/tests/ReplicasTest.cpp
+++ b/src/forwarding/tests/ReplicasTest.cpp
@@ -287,6 +287,31 @@
     CHECK(table.organisation("k3") == nullptr);
 }
 
+/// Uses up the retry budget of a host that has received no request, and returns the number of retries.
+static std::size_t spendRetries(FleetRetryBudget &budget, TimePoint now)
+{
+    std::size_t retries = 0;
+    while (budget.tryRetry(ServiceId("desk"), now)) {
+        ++retries;
+    }
+    return retries;
+}
+
+TEST_CASE("a host that no longer sees the records of the others takes no larger share of the retry burst")
+{
+    FleetRetryBudget budget({.window = 10s, .ratio = 0.2, .burst = 80});
+    budget.setHosts(4);
+    CHECK(spendRetries(budget, start) == 10);
+    budget.setHosts(1);
+    CHECK(spendRetries(budget, start + 1s) == 0);
+}
+
+TEST_CASE("a host that has not read the register of hosts takes no share of the retry burst")
+{
+    FleetRetryBudget budget({.window = 10s, .ratio = 0.2, .burst = 80});
+    CHECK(spendRetries(budget, start) == 0);
+}
+
 TEST_CASE("hosts that use all of their retries stay within the bound of the fleet in every window")
 {
     static constexpr double ratio = 0.2;
