Forwarding: Keep the attempt at a silent target until another target has begun

The abandoned run was not counted against the route's bound, so that with a second silent or broken target a third one ran the request. A host that saw few or no records of other hosts took a larger share of the retry burst.

Change: a moved stream keeps its stalled attempt open. Whichever sends an event first goes on, the other is abandoned; if the new target rejects, breaks off or cannot be reached, the stream stays where it was. Every first target that may have run a request counts. A silent target is used again as soon as it answers. A second attempt goes to another first target, which cannot tell two attempts of one request apart; a stream that the caller has begun to receive stays in place otherwise. The retry burst is split by the highest number of hosts of the last window, and not used before that number is known.

--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -32,8 +32,26 @@
     slot(service, now).requests += 1;
 }
 
+void FleetRetryBudget::updateHosts(TimePoint now)
+{
+    if (m_reportedHosts < m_hosts) {
+        m_fewerSince = m_fewerSince.value_or(now);
+        if (now - *m_fewerSince < m_options.window) {
+            return;
+        }
+    }
+    m_hosts = m_reportedHosts;
+    m_fewerSince.reset();
+}
+
+double FleetRetryBudget::burstShare() const
+{
+    return m_hosts > 0 ? m_options.burst * usedBurstShare / static_cast<double>(m_hosts) : 0;
+}
+
 bool FleetRetryBudget::tryRetry(const ServiceId &service, TimePoint now)
 {
+    updateHosts(now);
     Slot &current = slot(service, now);
     double requests = 0;
     double retries = 1;
@@ -41,8 +59,7 @@
         requests += counted.requests;
         retries += counted.retries;
     }
-    const double burst = m_options.burst * usedBurstShare / static_cast<double>(std::max<std::size_t>(m_hosts, 1));
-    if (retries > requests * m_options.ratio * usedRatioShare + burst) {
+    if (retries > requests * m_options.ratio * usedRatioShare + burstShare()) {
         ++m_refused;
         return false;
     }
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -154,14 +154,36 @@
     suspect(target, suspicionPeriod, router, now);
 }
 
-void ForwardTargets::markUnresponsive(const TargetId &target, Duration period, ChainRouter &router, TimePoint now)
+void ForwardTargets::markUnresponsive(
+    const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now)
 {
     suspect(target, period, router, now);
     if (m_targets.contains(target)) {
-        m_unresponsive.insert(target);
+        m_unresponsive.insert_or_assign(target, cause);
     }
 }
 
+void ForwardTargets::recordResponse(const ChosenTargets &chosen, ChainRouter &router)
+{
+    if (m_unresponsive.empty()) {
+        return;
+    }
+    for (const PathStage &stage : chosen.path) {
+        recordReport(stage.target, router);
+    }
+}
+
+void ForwardTargets::recordReport(const TargetId &target, ChainRouter &router)
+{
+    const auto found = m_unresponsive.find(target);
+    if (found == m_unresponsive.end() || found->second != UnresponsiveCause::Silent) {
+        return;
+    }
+    m_unresponsive.erase(found);
+    m_suspectedUntil.erase(target);
+    updateAvailability(target, router);
+}
+
 void ForwardTargets::updateAvailability(const TargetId &target, ChainRouter &router) const
 {
     const auto found = m_targets.find(target);
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -49,6 +49,14 @@
     Outdated,
 };
 
+/// Why a target counts as unresponsive.
+enum class UnresponsiveCause {
+    /// It sends nothing on its connections.
+    Silent,
+    /// It accepts no connection.
+    Unreachable,
+};
+
 /// Tracks load, failures and suspicions of the directory's targets, and chooses targets for requests.
 class ForwardTargets
 {
@@ -65,8 +73,16 @@
     /// Suspects a target that has rejected a request for the period that `kind` has in the options.
     void recordRejection(const TargetId &target, RejectionKind kind, ChainRouter &router, TimePoint now);
 
-    /// Suspects a target that did not respond, and marks it as unresponsive until `period` has passed.
-    void markUnresponsive(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+    /// Suspects a target that did not respond, and marks it as unresponsive until `period` has passed or, if it was
+    /// silent, until it responds.
+    void markUnresponsive(
+        const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now);
+
+    /// Records that events of a response arrived, for which every target on its path has worked.
+    void recordResponse(const ChosenTargets &chosen, ChainRouter &router);
+
+    /// Records that the target reported its state.
+    void recordReport(const TargetId &target, ChainRouter &router);
 
     [[nodiscard]] bool isUnresponsive(const TargetId &target) const { return m_unresponsive.contains(target); }
 
@@ -119,7 +135,7 @@
     std::map<TargetId, DirectoryTarget> m_targets;
     std::map<TargetId, TimePoint> m_suspectedUntil;
     /// The suspected targets that did not respond.
-    std::set<TargetId> m_unresponsive;
+    std::map<TargetId, UnresponsiveCause> m_unresponsive;
     std::map<TargetId, Load> m_loads;
 };
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -87,6 +87,13 @@
     return isPresent ? &found->second : nullptr;
 }
 
+Forwarder::Call *Forwarder::stalledAttempt(RequestId id, AttemptNumber attempt)
+{
+    const auto found = m_calls.find(id);
+    const bool isPresent = found != m_calls.end() && found->second.stalled && found->second.stalled->attempt == attempt;
+    return isPresent ? &found->second : nullptr;
+}
+
 std::optional<ForwardFailure>
 Forwarder::admit(const ForwardRequest &request, Call &call, const HandlerContext &context) const
 {
@@ -230,10 +237,11 @@
 
 void Forwarder::sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context)
 {
-    call.attempt = call.attempt.next();
+    call.lastAttempt = call.lastAttempt.next();
+    call.attempt = call.lastAttempt;
     call.dispatches += 1;
     call.runs += 1;
-    call.countedRuns += 1;
+    call.ranAt[chosen.target] += 1;
     call.head.reset();
     call.body.clear();
     call.relay.restart();
@@ -261,7 +269,7 @@
 bool Forwarder::mayRunAgain(const Call &call) const
 {
     return call.route->repeat == RepeatPolicy::Repeatable
-           && call.countedRuns < std::max(1U, call.route->maximumTargets);
+           && call.ranAt.size() < std::max(1U, call.route->maximumTargets);
 }
 
 void Forwarder::dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
@@ -292,6 +300,102 @@
     }
 }
 
+void Forwarder::discountRun(Call &call, const TargetId &target)
+{
+    call.runs -= 1;
+    if (--call.ranAt.at(target) == 0) {
+        call.ranAt.erase(target);
+    }
+}
+
+void Forwarder::endStalled(Call &call, bool abandon, HandlerContext &context)
+{
+    if (!call.stalled) {
+        return;
+    }
+    m_targets.recordEnd(call.stalled->chosen, context.router);
+    if (abandon) {
+        context.actions.emplace_back(AbandonAttempt{.id = call.id, .attempt = call.stalled->attempt});
+    }
+    call.stalled.reset();
+}
+
+bool Forwarder::returnToStalled(Call &call, HandlerContext &context)
+{
+    if (!call.stalled) {
+        return false;
+    }
+    endAttempt(call, true, context);
+    StalledAttempt stalled = std::move(*call.stalled);
+    call.stalled.reset();
+    context.actions.emplace_back(ForwardLogLine{"Forward: event=returned request=" + call.request->attempt
+                                                + " target=" + stalled.chosen.target.value()});
+    call.attempt = stalled.attempt;
+    call.chosen = std::move(stalled.chosen);
+    call.head = std::move(stalled.head);
+    call.relay = std::move(stalled.relay);
+    call.body.clear();
+    call.progressAt = context.now;
+    call.progressQueriedAt.reset();
+    return true;
+}
+
+void Forwarder::stalledStarted(const TargetResponseStarted &event, HandlerContext &context)
+{
+    Call *call = stalledAttempt(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    if (!beginsStream(*call, event)) {
+        if (event.notRun) {
+            discountRun(*call, call->stalled->chosen.target);
+        }
+        endStalled(*call, true, context);
+        return;
+    }
+    m_targets.recordResponse(call->stalled->chosen, context.router);
+    returnToStalled(*call, context);
+    on(event, context);
+}
+
+void Forwarder::stalledData(const TargetResponseData &event, HandlerContext &context)
+{
+    Call *call = stalledAttempt(event.id, event.attempt);
+    if (call == nullptr || !call->stalled->head) {
+        return;
+    }
+    std::string events = call->stalled->relay.append(event.bytes);
+    if (events.empty()) {
+        return;
+    }
+    m_targets.recordResponse(call->stalled->chosen, context.router);
+    returnToStalled(*call, context);
+    writeEvents(*call, std::move(events), context);
+}
+
+void Forwarder::stalledCompleted(const TargetResponseCompleted &event, HandlerContext &context)
+{
+    Call *call = stalledAttempt(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    if (!call->stalled->head || call->stalled->relay.hasPartialEvent()) {
+        endStalled(*call, false, context);
+        return;
+    }
+    m_targets.recordResponse(call->stalled->chosen, context.router);
+    returnToStalled(*call, context);
+    on(event, context);
+}
+
+void Forwarder::stalledFailed(const TargetResponseFailed &event, HandlerContext &context)
+{
+    if (Call *call = stalledAttempt(event.id, event.attempt)) {
+        m_targets.recordFailure(call->stalled->chosen.target, context.now);
+        endStalled(*call, false, context);
+    }
+}
+
 void Forwarder::on(const ForwardCallerDisconnected &event, HandlerContext &context)
 {
     std::erase_if(m_earlyRequests, [&](const EarlyRequest &early) { return early.event.id == event.id; });
@@ -305,26 +409,34 @@
 {
     Call *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
+        stalledStarted(event, context);
         return;
     }
     call->head = event;
-    const bool isStream =
-        call->route->responseKind == ResponseKind::EventStream && event.head.status == statusOk && event.sealed;
-    if (isStream && !call->streaming) {
+    if (beginsStream(*call, event) && !call->streaming) {
+        endStalled(*call, true, context);
         call->streaming = true;
         context.actions.emplace_back(BeginStream{
             .id = call->id, .head = {.status = event.head.status, .headers = event.head.headers, .body = {}}});
     }
 }
 
+bool Forwarder::beginsStream(const Call &call, const TargetResponseStarted &head)
+{
+    return call.route->responseKind == ResponseKind::EventStream && head.head.status == statusOk && head.sealed;
+}
+
 void Forwarder::on(const TargetResponseData &event, HandlerContext &context)
 {
     Call *call = currentAttempt(event.id, event.attempt);
-    if (call == nullptr || !call->head) {
+    if (call == nullptr) {
+        stalledData(event, context);
+        return;
+    }
+    if (!call->head) {
         return;
     }
-    const bool isStreamed = call->streaming && call->head->head.status == statusOk && call->head->sealed;
-    if (isStreamed) {
+    if (beginsStream(*call, *call->head)) {
         relayStream(*call, event.bytes, context);
     } else {
         call->body += event.bytes;
@@ -337,6 +449,13 @@
     if (events.empty()) {
         return;
     }
+    endStalled(call, true, context);
+    m_targets.recordResponse(*call.chosen, context.router);
+    writeEvents(call, std::move(events), context);
+}
+
+void Forwarder::writeEvents(Call &call, std::string events, HandlerContext &context)
+{
     call.progressAt = context.now;
     call.progressQueriedAt.reset();
     context.actions.emplace_back(WriteStream{.id = call.id, .chunk = std::move(events)});
@@ -346,6 +465,7 @@
 {
     Call *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
+        stalledCompleted(event, context);
         return;
     }
     if (!call->head) {
@@ -361,9 +481,8 @@
 
 void Forwarder::targetRejected(Call &call, HandlerContext &context)
 {
-    call.runs -= 1;
-    call.countedRuns -= 1;
     const TargetId target = call.chosen->target;
+    discountRun(call, target);
     TargetId atFault = target;
     if (call.head->addressAtFault) {
         atFault = m_targets.targetAt(*call.head->addressAtFault).value_or(target);
@@ -377,6 +496,9 @@
                                                 + " status=" + std::to_string(call.head->head.status)});
     call.lastAttemptEnd = "rejected";
     endAttempt(call, false, context);
+    if (returnToStalled(call, context)) {
+        return;
+    }
     dispatchAgain(call, ForwardFailure::TargetsRefused, context);
 }
 
@@ -400,11 +522,14 @@
     }
     const bool success = head.status < firstFailureStatus;
     HttpResponse response{.status = head.status, .headers = head.headers, .body = std::move(call.body)};
-    if (!success && mayRunAgain(call)) {
+    if (!success && (call.stalled || mayRunAgain(call))) {
         call.targetFailure = std::move(response);
         call.tried.insert(call.chosen->target);
         m_targets.recordFailure(call.chosen->target, context.now);
         endAttempt(call, false, context);
+        if (returnToStalled(call, context)) {
+            return;
+        }
         dispatchAgain(call, ForwardFailure::ResponseLost, context);
         return;
     }
@@ -417,17 +542,21 @@
 {
     Call *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
+        stalledFailed(event, context);
         return;
     }
     const TargetId target = call->chosen->target;
     if (!event.sent) {
-        call->runs -= 1;
-        call->countedRuns -= 1;
+        discountRun(*call, target);
         call->tried.insert(target);
         m_targets.recordFailure(target, context.now);
-        m_targets.markUnresponsive(target, m_options.suspicionPeriod, context.router, context.now);
+        m_targets.markUnresponsive(
+            target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
         call->lastAttemptEnd = "not-sent";
         endAttempt(*call, false, context);
+        if (returnToStalled(*call, context)) {
+            return;
+        }
         dispatchAgain(*call, ForwardFailure::NoTarget, context);
         return;
     }
@@ -440,6 +569,9 @@
     m_targets.recordFailure(call.chosen->target, context.now);
     call.lastAttemptEnd = "lost";
     endAttempt(call, true, context);
+    if (returnToStalled(call, context)) {
+        return;
+    }
     if (!mayRunAgain(call)) {
         refuse(call, ForwardFailure::ResponseLost, context);
         return;
@@ -499,15 +631,19 @@
     std::optional<TargetId> atFault;
     if (!event.answered) {
         atFault = call->chosen->target;
-    } else if (event.blockedAtAddress) {
-        atFault = m_targets.targetAt(*event.blockedAtAddress);
+    } else {
+        m_targets.recordReport(call->chosen->target, context.router);
+        if (event.blockedAtAddress) {
+            atFault = m_targets.targetAt(*event.blockedAtAddress);
+        }
     }
     if (!atFault) {
         return;
     }
     context.actions.emplace_back(
         ForwardLogLine{"Forward: event=stopped request=" + call->request->attempt + " target=" + atFault->value()});
-    m_targets.markUnresponsive(*atFault, m_options.suspicionPeriod, context.router, context.now);
+    m_targets.markUnresponsive(
+        *atFault, UnresponsiveCause::Silent, m_options.suspicionPeriod, context.router, context.now);
     moveStreams(*atFault, context);
 }
 
@@ -518,10 +654,7 @@
         const bool usesTarget = call.chosen && std::ranges::any_of(call.chosen->path, [&](const PathStage &stage) {
                                     return stage.target == target;
                                 });
-        // A stopped first target does not count towards the route's maximum, see moveStream().
-        const bool isFirst = usesTarget && call.chosen->target == target;
-        if (usesTarget && context.now - call.progressAt >= recentProgress
-            && (mayRunAgain(call) || (isFirst && call.route->repeat == RepeatPolicy::Repeatable))) {
+        if (usesTarget && context.now - call.progressAt >= recentProgress && mayRunAgain(call)) {
             stopped.push_back(id);
         }
     }
@@ -530,23 +663,40 @@
     }
 }
 
-void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
+std::optional<ChosenTargets>
+Forwarder::chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context)
 {
     std::set<TargetId> excluded = call.tried;
     excluded.insert(stopped);
+    // A target cannot tell two attempts of one request apart, so that the stalled one needs another first target.
+    const bool inserted = excluded.insert(call.chosen->target).second;
     auto chosen = m_targets.choose(call.service, *call.request, excluded, context.router, context.now);
-    if (!chosen || chosen->congested || call.dispatches >= m_options.maximumDispatches
-        || !m_retries.tryRetry(call.service, context.now)) {
+    if ((!chosen || chosen->congested) && inserted && !call.streaming) {
+        excluded.erase(call.chosen->target);
+        chosen = m_targets.choose(call.service, *call.request, excluded, context.router, context.now);
+    }
+    return chosen && !chosen->congested ? std::move(chosen) : std::nullopt;
+}
+
+void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
+{
+    auto chosen = chooseForMove(call, stopped, context);
+    if (!chosen || call.dispatches >= m_options.maximumDispatches || !m_retries.tryRetry(call.service, context.now)) {
         return;
     }
     context.actions.emplace_back(ForwardLogLine{"Forward: event=moved request=" + call.request->attempt
                                                 + " from=" + stopped.value() + " to=" + chosen->target.value()});
-    if (call.chosen->target == stopped) {
-        call.countedRuns -= 1;
-    }
-    call.tried = std::move(excluded);
+    call.tried.insert(stopped);
     call.lastAttemptEnd = "moved";
-    endAttempt(call, true, context);
+    endStalled(call, true, context);
+    if (chosen->target == call.chosen->target) {
+        endAttempt(call, true, context);
+    } else {
+        call.stalled = StalledAttempt{.attempt = call.attempt,
+                                      .chosen = *std::exchange(call.chosen, std::nullopt),
+                                      .head = std::move(call.head),
+                                      .relay = call.relay};
+    }
     sendToTarget(call, std::move(*chosen), context);
 }
 
@@ -591,13 +741,13 @@
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - call.receivedAt);
     std::string line = "Forward: event=end request=" + call.request->attempt + " outcome=" + outcome
-                       + " route=" + (call.route != nullptr ? call.route->name : "none")
-                       + " ms=" + std::to_string(milliseconds.count())
-                       + " dispatches=" + std::to_string(call.dispatches) + " runs=" + std::to_string(call.runs)
-                       + " last-attempt=" + call.lastAttemptEnd;
+                       + " route=" + (call.route != nullptr ? call.route->name : "none") + " ms="
+                       + std::to_string(milliseconds.count()) + " dispatches=" + std::to_string(call.dispatches)
+                       + " runs=" + std::to_string(call.runs) + " last-attempt=" + call.lastAttemptEnd;
     if (call.table) {
         line += " configuration=" + std::to_string(call.table->configuration().version.value());
     }
+    endStalled(call, true, context);
     context.actions.emplace_back(ForwardLogLine{std::move(line)});
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
     m_queue.remove(call.id);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -108,6 +108,16 @@
     [[nodiscard]] const FleetRetryBudget &retries() const { return m_retries; }
 
 private:
+    /// The attempt that a stream was moved away from. It stays open until another target has begun, since a target that
+    /// falls silent may go on.
+    struct StalledAttempt
+    {
+        AttemptNumber attempt;
+        ChosenTargets chosen;
+        std::optional<TargetResponseStarted> head;
+        EventStreamRelay relay;
+    };
+
     /// One caller's request.
     struct Call
     {
@@ -125,14 +135,16 @@
         std::optional<TimePoint> callerDeadline;
 
         AttemptNumber attempt;
+        AttemptNumber lastAttempt;
         /// Targets of the current attempt; std::nullopt between attempts.
         std::optional<ChosenTargets> chosen;
+        std::optional<StalledAttempt> stalled;
         std::set<TargetId> tried;
         std::uint32_t dispatches = 0;
-        /// Number of targets that may have run the request, and of those that count towards the route's
-        /// `maximumTargets`: targets that stopped responding do not count.
+        /// Number of attempts that a target may have run.
         std::uint32_t runs = 0;
-        std::uint32_t countedRuns = 0;
+        /// The first targets of these attempts, and the number of attempts at each.
+        std::map<TargetId, std::uint32_t> ranAt;
         /// How the last attempt that has ended did so, for the log.
         const char *lastAttemptEnd = "none";
 
@@ -181,6 +193,8 @@
     void accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, HandlerContext &context);
     /// The call if `attempt` is its current attempt, otherwise null.
     [[nodiscard]] Call *currentAttempt(RequestId id, AttemptNumber attempt);
+    /// The call if `attempt` is its stalled attempt, otherwise null.
+    [[nodiscard]] Call *stalledAttempt(RequestId id, AttemptNumber attempt);
     /// Sets the call's route and organisation. Returns the reason if the request is refused, otherwise std::nullopt.
     [[nodiscard]] std::optional<ForwardFailure>
     admit(const ForwardRequest &request, Call &call, const HandlerContext &context) const;
@@ -196,6 +210,21 @@
     [[nodiscard]] bool mayRunAgain(const Call &call) const;
     /// Ends the current attempt; `abandon` closes its connection.
     void endAttempt(Call &call, bool abandon, HandlerContext &context);
+    /// Takes back one run at the target, which has not begun it.
+    static void discountRun(Call &call, const TargetId &target);
+    /// Ends the stalled attempt if there is one; `abandon` closes its connection.
+    void endStalled(Call &call, bool abandon, HandlerContext &context);
+    /// Returns to the stalled attempt and abandons the current one if there is one. Returns false if there is no
+    /// stalled attempt.
+    bool returnToStalled(Call &call, HandlerContext &context);
+    void stalledStarted(const TargetResponseStarted &event, HandlerContext &context);
+    void stalledData(const TargetResponseData &event, HandlerContext &context);
+    void stalledCompleted(const TargetResponseCompleted &event, HandlerContext &context);
+    void stalledFailed(const TargetResponseFailed &event, HandlerContext &context);
+    /// Whether the head begins an event stream that can be relayed.
+    [[nodiscard]] static bool beginsStream(const Call &call, const TargetResponseStarted &head);
+    /// Sends complete events to the caller. `events` is not empty.
+    void writeEvents(Call &call, std::string events, HandlerContext &context);
     void targetRejected(Call &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(Call &call, HandlerContext &context);
@@ -204,8 +233,12 @@
     void checkStreamProgress(Call &call, HandlerContext &context);
     /// Moves every stalled stream whose path includes the target to other targets that have capacity.
     void moveStreams(const TargetId &target, HandlerContext &context);
-    /// Resumes a stream at other targets. Leaves it in place if that is impossible, since the target may recover.
+    /// Resumes a stream at other targets while the stalled attempt stays open. Leaves the stream in place if that is
+    /// impossible, since the target may recover.
     void moveStream(Call &call, const TargetId &stopped, HandlerContext &context);
+    /// The targets that a stream can be moved to; std::nullopt if there are none with capacity.
+    [[nodiscard]] std::optional<ChosenTargets>
+    chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context);
     void timeOut(Call &call, HandlerContext &context);
     void refuse(Call &call, ForwardFailure reason, HandlerContext &context);
     /// Logs the outcome of the call and removes it.
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -111,6 +111,7 @@
         forwarder.targetListed(plainTarget(id), router);
     }
     forwarder.setDirectoryLoaded();
+    forwarder.setHosts(1);
 }
 
 std::vector<ForwarderAction> ForwarderFixture::handle(const ForwarderEvent &event)
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -24,7 +24,7 @@
         [this, id = action.id, attempt = action.attempt](HttpStreamEvent event) {
             handleStreamEvent(id, attempt, std::move(event));
         });
-    m_exchanges.insert_or_assign(action.id, Exchange{.attempt = action.attempt, .exchange = std::move(exchange)});
+    m_exchanges.insert_or_assign({action.id, action.attempt}, std::move(exchange));
 }
 
 void TargetClient::handleStreamEvent(RequestId id, AttemptNumber attempt, HttpStreamEvent event)
@@ -51,9 +51,7 @@
 
 void TargetClient::closeExchange(RequestId id, AttemptNumber attempt)
 {
-    if (const auto found = m_exchanges.find(id); found != m_exchanges.end() && found->second.attempt == attempt) {
-        m_exchanges.erase(found);
-    }
+    m_exchanges.erase({id, attempt});
 }
 
 void TargetClient::abandon(const AbandonAttempt &action)
--- a/src/platform/TargetClient.h
+++ b/src/platform/TargetClient.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace Carawaymill {
 
@@ -24,20 +25,13 @@
     void sendOrder(const SendOrder &action);
 
 private:
-    struct Exchange
-    {
-        AttemptNumber attempt;
-        std::unique_ptr<HttpExchange> exchange;
-    };
-
     void handleStreamEvent(RequestId id, AttemptNumber attempt, HttpStreamEvent event);
-    /// Does nothing if the request's exchange belongs to another attempt.
     void closeExchange(RequestId id, AttemptNumber attempt);
 
     HttpClient &m_client;
     std::function<void(const NodeEvent &event)> m_onEvent;
-    /// The exchange of each request's latest attempt, until the response is complete or has failed.
-    std::map<RequestId, Exchange> m_exchanges;
+    /// The exchange of each attempt, until the response is complete or has failed.
+    std::map<std::pair<RequestId, AttemptNumber>, std::unique_ptr<HttpExchange>> m_exchanges;
 };
 
 } // namespace Carawaymill
