--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -78,6 +78,10 @@
     bool sealed = false;
     /// Address of the target on the path that rejected its stage, if the response names one.
     std::optional<std::string> addressAtFault;
+    /// The responding target is about to leave and must get no new requests.
+    bool leaving = false;
+    /// The responding target wants no requests from this host for this time.
+    std::optional<Duration> restFor;
 };
 
 /// Event: bytes of the response's body were received.
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -184,6 +184,12 @@
     updateAvailability(target, router);
 }
 
+bool ForwardTargets::isLeaving(const TargetId &target) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.leaving;
+}
+
 void ForwardTargets::updateAvailability(const TargetId &target, ChainRouter &router) const
 {
     const auto found = m_targets.find(target);
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -88,6 +88,9 @@
 
     [[nodiscard]] bool isSuspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
 
+    /// Whether the target's record or one of its responses states that it leaves.
+    [[nodiscard]] bool isLeaving(const TargetId &target) const;
+
     /// The listed target with this address; std::nullopt if there is none.
     [[nodiscard]] std::optional<TargetId> targetAt(const std::string &address) const;
 
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -152,7 +152,9 @@
             .head = {.status = status, .headers = {{"X-Server-Seal", "seal"}}},
             .notRun = false,
             .sealed = true,
-            .addressAtFault = {}};
+            .addressAtFault = {},
+            .leaving = false,
+            .restFor = {}};
 }
 
 TargetResponseStarted ForwarderFixture::rejected(const ForwardToTarget &dispatch, const std::string &atFault)
--- /dev/null
+++ b/src/forwarding/tests/TargetAnswersTest.cpp
@@ -0,0 +1,125 @@
+#include "forwarding/tests/ForwarderFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace Carawaymill;
+
+/// Sends one request of each path and returns the targets that the requests reach first.
+static std::set<TargetId> reachedTargets(ForwarderFixture &fixture, const std::string &path, std::uint64_t firstId)
+{
+    static constexpr std::uint64_t requestCount = 24;
+    std::set<TargetId> reached;
+    for (std::uint64_t id = firstId; id < firstId + requestCount; ++id) {
+        const auto actions = fixture.handle(ForwarderFixture::request(id, path));
+        if (has<ForwardToTarget>(actions)) {
+            const auto &dispatch = only<ForwardToTarget>(actions);
+            reached.insert(dispatch.target);
+            fixture.handle(ForwarderFixture::started(dispatch));
+            fixture.handle(ForwarderFixture::ended(dispatch));
+        }
+    }
+    return reached;
+}
+
+/// Sends a request and returns the target that rejects it for `rest`.
+static TargetId rejectWithRest(ForwarderFixture &fixture, const std::string &path, Duration rest)
+{
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, path)));
+    TargetResponseStarted rejection = ForwarderFixture::rejected(dispatch);
+    rejection.restFor = rest;
+    fixture.handle(rejection);
+    fixture.handle(ForwarderFixture::ended(dispatch));
+    return dispatch.target;
+}
+
+TEST_CASE("a target that said in a response that it leaves gets no new requests")
+{
+    for (const std::string path : {"/read/x", "/stream/x"}) {
+        ForwarderFixture fixture;
+        const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, path)));
+        TargetResponseStarted response = ForwarderFixture::started(dispatch);
+        response.leaving = true;
+        fixture.handle(response);
+        fixture.handle(ForwarderFixture::ended(dispatch));
+        CHECK(!reachedTargets(fixture, path, 2).contains(dispatch.target));
+        // Its record in the directory may still state that it is ready, or come back from an older copy.
+        const DirectoryTarget record = fixture.forwarder.targets().targets().at(dispatch.target);
+        fixture.forwarder.targetListed(record, fixture.router);
+        CHECK(!reachedTargets(fixture, path, 30).contains(dispatch.target));
+        fixture.forwarder.targetUnlisted(dispatch.target, fixture.router);
+        fixture.forwarder.targetListed(record, fixture.router);
+        fixture.advance(10s);
+        CHECK(!reachedTargets(fixture, path, 60).contains(dispatch.target));
+        CHECK(fixture.forwarder.targets().isLeaving(dispatch.target));
+    }
+}
+
+TEST_CASE("a target that left and started again as a new process gets requests")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/read/x")));
+    TargetResponseStarted response = ForwarderFixture::started(dispatch);
+    response.leaving = true;
+    fixture.handle(response);
+    fixture.handle(ForwarderFixture::ended(dispatch));
+    DirectoryTarget record = fixture.forwarder.targets().targets().at(dispatch.target);
+    record.incarnation = record.incarnation.next();
+    fixture.forwarder.targetListed(record, fixture.router);
+    CHECK(!fixture.forwarder.targets().isLeaving(dispatch.target));
+    CHECK(reachedTargets(fixture, "/read/x", 2).contains(dispatch.target));
+}
+
+TEST_CASE("a target that rejected a request with a rest gets no request until the rest is over")
+{
+    static constexpr Duration rest = 3s;
+    for (const std::string path : {"/read/x", "/stream/x"}) {
+        ForwarderFixture fixture;
+        const TargetId target = rejectWithRest(fixture, path, rest);
+        fixture.advance(1s);
+        CHECK(!reachedTargets(fixture, path, 100).contains(target));
+        // Other layers in its record, and a record that was away, do not end the rest.
+        DirectoryTarget record = fixture.forwarder.targets().targets().at(target);
+        record.concurrency += 1;
+        if (!record.held.empty()) {
+            record.held.front().version = "2";
+            fixture.forwarder.targetListed(record, fixture.router);
+            record.held.front().version = "1";
+        }
+        fixture.forwarder.targetListed(record, fixture.router);
+        CHECK(!reachedTargets(fixture, path, 200).contains(target));
+        fixture.forwarder.targetUnlisted(target, fixture.router);
+        fixture.forwarder.targetListed(record, fixture.router);
+        fixture.advance(rest - 1s - 20ms);
+        CHECK(!reachedTargets(fixture, path, 300).contains(target));
+        fixture.advance(40ms);
+        for (const std::string other : {"b1", "desk1", "desk2", "desk3"}) {
+            if (TargetId(other) != target) {
+                fixture.forwarder.targetUnlisted(TargetId(other), fixture.router);
+            }
+        }
+        CHECK(reachedTargets(fixture, path, 400).contains(target));
+    }
+}
+
+TEST_CASE("a caller that is refused because all targets rest is told to come back when the first rest ends")
+{
+    ForwarderFixture fixture;
+    std::vector<ForwarderAction> actions = fixture.handle(ForwarderFixture::request(1, "/post/x"));
+    while (has<ForwardToTarget>(actions)) {
+        const auto dispatch = only<ForwardToTarget>(actions);
+        TargetResponseStarted rejection = ForwarderFixture::rejected(dispatch);
+        rejection.restFor = 2s;
+        fixture.handle(rejection);
+        actions = fixture.handle(ForwarderFixture::ended(dispatch));
+    }
+    const auto &refusal = only<RefuseCaller>(actions);
+    CHECK(!refusal.mayHaveRun);
+    REQUIRE(refusal.retryAfter);
+    CHECK(*refusal.retryAfter >= 2s);
+    CHECK(*refusal.retryAfter <= 4s);
+    const auto later = only<RefuseCaller>(fixture.handle(ForwarderFixture::request(2, "/post/x")));
+    REQUIRE(later.retryAfter);
+    CHECK(*later.retryAfter >= 2s);
+}
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -184,6 +184,23 @@
     CHECK(headerValue(refusal.headers, "Retry-After") == "1.050");
 }
 
+TEST_CASE("response headers of a target state that it leaves and for how long it wants no requests")
+{
+    const auto head = [](unsigned status, HttpHeaders headers) {
+        return readResponseHead(RequestId(1), AttemptNumber(1), {.status = status, .headers = std::move(headers)});
+    };
+    CHECK(head(200, {{"Server-Leaving", "1"}}).leaving);
+    CHECK(head(503, {{"server-leaving", "1"}}).leaving);
+    CHECK(!head(200, {}).leaving);
+    CHECK(head(503, {{"X-Not-Executed", "1"}, {"Retry-After", "2"}}).restFor == 2s);
+    CHECK(head(503, {{"X-Not-Executed", "1"}, {"Retry-After", "0.75"}}).restFor == 750ms);
+    CHECK(!head(503, {{"X-Not-Executed", "1"}}).restFor);
+    CHECK(!head(503, {{"Retry-After", "soon"}}).restFor);
+    CHECK(!head(503, {{"Retry-After", "-1"}}).restFor);
+    CHECK(!head(429, {{"Retry-After", "2"}}).restFor);
+    CHECK(!head(200, {{"Retry-After", "2"}}).restFor);
+}
+
 TEST_CASE("response headers of a target state whether the request ran and whether the body is signed")
 {
     const auto head = [](unsigned status, HttpHeaders headers) {
