Forwarding: Spare targets that say in their answers that they leave or rest

Cause: the headers Server-Leaving and Retry-After of targets were read nowhere, and the only rest was a suspicion of fixed length, which a change of the directory record ended.

Change: the adapter reads both into the head of a response; ForwardTargets keeps them as statements of a target process, apart from its directory record, until it starts as a new process or the rest ends. Such targets are chosen neither as first target nor as a later stage, and one that leaves gets no layers. A caller that is refused for lack of a target is told to come back when the first rest ends.

--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -111,6 +111,10 @@
         m_suspectedUntil.erase(target.id);
         m_unresponsive.erase(target.id);
     }
+    if (const auto stated = m_statements.find(target.id);
+        stated != m_statements.end() && stated->second.incarnation != target.incarnation) {
+        m_statements.erase(stated);
+    }
     m_targets.insert_or_assign(target.id, target);
     updateRouter(target, router);
 }
@@ -126,6 +130,7 @@
 
 void ForwardTargets::tick(ChainRouter &router, TimePoint now)
 {
+    expireStatements(router, now);
     for (auto suspect = m_suspectedUntil.begin(); suspect != m_suspectedUntil.end();) {
         if (now < suspect->second) {
             ++suspect;
@@ -187,7 +192,67 @@
 bool ForwardTargets::isLeaving(const TargetId &target) const
 {
     const auto found = m_targets.find(target);
-    return found != m_targets.end() && found->second.leaving;
+    const auto stated = m_statements.find(target);
+    return (found != m_targets.end() && found->second.leaving)
+           || (stated != m_statements.end() && stated->second.leaving);
+}
+
+bool ForwardTargets::isResting(const TargetId &target) const
+{
+    const auto stated = m_statements.find(target);
+    return stated != m_statements.end() && stated->second.restsUntil;
+}
+
+ForwardTargets::Statement &ForwardTargets::statementOf(const DirectoryTarget &target, TimePoint now)
+{
+    Statement &statement = m_statements[target.id];
+    statement.incarnation = target.incarnation;
+    statement.at = now;
+    return statement;
+}
+
+void ForwardTargets::recordLeaving(const TargetId &target, ChainRouter &router, TimePoint now)
+{
+    if (const auto found = m_targets.find(target); found != m_targets.end()) {
+        statementOf(found->second, now).leaving = true;
+        updateAvailability(target, router);
+    }
+}
+
+void ForwardTargets::recordRest(const TargetId &target, Duration period, ChainRouter &router, TimePoint now)
+{
+    if (const auto found = m_targets.find(target); found != m_targets.end()) {
+        std::optional<TimePoint> &until = statementOf(found->second, now).restsUntil;
+        until = std::max(until.value_or(now), now + period);
+        updateAvailability(target, router);
+    }
+}
+
+std::optional<TimePoint> ForwardTargets::firstRestEnd(const ServiceId &service) const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, statement] : m_statements) {
+        const auto found = m_targets.find(id);
+        if (statement.restsUntil && found != m_targets.end() && found->second.service == service) {
+            first = std::min(first.value_or(*statement.restsUntil), *statement.restsUntil);
+        }
+    }
+    return first;
+}
+
+void ForwardTargets::expireStatements(ChainRouter &router, TimePoint now)
+{
+    for (auto &[target, statement] : m_statements) {
+        if (statement.restsUntil && now >= *statement.restsUntil) {
+            statement.restsUntil.reset();
+            updateAvailability(target, router);
+        }
+    }
+    std::erase_if(m_statements, [&](const auto &entry) {
+        const auto &[target, statement] = entry;
+        const bool isNeeded = statement.restsUntil || (statement.leaving && m_targets.contains(target));
+        return !isNeeded && now - statement.at >= m_options.statementRetention;
+    });
 }
 
 void ForwardTargets::updateAvailability(const TargetId &target, ChainRouter &router) const
@@ -197,9 +262,9 @@
         return;
     }
     TargetAvailability availability = TargetAvailability::Available;
-    if (found->second.leaving) {
+    if (isLeaving(target)) {
         availability = TargetAvailability::Leaving;
-    } else if (isSuspected(target)) {
+    } else if (isSuspected(target) || isResting(target)) {
         availability = TargetAvailability::Dead;
     }
     router.setAvailability(target, availability);
@@ -266,7 +331,7 @@
     const DirectoryTarget *best = nullptr;
     double lowest = 0;
     for (const auto &[id, target] : m_targets) {
-        if (target.service != service || target.leaving || isSuspected(id) || excluded.contains(id)) {
+        if (target.service != service || isLeaving(id) || isSuspected(id) || isResting(id) || excluded.contains(id)) {
             continue;
         }
         const Load &load = m_loads[id];
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -26,6 +26,9 @@
     /// Suspicion period of a target that differs from its directory record; ends early if the record changes. About the
     /// time in which this host receives a change of the directory.
     Duration outdatedSuspicionPeriod = 3s;
+    /// How long the statements of a target that is no longer listed are kept. Its record may be missing for some
+    /// seconds.
+    Duration statementRetention = 10min;
 };
 
 /// The targets chosen for one request: a single target, or a path through several.
@@ -81,6 +84,17 @@
     /// Records that events of a response arrived, for which every target on its path has worked.
     void recordResponse(const ChosenTargets &chosen, ChainRouter &router);
 
+    /// Records that the target stated in a response that it leaves. Holds until it starts again as a new process,
+    /// whatever its directory record states.
+    void recordLeaving(const TargetId &target, ChainRouter &router, TimePoint now);
+
+    /// Records that the target wants no requests from this host for `period`. Ends early only if it starts again as a
+    /// new process.
+    void recordRest(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+
+    /// When the first of the service's resting targets can be used again; std::nullopt if none rests.
+    [[nodiscard]] std::optional<TimePoint> firstRestEnd(const ServiceId &service) const;
+
     /// Records that the target reported its state.
     void recordReport(const TargetId &target, ChainRouter &router);
 
@@ -110,6 +124,15 @@
     [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
 
 private:
+    /// What a target process stated in its responses. Kept while its directory record is missing.
+    struct Statement
+    {
+        IncarnationNumber incarnation;
+        bool leaving = false;
+        std::optional<TimePoint> restsUntil;
+        TimePoint at{};
+    };
+
     struct Load
     {
         double inProgress = 0;
@@ -120,6 +143,11 @@
 
     /// Excludes the target from new requests for `period`.
     void suspect(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+    /// The current statement of the listed target.
+    [[nodiscard]] Statement &statementOf(const DirectoryTarget &target, TimePoint now);
+    [[nodiscard]] bool isResting(const TargetId &target) const;
+    /// Ends rests and forgets statements of targets that are long gone.
+    void expireStatements(ChainRouter &router, TimePoint now);
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
     [[nodiscard]] std::optional<ChosenTargets>
@@ -139,6 +167,7 @@
     std::map<TargetId, TimePoint> m_suspectedUntil;
     /// The suspected targets that did not respond.
     std::map<TargetId, UnresponsiveCause> m_unresponsive;
+    std::map<TargetId, Statement> m_statements;
     std::map<TargetId, Load> m_loads;
 };
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -346,6 +346,7 @@
     if (call == nullptr) {
         return;
     }
+    recordStatements(call->stalled->chosen.target, event, context);
     if (!beginsStream(*call, event)) {
         if (event.notRun) {
             discountRun(*call, call->stalled->chosen.target);
@@ -412,6 +413,7 @@
         stalledStarted(event, context);
         return;
     }
+    recordStatements(call->chosen->target, event, context);
     call->head = event;
     if (beginsStream(*call, event) && !call->streaming) {
         endStalled(*call, true, context);
@@ -421,6 +423,20 @@
     }
 }
 
+void Forwarder::recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context)
+{
+    if (head.leaving && !m_targets.isLeaving(target)) {
+        context.actions.emplace_back(ForwardLogLine{"Forward: event=leaving target=" + target.value()});
+        m_targets.recordLeaving(target, context.router, context.now);
+    }
+    if (head.restFor) {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*head.restFor).count();
+        context.actions.emplace_back(ForwardLogLine{"Forward: event=resting target=" + target.value()
+                                                    + " for_ms=" + std::to_string(milliseconds)});
+        m_targets.recordRest(target, *head.restFor, context.router, context.now);
+    }
+}
+
 bool Forwarder::beginsStream(const Call &call, const TargetResponseStarted &head)
 {
     return call.route->responseKind == ResponseKind::EventStream && head.head.status == statusOk && head.sealed;
@@ -709,13 +725,20 @@
 Duration Forwarder::retryAfter(const Call &call, ForwardFailure reason, const HandlerContext &context)
 {
     Duration longest = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter;
+    Duration shortest{};
+    const bool lacksTarget = reason == ForwardFailure::NoTarget || reason == ForwardFailure::TargetsRefused;
+    if (const auto restEnd = lacksTarget ? m_targets.firstRestEnd(call.service) : std::nullopt) {
+        shortest = std::max(*restEnd - context.now, Duration::zero());
+    }
     if (call.callerDeadline) {
-        const Duration left = *call.callerDeadline - context.now;
-        longest = std::min(longest, std::chrono::duration_cast<Duration>(left * retryAfterShare));
+        const Duration left = std::max(*call.callerDeadline - context.now, Duration::zero());
+        const auto limit = std::chrono::duration_cast<Duration>(left * retryAfterShare);
+        longest = std::min(longest, limit);
+        shortest = std::min(shortest, limit);
     }
     // Jitter spreads the retries of callers that are refused at the same time.
     const double spread = 0.5 + m_random.fraction() / 2;
-    return std::chrono::duration_cast<Duration>(std::max(longest, Duration::zero()) * spread);
+    return shortest + std::chrono::duration_cast<Duration>(longest * spread);
 }
 
 void Forwarder::refuse(Call &call, ForwardFailure reason, HandlerContext &context)
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -225,6 +225,8 @@
     [[nodiscard]] static bool beginsStream(const Call &call, const TargetResponseStarted &head);
     /// Sends complete events to the caller. `events` is not empty.
     void writeEvents(Call &call, std::string events, HandlerContext &context);
+    /// Records what the head of a response states about the target that sent it.
+    void recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
     void targetRejected(Call &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(Call &call, HandlerContext &context);
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -28,7 +28,15 @@
 /// Address of the target on the path that caused the failure.
 static constexpr const char *failedTargetHeader = "At-Server";
 
+/// Set in every response of a target that is about to leave.
+static constexpr const char *leavingHeader = "Server-Leaving";
+/// Set by a target that rejects a request: the seconds, possibly with a fraction, for which it wants no requests.
+static constexpr const char *restHeader = "Retry-After";
+
 static constexpr unsigned statusMisdirected = 421;
+static constexpr unsigned statusUnavailable = 503;
+/// Longer rests are not believed.
+static constexpr double longestRestSeconds = 3600;
 
 static std::optional<std::uint64_t> readNumber(std::string_view text)
 {
@@ -37,6 +45,18 @@
     return failure == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
+/// Reads a number of seconds that may have a fraction.
+static std::optional<Duration> readSeconds(const std::string &text)
+{
+    double seconds = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (failure != std::errc() || end != text.data() + text.size()
+        || !(seconds >= 0 && seconds <= longestRestSeconds)) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /// Whether the header applies to a single connection and must not be forwarded. `connection` is the value of the
 /// `Connection` header.
 static bool isConnectionHeader(std::string_view name, const std::string &connection)
@@ -201,6 +221,10 @@
     started.notRun = started.misdirected || !headerValue(headers, notRunHeader).empty();
     // A body with a content encoding is not the body that the target signed.
     started.sealed = !headerValue(headers, signatureHeader).empty() && headerValue(headers, "Content-Encoding").empty();
+    started.leaving = !headerValue(headers, leavingHeader).empty();
+    if (started.head.status == statusUnavailable) {
+        started.restFor = readSeconds(headerValue(headers, restHeader));
+    }
     if (std::string address = headerValue(headers, failedTargetHeader); !address.empty()) {
         started.addressAtFault = std::move(address);
     }
