--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -26,6 +26,9 @@
     /// Suspicion period of a target that differs from its directory record; ends early if the record changes. About the
     /// time in which this host receives a change of the directory.
     Duration outdatedSuspicionPeriod = 3s;
+    /// How long the statements of a target that is no longer listed are kept. Its record may be missing for some
+    /// seconds.
+    Duration statementRetention = 10min;
 };
 
 /// The targets chosen for one request: a single target, or a path through several.
@@ -49,6 +52,14 @@
     Outdated,
 };
 
+/// Why a target counts as unresponsive.
+enum class UnresponsiveCause {
+    /// It sends nothing on its connections.
+    Silent,
+    /// It accepts no connection.
+    Unreachable,
+};
+
 /// Tracks load, failures and suspicions of the directory's targets, and chooses targets for requests.
 class ForwardTargets
 {
@@ -65,13 +76,35 @@
     /// Suspects a target that has rejected a request for the period that `kind` has in the options.
     void recordRejection(const TargetId &target, RejectionKind kind, ChainRouter &router, TimePoint now);
 
-    /// Suspects a target that did not respond, and marks it as unresponsive until `period` has passed.
-    void markUnresponsive(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+    /// Suspects a target that did not respond, and marks it as unresponsive until `period` has passed or, if it was
+    /// silent, until it responds.
+    void markUnresponsive(
+        const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now);
+
+    /// Records that events of a response arrived, for which every target on its path has worked.
+    void recordResponse(const ChosenTargets &chosen, ChainRouter &router);
+
+    /// Records that the target stated in a response that it leaves. Holds until it starts again as a new process,
+    /// whatever its directory record states.
+    void recordLeaving(const TargetId &target, ChainRouter &router, TimePoint now);
+
+    /// Records that the target wants no requests from this host for `period`. Ends early only if it starts again as a
+    /// new process.
+    void recordRest(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+
+    /// When the first of the service's resting targets can be used again; std::nullopt if none rests.
+    [[nodiscard]] std::optional<TimePoint> firstRestEnd(const ServiceId &service) const;
+
+    /// Records that the target reported its state.
+    void recordReport(const TargetId &target, ChainRouter &router);
 
     [[nodiscard]] bool isUnresponsive(const TargetId &target) const { return m_unresponsive.contains(target); }
 
     [[nodiscard]] bool isSuspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
 
+    /// Whether the target's record or one of its responses states that it leaves.
+    [[nodiscard]] bool isLeaving(const TargetId &target) const;
+
     /// The listed target with this address; std::nullopt if there is none.
     [[nodiscard]] std::optional<TargetId> targetAt(const std::string &address) const;
 
@@ -91,6 +124,15 @@
     [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
 
 private:
+    /// What a target process stated in its responses. Kept while its directory record is missing.
+    struct Statement
+    {
+        IncarnationNumber incarnation;
+        bool leaving = false;
+        std::optional<TimePoint> restsUntil;
+        TimePoint at{};
+    };
+
     struct Load
     {
         double inProgress = 0;
@@ -101,6 +143,11 @@
 
     /// Excludes the target from new requests for `period`.
     void suspect(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
+    /// The current statement of the listed target.
+    [[nodiscard]] Statement &statementOf(const DirectoryTarget &target, TimePoint now);
+    [[nodiscard]] bool isResting(const TargetId &target) const;
+    /// Ends rests and forgets statements of targets that are long gone.
+    void expireStatements(ChainRouter &router, TimePoint now);
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
     [[nodiscard]] std::optional<ChosenTargets>
@@ -119,7 +166,8 @@
     std::map<TargetId, DirectoryTarget> m_targets;
     std::map<TargetId, TimePoint> m_suspectedUntil;
     /// The suspected targets that did not respond.
-    std::set<TargetId> m_unresponsive;
+    std::map<TargetId, UnresponsiveCause> m_unresponsive;
+    std::map<TargetId, Statement> m_statements;
     std::map<TargetId, Load> m_loads;
 };
 
