Http: Test a response without length whose connection is closed or reset

The client already took such a response as complete when the connection is closed and as lost when it is reset; the test holds it to that over real sockets.

--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 using namespace Carawaymill;
@@ -162,14 +163,22 @@
 
 using boost::asio::ip::tcp;
 
-/// Accepts one connection, sends one of the given responses for each read, and closes it after the last.
+/// How a scripted server ends its connection.
+enum class ConnectionEnd {
+    Closed,
+    Reset,
+};
+
+/// Accepts one connection, sends one of the given responses for each read, and closes or resets it after the last.
 class ScriptedServer
 {
 public:
-    ScriptedServer(boost::asio::io_context &context, std::vector<std::string> responses)
+    ScriptedServer(boost::asio::io_context &context, std::vector<std::string> responses, ConnectionEnd end)
         : m_acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
         , m_socket(context)
+        , m_resetTimer(context)
         , m_responses(std::move(responses))
+        , m_end(end)
     {
         m_acceptor.async_accept(m_socket, [this](const boost::system::error_code &error) {
             if (!error) {
@@ -193,15 +202,31 @@
                                      }
                                      boost::asio::write(m_socket, boost::asio::buffer(m_responses[m_next++]));
                                      if (m_next == m_responses.size()) {
-                                         m_socket.shutdown(tcp::socket::shutdown_both);
+                                         endConnection();
                                      }
                                      respond();
                                  });
     }
 
+    void endConnection()
+    {
+        if (m_end == ConnectionEnd::Closed) {
+            m_socket.shutdown(tcp::socket::shutdown_both);
+            return;
+        }
+        // A reset discards what the client has not read yet, so that the client gets time to read the response.
+        m_resetTimer.expires_after(std::chrono::milliseconds(50));
+        m_resetTimer.async_wait([this](const boost::system::error_code &) {
+            m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+            m_socket.close();
+        });
+    }
+
     tcp::acceptor m_acceptor;
     tcp::socket m_socket;
+    boost::asio::steady_timer m_resetTimer;
     std::vector<std::string> m_responses;
+    ConnectionEnd m_end;
     std::size_t m_next = 0;
     std::array<char, 4096> m_received{};
 };
@@ -217,10 +242,12 @@
 
 /// Sends `requests` requests, one after the other, to a server with these responses. Returns what was received for the
 /// last request.
-static ObservedResponse observeResponse(const std::vector<std::string> &responses, std::size_t requests = 1)
+static ObservedResponse observeResponse(const std::vector<std::string> &responses,
+                                        std::size_t requests = 1,
+                                        ConnectionEnd end = ConnectionEnd::Closed)
 {
     boost::asio::io_context context;
-    ScriptedServer server(context, responses);
+    ScriptedServer server(context, responses, end);
     HttpClient client(context);
     ObservedResponse observed;
     for (std::size_t request = 0; request < requests; ++request) {
@@ -254,6 +281,17 @@
     CHECK(observeResponse({"no response at all\r\n\r\n"}).failed);
 }
 
+TEST_CASE("a response without length is complete if its connection is closed and not if it is reset")
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\nid: 1\ndata: a\n\n";
+    const ObservedResponse closed = observeResponse({response});
+    CHECK(closed.complete);
+    CHECK(closed.body == "id: 1\ndata: a\n\n");
+    const ObservedResponse reset = observeResponse({response}, 1, ConnectionEnd::Reset);
+    CHECK(reset.failed);
+    CHECK(reset.body == "id: 1\ndata: a\n\n");
+}
+
 TEST_CASE("interim responses and responses to earlier requests on the connection are skipped")
 {
     const auto responseText = [](const std::string &id, const std::string &body) {
