Platform: Take every response to a progress query as a sign of life

Cause: a query that a target answered with another status than 200, for example 503, counted as no answer, so that a target that had spoken was taken for silent and its streams were moved, one repeat each.

--- a/src/platform/EngineCodec.cpp
+++ b/src/platform/EngineCodec.cpp
@@ -55,12 +55,13 @@
 
 ProgressReported readProgress(const QueryProgress &query, const HttpResult &result)
 {
-    ProgressReported progress{.id = query.id, .attempt = query.attempt};
+    // Any response shows that the target works, also one that turns the query down.
+    ProgressReported progress{
+        .id = query.id, .attempt = query.attempt, .answered = std::holds_alternative<HttpResponse>(result)};
     const auto json = readBody(result);
     if (!json) {
         return progress;
     }
-    progress.answered = true;
     const auto blockedRequests = json->find("Blocked");
     if (blockedRequests == json->end() || !blockedRequests->is_array()) {
         return progress;
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -184,6 +184,13 @@
     CHECK(headerValue(refusal.headers, "Retry-After") == "1.050");
 }
 
+TEST_CASE("a progress query that is turned down does not count as silence")
+{
+    CHECK(readProgress({}, HttpResponse{.status = 503, .headers = {}, .body = {}}).answered);
+    CHECK(!readProgress({}, HttpNoResponse{}).answered);
+    CHECK(!readProgress({}, HttpNotSent{}).answered);
+}
+
 TEST_CASE("response headers of a target state that it leaves and for how long it wants no requests")
 {
     const auto head = [](unsigned status, HttpHeaders headers) {
