Forwarding: Note the number of hosts when it is reported

Cause: the highest number of hosts of the last window was sampled only when a repeat was asked for. A host that had not repeated anything since its start knew no number before the records of the others vanished, and then took the whole burst for itself.

--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -32,6 +32,13 @@
     slot(service, now).requests += 1;
 }
 
+void FleetRetryBudget::setHosts(std::size_t hosts, TimePoint now)
+{
+    updateHosts(now);
+    m_reportedHosts = hosts;
+    updateHosts(now);
+}
+
 void FleetRetryBudget::updateHosts(TimePoint now)
 {
     if (m_reportedHosts < m_hosts) {
--- a/src/forwarding/FleetRetryBudget.h
+++ b/src/forwarding/FleetRetryBudget.h
@@ -32,7 +32,7 @@
 
     /// Sets the number of known hosts. A lower number counts only after a whole window: hosts whose records are gone
     /// may still send retries.
-    void setHosts(std::size_t hosts) { m_reportedHosts = hosts; }
+    void setHosts(std::size_t hosts, TimePoint now);
 
     void recordRequest(const ServiceId &service, TimePoint now);
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -96,7 +96,7 @@
     /// Records that the complete directory was read: a target that is not listed does not exist.
     void setDirectoryLoaded() { m_directoryLoaded = true; }
 
-    void setHosts(std::size_t hosts) { m_retries.setHosts(hosts); }
+    void setHosts(std::size_t hosts, TimePoint now) { m_retries.setHosts(hosts, now); }
 
     /// Rejects new requests from `time` on, since the host shuts down.
     void rejectNewRequestsFrom(TimePoint time) { m_rejectFrom = time; }
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -111,7 +111,7 @@
         forwarder.targetListed(plainTarget(id), router);
     }
     forwarder.setDirectoryLoaded();
-    forwarder.setHosts(1);
+    forwarder.setHosts(1, now);
 }
 
 std::vector<ForwarderAction> ForwarderFixture::handle(const ForwarderEvent &event)
--- a/src/forwarding/tests/ReplicasTest.cpp
+++ b/src/forwarding/tests/ReplicasTest.cpp
@@ -300,12 +300,21 @@
 TEST_CASE("a host that no longer sees the records of the others takes no larger share of the retry burst")
 {
     FleetRetryBudget budget({.window = 10s, .ratio = 0.2, .burst = 80});
-    budget.setHosts(4);
+    budget.setHosts(4, start);
     CHECK(spendRetries(budget, start) == 10);
-    budget.setHosts(1);
+    budget.setHosts(1, start);
     CHECK(spendRetries(budget, start + 1s) == 0);
 }
 
+TEST_CASE("a host that sees fewer records of hosts before its first retry takes no larger share of the retry burst")
+{
+    FleetRetryBudget budget({.window = 10s, .ratio = 0.2, .burst = 80});
+    budget.setHosts(4, start);
+    budget.setHosts(1, start + 1s);
+    CHECK(spendRetries(budget, start + 1s) == 10);
+    CHECK(spendRetries(budget, start + 12s) == 40);
+}
+
 TEST_CASE("a host that has not read the register of hosts takes no share of the retry burst")
 {
     FleetRetryBudget budget({.window = 10s, .ratio = 0.2, .burst = 80});
@@ -329,7 +338,7 @@
     std::vector<Event> events;
     for (TimePoint now = start; now < start + 40s; now += 20ms) {
         for (std::size_t host = 0; host < hostCount; ++host) {
-            hosts[host].setHosts(hostCount);
+            hosts[host].setHosts(hostCount, now);
             // The load alternates: 5 s of requests, then 5 s without.
             if ((now - start) / 5s % 2 == 0) {
                 hosts[host].recordRequest(service, now);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -296,7 +296,7 @@
     for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
         std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), context); },
                               [&](RegisteredHostsChanged &registered) {
-                                  m_forwarder.setHosts(registered.hosts.size());
+                                  m_forwarder.setHosts(registered.hosts.size(), context.now);
                                   m_hostList = HostListRead{.hosts = std::move(registered.hosts), .targets = {}};
                               }},
                    action);
