--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -94,6 +94,9 @@
 {
     const bool sameServices = m_configuration && m_configuration->services == configuration->services;
     m_configuration = configuration;
+    for (const auto &[id, service] : configuration->services) {
+        m_services.insert_or_assign(id, service);
+    }
     if (sameServices) {
         return;
     }
@@ -116,6 +119,10 @@
         m_statements.erase(stated);
     }
     m_targets.insert_or_assign(target.id, target);
+    if (target.leaving) {
+        // Kept, since an older copy of the record may be listed later.
+        statementOf(target, m_now).leaving = true;
+    }
     updateRouter(target, router);
 }
 
@@ -130,6 +137,7 @@
 
 void ForwardTargets::tick(ChainRouter &router, TimePoint now)
 {
+    m_now = now;
     expireStatements(router, now);
     for (auto suspect = m_suspectedUntil.begin(); suspect != m_suspectedUntil.end();) {
         if (now < suspect->second) {
@@ -138,7 +146,15 @@
         }
         const TargetId target = suspect->first;
         suspect = m_suspectedUntil.erase(suspect);
-        m_unresponsive.erase(target);
+        updateAvailability(target, router);
+    }
+    for (auto entry = m_unresponsive.begin(); entry != m_unresponsive.end();) {
+        if (now < entry->second.until) {
+            ++entry;
+            continue;
+        }
+        const TargetId target = entry->first;
+        entry = m_unresponsive.erase(entry);
         updateAvailability(target, router);
     }
 }
@@ -162,14 +178,37 @@
 void ForwardTargets::markUnresponsive(
     const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now)
 {
-    suspect(target, period, router, now);
-    if (m_targets.contains(target)) {
-        m_unresponsive.insert_or_assign(target, cause);
+    if (!m_targets.contains(target)) {
+        return;
     }
+    const auto [entry, isNew] =
+        m_unresponsive.try_emplace(target, Unresponsive{.cause = cause, .since = now, .until = now + period});
+    if (!isNew) {
+        entry->second.cause = cause;
+        entry->second.until = std::max(entry->second.until, now + period);
+    }
+    updateAvailability(target, router);
 }
 
-void ForwardTargets::recordResponse(const ChosenTargets &chosen, ChainRouter &router)
+bool ForwardTargets::isLost(const TargetId &target) const
 {
+    const auto found = m_unresponsive.find(target);
+    return found != m_unresponsive.end()
+           && (found->second.cause == UnresponsiveCause::Unreachable
+               || m_now - found->second.since >= m_options.toleratedSilence);
+}
+
+bool ForwardTargets::hasRespondedSince(const TargetId &target, TimePoint time) const
+{
+    const auto load = m_loads.find(target);
+    return load != m_loads.end() && load->second.respondedAt > time;
+}
+
+void ForwardTargets::recordResponse(const ChosenTargets &chosen, ChainRouter &router, TimePoint now)
+{
+    if (const auto load = m_loads.find(chosen.target); load != m_loads.end()) {
+        load->second.respondedAt = now;
+    }
     if (m_unresponsive.empty()) {
         return;
     }
@@ -181,11 +220,10 @@
 void ForwardTargets::recordReport(const TargetId &target, ChainRouter &router)
 {
     const auto found = m_unresponsive.find(target);
-    if (found == m_unresponsive.end() || found->second != UnresponsiveCause::Silent) {
+    if (found == m_unresponsive.end() || found->second.cause != UnresponsiveCause::Silent) {
         return;
     }
     m_unresponsive.erase(found);
-    m_suspectedUntil.erase(target);
     updateAvailability(target, router);
 }
 
@@ -272,10 +310,11 @@
 
 void ForwardTargets::updateRouter(const DirectoryTarget &target, ChainRouter &router) const
 {
-    const EngineProfile *engine = engineProfile(m_configuration, target.service);
-    if (engine == nullptr) {
+    const auto known = m_services.find(target.service);
+    if (known == m_services.end() || !known->second.engine) {
         return;
     }
+    const EngineProfile *engine = &*known->second.engine;
     const auto kind = engine->kinds.find(target.acceleratorKind);
     if (kind == engine->kinds.end()) {
         return;
@@ -314,8 +353,8 @@
                                                     ChainRouter &router,
                                                     TimePoint now)
 {
-    if (const EngineProfile *engine = engineProfile(m_configuration, service)) {
-        return chooseChain(service, *engine, request, excluded, router, now);
+    if (const auto known = m_services.find(service); known != m_services.end() && known->second.engine) {
+        return chooseChain(service, *known->second.engine, request, excluded, router, now);
     }
     return choosePlain(service, excluded, now);
 }
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -29,6 +29,8 @@
     /// How long the statements of a target that is no longer listed are kept. Its record may be missing for some
     /// seconds.
     Duration statementRetention = 10min;
+    /// A sound target may be silent for about a second, counted from when it is found silent; see `isLost`.
+    Duration toleratedSilence = 1s;
 };
 
 /// The targets chosen for one request: a single target, or a path through several.
@@ -82,7 +84,10 @@
         const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now);
 
     /// Records that events of a response arrived, for which every target on its path has worked.
-    void recordResponse(const ChosenTargets &chosen, ChainRouter &router);
+    void recordResponse(const ChosenTargets &chosen, ChainRouter &router, TimePoint now);
+
+    /// Whether the target has sent events of any response after `time`.
+    [[nodiscard]] bool hasRespondedSince(const TargetId &target, TimePoint time) const;
 
     /// Records that the target stated in a response that it leaves. Holds until it starts again as a new process,
     /// whatever its directory record states.
@@ -100,7 +105,13 @@
 
     [[nodiscard]] bool isUnresponsive(const TargetId &target) const { return m_unresponsive.contains(target); }
 
-    [[nodiscard]] bool isSuspected(const TargetId &target) const { return m_suspectedUntil.contains(target); }
+    /// Whether the target is unresponsive for longer than a sound target may be silent.
+    [[nodiscard]] bool isLost(const TargetId &target) const;
+
+    [[nodiscard]] bool isSuspected(const TargetId &target) const
+    {
+        return m_suspectedUntil.contains(target) || m_unresponsive.contains(target);
+    }
 
     /// Whether the target's record or one of its responses states that it leaves.
     [[nodiscard]] bool isLeaving(const TargetId &target) const;
@@ -133,12 +144,21 @@
         TimePoint at{};
     };
 
+    struct Unresponsive
+    {
+        UnresponsiveCause cause = UnresponsiveCause::Silent;
+        TimePoint since;
+        TimePoint until;
+    };
+
     struct Load
     {
         double inProgress = 0;
         /// Decayed number of failures at `failedAt`.
         double failures = 0;
         TimePoint failedAt{};
+        /// Time of the last event of a response.
+        TimePoint respondedAt{};
     };
 
     /// Excludes the target from new requests for `period`.
@@ -165,8 +185,12 @@
     SharedConfiguration m_configuration;
     std::map<TargetId, DirectoryTarget> m_targets;
     std::map<TargetId, TimePoint> m_suspectedUntil;
-    /// The suspected targets that did not respond.
-    std::map<TargetId, UnresponsiveCause> m_unresponsive;
+    /// The targets that did not respond.
+    std::map<TargetId, Unresponsive> m_unresponsive;
+    /// Time of the last tick.
+    TimePoint m_now{};
+    /// The services of all configurations, so that requests of a service that is no longer configured can be completed.
+    std::map<ServiceId, ServiceDescription> m_services;
     std::map<TargetId, Statement> m_statements;
     std::map<TargetId, Load> m_loads;
 };
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -350,11 +350,12 @@
     if (!beginsStream(*call, event)) {
         if (event.notRun) {
             discountRun(*call, call->stalled->chosen.target);
+            recordRejection(*call, call->stalled->chosen.target, event, context);
         }
         endStalled(*call, true, context);
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router);
+    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
     returnToStalled(*call, context);
     on(event, context);
 }
@@ -369,7 +370,7 @@
     if (events.empty()) {
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router);
+    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
     returnToStalled(*call, context);
     writeEvents(*call, std::move(events), context);
 }
@@ -384,16 +385,23 @@
         endStalled(*call, false, context);
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router);
+    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
     returnToStalled(*call, context);
     on(event, context);
 }
 
 void Forwarder::stalledFailed(const TargetResponseFailed &event, HandlerContext &context)
 {
-    if (Call *call = stalledAttempt(event.id, event.attempt)) {
-        m_targets.recordFailure(call->stalled->chosen.target, context.now);
-        endStalled(*call, false, context);
+    Call *call = stalledAttempt(event.id, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    const TargetId target = call->stalled->chosen.target;
+    endStalled(*call, false, context);
+    if (event.sent) {
+        m_targets.recordFailure(target, context.now);
+    } else {
+        recordUnreachable(*call, target, context);
     }
 }
 
@@ -466,7 +474,7 @@
         return;
     }
     endStalled(call, true, context);
-    m_targets.recordResponse(*call.chosen, context.router);
+    m_targets.recordResponse(*call.chosen, context.router, context.now);
     writeEvents(call, std::move(events), context);
 }
 
@@ -495,21 +503,38 @@
     responseCompleted(*call, context);
 }
 
-void Forwarder::targetRejected(Call &call, HandlerContext &context)
+void Forwarder::recordRejection(Call &call,
+                                const TargetId &target,
+                                const TargetResponseStarted &head,
+                                HandlerContext &context)
 {
-    const TargetId target = call.chosen->target;
-    discountRun(call, target);
     TargetId atFault = target;
-    if (call.head->addressAtFault) {
-        atFault = m_targets.targetAt(*call.head->addressAtFault).value_or(target);
+    if (head.addressAtFault) {
+        atFault = m_targets.targetAt(*head.addressAtFault).value_or(target);
     }
     call.tried.insert(atFault);
     m_targets.recordFailure(atFault, context.now);
-    const RejectionKind kind = call.head->misdirected ? RejectionKind::Outdated : RejectionKind::Busy;
+    const RejectionKind kind = head.misdirected ? RejectionKind::Outdated : RejectionKind::Busy;
     m_targets.recordRejection(atFault, kind, context.router, context.now);
     context.actions.emplace_back(ForwardLogLine{"Forward: event=turned-down request=" + call.request->attempt
                                                 + " target=" + atFault.value()
-                                                + " status=" + std::to_string(call.head->head.status)});
+                                                + " status=" + std::to_string(head.head.status)});
+}
+
+void Forwarder::recordUnreachable(Call &call, const TargetId &target, HandlerContext &context)
+{
+    discountRun(call, target);
+    call.tried.insert(target);
+    m_targets.recordFailure(target, context.now);
+    m_targets.markUnresponsive(
+        target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
+}
+
+void Forwarder::targetRejected(Call &call, HandlerContext &context)
+{
+    const TargetId target = call.chosen->target;
+    discountRun(call, target);
+    recordRejection(call, target, *call.head, context);
     call.lastAttemptEnd = "rejected";
     endAttempt(call, false, context);
     if (returnToStalled(call, context)) {
@@ -563,11 +588,7 @@
     }
     const TargetId target = call->chosen->target;
     if (!event.sent) {
-        discountRun(*call, target);
-        call->tried.insert(target);
-        m_targets.recordFailure(target, context.now);
-        m_targets.markUnresponsive(
-            target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
+        recordUnreachable(*call, target, context);
         call->lastAttemptEnd = "not-sent";
         endAttempt(*call, false, context);
         if (returnToStalled(*call, context)) {
@@ -646,6 +667,10 @@
     }
     std::optional<TargetId> atFault;
     if (!event.answered) {
+        // The reply may be lost or late: events of other streams since the query show that the target works.
+        if (m_targets.hasRespondedSince(call->chosen->target, *call->progressQueriedAt)) {
+            return;
+        }
         atFault = call->chosen->target;
     } else {
         m_targets.recordReport(call->chosen->target, context.router);
@@ -670,7 +695,7 @@
         const bool usesTarget = call.chosen && std::ranges::any_of(call.chosen->path, [&](const PathStage &stage) {
                                     return stage.target == target;
                                 });
-        if (usesTarget && context.now - call.progressAt >= recentProgress && mayRunAgain(call)) {
+        if (usesTarget && context.now - call.progressAt >= recentProgress && mayMove(call)) {
             stopped.push_back(id);
         }
     }
@@ -679,16 +704,26 @@
     }
 }
 
+bool Forwarder::mayMove(const Call &call) const
+{
+    // A response that is no stream is not resumed elsewhere, and one stalled attempt is kept open at a time.
+    const bool isOtherResponse = call.head && !beginsStream(call, *call.head);
+    return mayRunAgain(call) && !call.stalled && !isOtherResponse && call.dispatches < m_options.maximumDispatches;
+}
+
 std::optional<ChosenTargets>
 Forwarder::chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context)
 {
+    // A target cannot tell two attempts of one request apart: the first target must differ, the others should.
     std::set<TargetId> excluded = call.tried;
     excluded.insert(stopped);
-    // A target cannot tell two attempts of one request apart, so that the stalled one needs another first target.
-    const bool inserted = excluded.insert(call.chosen->target).second;
-    auto chosen = m_targets.choose(call.service, *call.request, excluded, context.router, context.now);
-    if ((!chosen || chosen->congested) && inserted && !call.streaming) {
-        excluded.erase(call.chosen->target);
+    excluded.insert(call.chosen->target);
+    std::set<TargetId> wholePath = excluded;
+    for (const PathStage &stage : call.chosen->path) {
+        wholePath.insert(stage.target);
+    }
+    auto chosen = m_targets.choose(call.service, *call.request, wholePath, context.router, context.now);
+    if (!chosen || chosen->congested) {
         chosen = m_targets.choose(call.service, *call.request, excluded, context.router, context.now);
     }
     return chosen && !chosen->congested ? std::move(chosen) : std::nullopt;
@@ -697,22 +732,17 @@
 void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
 {
     auto chosen = chooseForMove(call, stopped, context);
-    if (!chosen || call.dispatches >= m_options.maximumDispatches || !m_retries.tryRetry(call.service, context.now)) {
+    if (!chosen || !m_retries.tryRetry(call.service, context.now)) {
         return;
     }
     context.actions.emplace_back(ForwardLogLine{"Forward: event=moved request=" + call.request->attempt
                                                 + " from=" + stopped.value() + " to=" + chosen->target.value()});
     call.tried.insert(stopped);
     call.lastAttemptEnd = "moved";
-    endStalled(call, true, context);
-    if (chosen->target == call.chosen->target) {
-        endAttempt(call, true, context);
-    } else {
-        call.stalled = StalledAttempt{.attempt = call.attempt,
-                                      .chosen = *std::exchange(call.chosen, std::nullopt),
-                                      .head = std::move(call.head),
-                                      .relay = call.relay};
-    }
+    call.stalled = StalledAttempt{.attempt = call.attempt,
+                                  .chosen = *std::exchange(call.chosen, std::nullopt),
+                                  .head = std::move(call.head),
+                                  .relay = call.relay};
     sendToTarget(call, std::move(*chosen), context);
 }
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -227,6 +227,11 @@
     void writeEvents(Call &call, std::string events, HandlerContext &context);
     /// Records what the head of a response states about the target that sent it.
     void recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
+    /// Records that `target` sent `head`, which states that it has not run the request.
+    void
+    recordRejection(Call &call, const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
+    /// Records that no byte of the request could be sent to `target`.
+    void recordUnreachable(Call &call, const TargetId &target, HandlerContext &context);
     void targetRejected(Call &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(Call &call, HandlerContext &context);
@@ -235,6 +240,8 @@
     void checkStreamProgress(Call &call, HandlerContext &context);
     /// Moves every stalled stream whose path includes the target to other targets that have capacity.
     void moveStreams(const TargetId &target, HandlerContext &context);
+    /// Whether the call's request may be sent to further targets while its current attempt stays open.
+    [[nodiscard]] bool mayMove(const Call &call) const;
     /// Resumes a stream at other targets while the stalled attempt stays open. Leaves the stream in place if that is
     /// impossible, since the target may recover.
     void moveStream(Call &call, const TargetId &stopped, HandlerContext &context);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -370,7 +370,7 @@
     std::vector<PlacementTarget> usable;
     for (const auto &[id, target] : m_directory.targets()) {
         const EngineProfile *engine = engineProfile(m_configuration.configuration(), target.service);
-        if (engine == nullptr || m_forwarder.targets().isLeaving(id) || m_forwarder.targets().isUnresponsive(id)
+        if (engine == nullptr || m_forwarder.targets().isLeaving(id) || m_forwarder.targets().isLost(id)
             || scopeOfService(m_options.region, target.service) != scope) {
             continue;
         }
