Forwarding: Let the first event decide between two attempts of a begun stream

Cause: where the caller had the head of a response already, the mere head from the stalled attempt ended the other one, which might have been about to send an event. Evidence: forwardingTest passes.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -355,6 +355,11 @@
         endStalled(*call, true, context);
         return;
     }
+    if (call->streaming) {
+        // The caller has the head of a response: the first event decides which attempt goes on.
+        call->stalled->head = event;
+        return;
+    }
     m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
     returnToStalled(*call, context);
     on(event, context);
