KeyValue: Read the era of the key-value service and tell each slice of its changes

The operators' platform may bring its store back from an older copy. All responses then state a higher era, which nothing here read. Callers saw nothing yet; revisions and lease ids of two eras were compared as if they were of one.

The adapter reads the era of each response, `KeyValueReply` carries it, and `KeyValueHttpClient` reads a range again from its start if two of its pages are of different eras. `Node` notices the first era and each rise, logs the rise, hands on replies of an older era as calls without a response, and tells the slices by `StoreEraChanged`. A service without eras changes nothing.

The slices do not act on the event yet.

--- a/src/forwarding/ConfigurationReplica.cpp
+++ b/src/forwarding/ConfigurationReplica.cpp
@@ -105,6 +105,8 @@
     }
 }
 
+void ConfigurationReplica::on(const StoreEraChanged & /*event*/, TimePoint /*now*/, Actions & /*actions*/) { }
+
 void ConfigurationReplica::on(const ConfigurationMessageReceived &event, TimePoint now, Actions &actions)
 {
     std::visit(Overloaded{[&](const ConfigurationRequest &request) { respond(event.from, request, now, actions); },
--- a/src/forwarding/ConfigurationReplica.h
+++ b/src/forwarding/ConfigurationReplica.h
@@ -56,7 +56,7 @@
     ConfigurationMessage message;
 };
 
-using ConfigurationReplicaEvent = std::variant<Tick, KeyValueReply, ConfigurationMessageReceived>;
+using ConfigurationReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged, ConfigurationMessageReceived>;
 
 /// Action: a newer version is in force on this host.
 struct ConfigurationChanged
@@ -118,6 +118,7 @@
 
     void on(const Tick &event, TimePoint now, Actions &actions);
     void on(const KeyValueReply &event, TimePoint now, Actions &actions);
+    void on(const StoreEraChanged &event, TimePoint now, Actions &actions);
     void on(const ConfigurationMessageReceived &event, TimePoint now, Actions &actions);
     void respond(const HostId &to, const ConfigurationRequest &request, TimePoint now, Actions &actions) const;
     void applyConfirmation(const HostId &from, const ConfigurationConfirmation &confirmation, Actions &actions);
--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -16,8 +16,7 @@
 {
 }
 
-std::vector<DirectoryReplicaAction> DirectoryReplica::handle(const std::variant<Tick, KeyValueReply> &event,
-                                                             TimePoint now)
+std::vector<DirectoryReplicaAction> DirectoryReplica::handle(const DirectoryReplicaEvent &event, TimePoint now)
 {
     Actions actions;
     const std::uint32_t failures = m_watch.failures();
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -46,14 +46,15 @@
 
 using DirectoryReplicaAction = std::variant<KeyValueCall, TargetListed, TargetUnlisted, TargetRecordIgnored>;
 
+using DirectoryReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged>;
+
 /// Replicates the directory in which targets register themselves.
 class DirectoryReplica
 {
 public:
     explicit DirectoryReplica(DirectoryReplicaOptions options);
 
-    [[nodiscard]] std::vector<DirectoryReplicaAction> handle(const std::variant<Tick, KeyValueReply> &event,
-                                                             TimePoint now);
+    [[nodiscard]] std::vector<DirectoryReplicaAction> handle(const DirectoryReplicaEvent &event, TimePoint now);
 
     [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
 
--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -40,7 +40,7 @@
 {
 }
 
-std::vector<HostRegistryAction> HostRegistry::handle(const std::variant<Tick, KeyValueReply> &event, TimePoint now)
+std::vector<HostRegistryAction> HostRegistry::handle(const HostRegistryEvent &event, TimePoint now)
 {
     Actions actions;
     if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
--- a/src/forwarding/HostRegistry.h
+++ b/src/forwarding/HostRegistry.h
@@ -32,13 +32,15 @@
 
 using HostRegistryAction = std::variant<KeyValueCall, RegisteredHostsChanged>;
 
+using HostRegistryEvent = std::variant<Tick, KeyValueReply, StoreEraChanged>;
+
 /// Registers this host under a lease at the key-value service, and lists all hosts that have registered there.
 class HostRegistry
 {
 public:
     explicit HostRegistry(HostRegistryOptions options);
 
-    [[nodiscard]] std::vector<HostRegistryAction> handle(const std::variant<Tick, KeyValueReply> &event, TimePoint now);
+    [[nodiscard]] std::vector<HostRegistryAction> handle(const HostRegistryEvent &event, TimePoint now);
 
     /// Whether the host was registered when the registry was last read.
     [[nodiscard]] bool contains(const HostId &host) const { return m_hosts.contains(host); }
--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -63,6 +63,13 @@
     return update;
 }
 
+void RangeWatch::restart(TimePoint now)
+{
+    m_inFlight.reset();
+    m_watchAfter.reset();
+    m_nextAt = now;
+}
+
 void RangeWatch::recordFailure(TimePoint now)
 {
     m_inFlight.reset();
--- a/src/forwarding/RangeWatch.h
+++ b/src/forwarding/RangeWatch.h
@@ -47,6 +47,9 @@
     /// The changes in the reply; std::nullopt if the call recordFailure or the reply is not the expected one.
     [[nodiscard]] std::optional<RangeUpdate> handle(const KeyValueReply &reply, TimePoint now);
 
+    /// Forgets the revision and the call in flight: the next call, which is due now, reads the range.
+    void restart(TimePoint now);
+
     /// The replicated records were current at the service at this time or later. Counted from the start of the call, so
     /// that a delayed reply never counts as more recent than it is. std::nullopt before the first successful read.
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const { return m_confirmedAt; }
--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -45,6 +45,11 @@
         .message = RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait}};
 }
 
+void RelayedWatchClient::storeEraChanged(const StoreEraChanged &change)
+{
+    m_era = change.era;
+}
+
 std::optional<RelayedWatchAnswered> RelayedWatchClient::handleResponse(const HostId &from, RangeWatchResponse response)
 {
     const auto pending = m_pending.find(response.number);
--- a/src/forwarding/RelayedWatchClient.h
+++ b/src/forwarding/RelayedWatchClient.h
@@ -57,6 +57,8 @@
     [[nodiscard]] std::optional<SendRangeWatchMessage>
     relay(RelayedRange range, const KeyValueCall &call, const std::optional<HostId> &host, TimePoint now);
 
+    void storeEraChanged(const StoreEraChanged &change);
+
     /// Both return std::nullopt if the message belongs to no pending request.
     [[nodiscard]] std::optional<RelayedWatchAnswered> handleResponse(const HostId &from, RangeWatchResponse response);
     [[nodiscard]] std::optional<RelayedWatchFailed>
@@ -81,6 +83,7 @@
     std::map<std::pair<HostId, RelayedRange>, TimePoint> m_retryAt;
     /// Number of the last request.
     std::uint64_t m_last = 0;
+    std::optional<StoreEra> m_era;
 };
 
 } // namespace Carawaymill
--- a/src/forwarding/RelayedWatchMessages.h
+++ b/src/forwarding/RelayedWatchMessages.h
@@ -4,6 +4,7 @@
 #include "support/Codec.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,6 +27,8 @@
     Revision after;
     /// Longest time until the response if there is no change.
     Duration wait{};
+    /// Era in which `after` was read; std::nullopt if it is unknown.
+    std::optional<StoreEra> era = std::nullopt;
 };
 
 /// The changes after the requested revision.
@@ -40,6 +43,8 @@
     /// Upper bound of the time from the service's confirmation to the arrival of the request; negative if the service
     /// confirmed it after the arrival.
     Duration age{};
+    /// Era of `revision`; std::nullopt if it is unknown.
+    std::optional<StoreEra> era = std::nullopt;
 };
 
 /// The responding host cannot serve the request; the requesting host has to query the service.
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -58,6 +58,12 @@
     return respondDue(now);
 }
 
+std::vector<SendRangeWatchMessage> RelayedWatchServer::storeEraChanged(const StoreEraChanged &change, TimePoint now)
+{
+    m_era = change.era;
+    return respondDue(now);
+}
+
 std::vector<SendRangeWatchMessage> RelayedWatchServer::tick(TimePoint now)
 {
     return respondDue(now);
--- a/src/forwarding/RelayedWatchServer.h
+++ b/src/forwarding/RelayedWatchServer.h
@@ -51,6 +51,9 @@
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     handleRequest(const HostId &from, const RangeWatchRequest &request, TimePoint now);
 
+    /// Returns responses to the requests that this host can no longer serve.
+    [[nodiscard]] std::vector<SendRangeWatchMessage> storeEraChanged(const StoreEraChanged &change, TimePoint now);
+
     /// Returns responses to requests whose wait is over.
     [[nodiscard]] std::vector<SendRangeWatchMessage> tick(TimePoint now);
 
@@ -89,6 +92,7 @@
     RelayedWatchServerOptions m_options;
     std::map<RelayedRange, CachedRange> m_ranges;
     std::vector<PendingRequest> m_pending;
+    std::optional<StoreEra> m_era;
 };
 
 } // namespace Carawaymill
--- a/src/keyvalue/KeyValueCodec.cpp
+++ b/src/keyvalue/KeyValueCodec.cpp
@@ -257,7 +257,8 @@
 {
     return {
         .encode = [](const KeyValueRequest &request, const std::string &) { return encodeKeyValueRequest(request); },
-        .decode = decodeKeyValueResponse};
+        .decode = decodeKeyValueResponse,
+        .era = {}};
 }
 
 } // namespace Carawaymill
--- a/src/keyvalue/KeyValueHttpClient.cpp
+++ b/src/keyvalue/KeyValueHttpClient.cpp
@@ -38,9 +38,15 @@
     return page;
 }
 
+static std::optional<StoreEra> eraOf(const KeyValueProtocol &protocol, const HttpResult &result)
+{
+    const auto *response = std::get_if<HttpResponse>(&result);
+    return response != nullptr && protocol.era ? protocol.era(*response) : std::nullopt;
+}
+
 void KeyValueHttpClient::send(std::shared_ptr<State> state,
                               const KeyValueCall &call,
-                              RangeRead earlierPages,
+                              Pages earlierPages,
                               KeyValueReplyCallback callback)
 {
     Duration timeout = call.timeout;
@@ -50,7 +56,7 @@
     // `state` is moved into the callback.
     State &sharedState = *state;
     const std::size_t index = sharedState.addressIndex;
-    const std::string after = earlierPages.records.empty() ? std::string() : earlierPages.records.back().key;
+    const std::string after = earlierPages.read.records.empty() ? std::string() : earlierPages.read.records.back().key;
     sharedState.client.send(
         sharedState.options.addresses[index],
         sharedState.options.protocol.encode(call.request, after),
@@ -62,15 +68,21 @@
                 state->addressIndex = (index + 1) % state->options.addresses.size();
             }
             KeyValueResult result = state->options.protocol.decode(call.request, response);
+            const auto era = eraOf(state->options.protocol, response);
             if (auto *page = std::get_if<RangeRead>(&result)) {
-                RangeRead joined = joinPages(std::move(earlierPages), std::move(*page));
+                if (!earlierPages.read.records.empty() && earlierPages.era < era) {
+                    // The service returned from an older copy between two pages: the range is read from its start.
+                    send(std::move(state), call, {}, std::move(callback));
+                    return;
+                }
+                RangeRead joined = joinPages(std::move(earlierPages.read), std::move(*page));
                 if (joined.truncated && !joined.records.empty()) {
-                    send(std::move(state), call, std::move(joined), std::move(callback));
+                    send(std::move(state), call, {.read = std::move(joined), .era = era}, std::move(callback));
                     return;
                 }
                 result = std::move(joined);
             }
-            callback(KeyValueReply{.id = call.id, .result = std::move(result)});
+            callback(KeyValueReply{.id = call.id, .result = std::move(result), .era = era});
         });
 }
 
--- a/src/keyvalue/KeyValueHttpClient.h
+++ b/src/keyvalue/KeyValueHttpClient.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     /// `after` is the last key of the previous page if a further page of a range is read; empty otherwise.
     std::function<HttpRequest(const KeyValueRequest &request, const std::string &after)> encode;
     std::function<KeyValueResult(const KeyValueRequest &request, const HttpResult &response)> decode;
+    /// The era that a response states, if any. Empty if the service has no eras.
+    std::function<std::optional<StoreEra>(const HttpResponse &response)> era;
 };
 
 struct KeyValueHttpClientOptions
@@ -43,11 +46,16 @@
 private:
     struct State;
 
+    /// The pages of a range that were read so far.
+    struct Pages
+    {
+        RangeRead read;
+        std::optional<StoreEra> era;
+    };
+
     /// Sends a call or, if `earlierPages` has records, reads the range's next page.
-    static void send(std::shared_ptr<State> state,
-                     const KeyValueCall &call,
-                     RangeRead earlierPages,
-                     KeyValueReplyCallback callback);
+    static void
+    send(std::shared_ptr<State> state, const KeyValueCall &call, Pages earlierPages, KeyValueReplyCallback callback);
 
     /// Shared with the calls in progress, which may outlive this object.
     std::shared_ptr<State> m_state;
--- a/src/keyvalue/KeyValueMessages.h
+++ b/src/keyvalue/KeyValueMessages.h
@@ -16,6 +16,10 @@
 /// the call. For each call, the comment gives the load on the service that it counts as: one read or one write.
 namespace Carawaymill {
 
+/// Rises each time the key-value service returns from an older copy of its records. Writes, leases and revisions since
+/// that copy are lost, and revisions and lease ids are given out again, so they compare only within one era.
+using StoreEra = StrongCount<struct StoreEraTag, std::uint64_t>;
+
 /// A record of the key-value service at the time of a read.
 struct KeyValueRecord
 {
@@ -202,6 +206,17 @@
     /// Zero if the key-value service itself responded. Otherwise another host relayed the result: it was confirmed by
     /// the service at most this long before the call was made.
     Duration age{};
+    /// The era in which the service responded; std::nullopt if there was no response or the service has no eras.
+    std::optional<StoreEra> era = std::nullopt;
+};
+
+/// Event for a slice: the era of the key-value service is known for the first time, or has risen.
+struct StoreEraChanged
+{
+    StoreEra era;
+    /// The service returned from an older copy. Revisions and lease ids of before are void, and so are the calls in
+    /// flight, whichever era answers them.
+    bool restored = false;
 };
 
 } // namespace Carawaymill
--- a/src/lease/LeaseManager.cpp
+++ b/src/lease/LeaseManager.cpp
@@ -46,6 +46,7 @@
     std::visit(Overloaded{
                    [](const Tick &) {},
                    [this](const KeyValueReply &reply) { handleReply(reply); },
+                   [this](const StoreEraChanged &change) { handleEraChange(change); },
                    [this](const RequestScope &requested) { requestScope(requested.scope); },
                    [this](const ReleaseScope &released) { releaseScope(released.scope); },
                },
@@ -91,6 +92,11 @@
     }
 }
 
+void LeaseManager::handleEraChange(const StoreEraChanged &change)
+{
+    m_era = change.era;
+}
+
 void LeaseManager::handleScopeResponse(const Call &call, const KeyValueResult &result)
 {
     const Commit &commit = std::get<Commit>(call.request);
@@ -226,7 +232,8 @@
                                .recordsKnown = m_watcher.hasRead(),
                                .lease = m_session.lease(),
                                .leaseValid = m_session.isValid(m_now),
-                               .validUntil = m_session.validUntil()};
+                               .validUntil = m_session.validUntil(),
+                               .era = m_era};
 }
 
 } // namespace Carawaymill
--- a/src/lease/LeaseManager.h
+++ b/src/lease/LeaseManager.h
@@ -57,6 +57,7 @@
     explicit LeaseManager(const LeaseManagerOptions &options);
 
     void handleReply(const KeyValueReply &reply);
+    void handleEraChange(const StoreEraChanged &change);
     void handleScopeResponse(const Call &call, const KeyValueResult &result);
     void requestScope(const LeaseScopeId &id);
     void releaseScope(const LeaseScopeId &id);
@@ -75,6 +76,8 @@
     std::map<LeaseScopeId, LeaseScope> m_scopes;
     std::map<CallId, Call> m_calls;
     CallId m_lastCall;
+    /// Era of the key-value service; std::nullopt until it is known.
+    std::optional<StoreEra> m_era;
     /// The lease as of the last `handleLeaseExpiry`; empty if it was not valid then.
     std::optional<LeaseId> m_lastValidLease;
     /// Time of the event that is being handled.
--- a/src/lease/LeaseMessages.h
+++ b/src/lease/LeaseMessages.h
@@ -34,7 +34,7 @@
     LeaseScopeId scope;
 };
 
-using LeaseEvent = std::variant<Tick, KeyValueReply, RequestScope, ReleaseScope>;
+using LeaseEvent = std::variant<Tick, KeyValueReply, StoreEraChanged, RequestScope, ReleaseScope>;
 
 /// Action: this host now holds the scope.
 struct LeaseAcquired
--- a/src/lease/LeaseRecords.cpp
+++ b/src/lease/LeaseRecords.cpp
@@ -18,6 +18,11 @@
     return FencingNumber(fencing->revision.value());
 }
 
+FencingNumber LeaseScopeRecords::nextFencingNumber(std::optional<StoreEra> /*era*/) const
+{
+    return lastFencingNumber().next();
+}
+
 std::string leaseValue(const HostId &holder, FencingNumber number)
 {
     return nlohmann::json{{"host", holder}, {"fencing", number}}.dump();
--- a/src/lease/LeaseRecords.h
+++ b/src/lease/LeaseRecords.h
@@ -16,6 +16,9 @@
 
     /// The last fencing number that was assigned; 0 if there was none.
     [[nodiscard]] FencingNumber lastFencingNumber() const;
+
+    /// The number of the next holder, or of the next write of the fencing record.
+    [[nodiscard]] FencingNumber nextFencingNumber(std::optional<StoreEra> era) const;
 };
 
 /// Value of a lease record: the holder and its fencing number.
--- a/src/lease/LeaseScope.h
+++ b/src/lease/LeaseScope.h
@@ -31,6 +31,8 @@
     std::optional<LeaseId> lease;
     bool leaseValid = false;
     TimePoint validUntil;
+    /// Era of the key-value service; std::nullopt if it is unknown.
+    std::optional<StoreEra> era = std::nullopt;
 
     /// Whether the scope's record is bound to this host's lease.
     [[nodiscard]] bool isHeldByThisHost() const { return lease && records.lease && records.lease->lease == lease; }
--- a/src/lease/LeaseScopeContext.cpp
+++ b/src/lease/LeaseScopeContext.cpp
@@ -59,7 +59,7 @@
 
 void LeaseScopeContext::sendAcquisition(const LeaseScopeSituation &situation)
 {
-    number = situation.records.lastFencingNumber().next();
+    number = situation.records.nextFencingNumber(situation.era);
     send(acquireCommit(situation));
 }
 
@@ -153,9 +153,10 @@
         return Commit{.operations = {DeleteOperation{.key = leaseKey(m_options.scope),
                                                      .expected = revisionOf(situation.records.lease)}}};
     }
-    return Commit{.operations = {WriteOperation{.key = fencingKey(m_options.scope),
-                                                .value = fencingValue(situation.records.lastFencingNumber().next()),
-                                                .expected = revisionOf(situation.records.fencing)}}};
+    return Commit{
+        .operations = {WriteOperation{.key = fencingKey(m_options.scope),
+                                      .value = fencingValue(situation.records.nextFencingNumber(situation.era)),
+                                      .expected = revisionOf(situation.records.fencing)}}};
 }
 
 bool LeaseScopeContext::isDue(const LeaseScopeSituation &situation) const
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -231,6 +231,19 @@
     dispatchRegistry(reply, context);
 }
 
+void ForwardingCoordinator::storeEraChanged(const StoreEraChanged &change, NodeContext &context)
+{
+    m_storeEra = change.era;
+    if (change.restored) {
+        m_latestCalls.clear();
+    }
+    m_watchClient.storeEraChanged(change);
+    send(m_watchServer.storeEraChanged(change, context.now), context);
+    dispatchConfiguration(change, context);
+    dispatchDirectory(change, context);
+    dispatchRegistry(change, context);
+}
+
 void ForwardingCoordinator::configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
     auto read = decode<ConfigurationMessage>(body);
@@ -271,7 +284,7 @@
     m_placementChanged = true;
 }
 
-void ForwardingCoordinator::dispatchDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
+void ForwardingCoordinator::dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context)
 {
     for (DirectoryReplicaAction &action : m_directory.handle(event, context.now)) {
         std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), context); },
@@ -291,7 +304,7 @@
     }
 }
 
-void ForwardingCoordinator::dispatchRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context)
+void ForwardingCoordinator::dispatchRegistry(const HostRegistryEvent &event, NodeContext &context)
 {
     for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
         std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), context); },
@@ -330,6 +343,9 @@
     gauge("retries_granted_total", m_forwarder.retries().granted());
     gauge("retries_refused_total", m_forwarder.retries().refused());
     gauge("ready", ready(now) ? 1 : 0);
+    if (m_storeEra) {
+        gauge("store_era", m_storeEra->value());
+    }
     if (const SharedConfiguration &configuration = m_configuration.configuration()) {
         gauge("configuration_version", configuration->version.value());
     }
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -30,6 +30,7 @@
     void configurationReply(const KeyValueReply &reply, NodeContext &context);
     void directoryReply(const KeyValueReply &reply, NodeContext &context);
     void registryReply(const KeyValueReply &reply, NodeContext &context);
+    void storeEraChanged(const StoreEraChanged &change, NodeContext &context);
     void configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
@@ -65,8 +66,8 @@
 
 private:
     void dispatchConfiguration(const ConfigurationReplicaEvent &event, NodeContext &context);
-    void dispatchDirectory(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
-    void dispatchRegistry(const std::variant<Tick, KeyValueReply> &event, NodeContext &context);
+    void dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context);
+    void dispatchRegistry(const HostRegistryEvent &event, NodeContext &context);
     void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
     /// Sends a call for a range to the collector of this failure domain, or to the key-value service.
     void issue(RelayedRange range, KeyValueCall call, NodeContext &context);
@@ -92,6 +93,7 @@
     Forwarder m_forwarder;
     ForwardMetrics m_metrics;
     TimePoint m_nextLoadExchangeAt{};
+    std::optional<StoreEra> m_storeEra;
     std::optional<HostListRead> m_hostList;
     bool m_placementChanged = false;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -284,7 +284,15 @@
     if (!origin) {
         return;
     }
-    const KeyValueReply reply{.id = origin->id, .result = event.result};
+    KeyValueReply reply{.id = origin->id, .result = event.result, .age = event.age, .era = event.era};
+    if (event.era) {
+        if (const auto change = m_keyValue.observe(*event.era)) {
+            storeEraChanged(*change, context);
+        }
+        if (*event.era < *m_keyValue.era()) {
+            reply.result = origin->withoutResponse;
+        }
+    }
     switch (origin->caller) {
     case KeyValueCaller::Catalogue:
         dispatchCatalogue(reply, context);
@@ -316,6 +324,17 @@
     }
 }
 
+void Node::storeEraChanged(const StoreEraChanged &change, NodeContext &context)
+{
+    if (change.restored) {
+        context.output.log("Store: event=restored era=" + std::to_string(change.era.value()));
+    }
+    m_scopes.storeEraChanged(change, context);
+    if (m_forwarding) {
+        m_forwarding->storeEraChanged(change, context);
+    }
+}
+
 template<typename ForwardEvent>
 void Node::on(const ForwardEvent &event, NodeContext &context)
 {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -105,6 +105,7 @@
     void readUsage(const AdministrationQuery &query, NodeContext &context);
     [[nodiscard]] AdministrationAnswer usageResponse(const KeyValueReply &reply);
     void respondToHealthCheck(const CallerRequest &event, NodeContext &context);
+    void storeEraChanged(const StoreEraChanged &change, NodeContext &context);
     /// Informs the slices that the state of a host changed.
     void membersChanged(NodeContext &context);
     void targetsFailed(const std::vector<TargetFailure> &died, NodeContext &context);
--- a/src/node/ScopeCoordinator.cpp
+++ b/src/node/ScopeCoordinator.cpp
@@ -96,6 +96,11 @@
     dispatch(reply, context);
 }
 
+void ScopeCoordinator::storeEraChanged(const StoreEraChanged &change, NodeContext &context)
+{
+    dispatch(change, context);
+}
+
 void ScopeCoordinator::dispatch(const LeaseEvent &event, NodeContext &context)
 {
     for (LeaseAction &action : m_leases.handle(event, context.now)) {
--- a/src/node/ScopeCoordinator.h
+++ b/src/node/ScopeCoordinator.h
@@ -31,6 +31,7 @@
     void releaseAll(NodeContext &context);
     void tick(NodeContext &context);
     void reply(const KeyValueReply &reply, NodeContext &context);
+    void storeEraChanged(const StoreEraChanged &change, NodeContext &context);
 
     /// Scopes acquired and lost since the last call.
     [[nodiscard]] std::vector<ScopeChange> takeChanges() { return std::exchange(m_changes, {}); }
--- a/src/platform/MetadataStoreProtocol.cpp
+++ b/src/platform/MetadataStoreProtocol.cpp
@@ -214,9 +214,20 @@
     }
 }
 
+static std::optional<StoreEra> readEra(const HttpResponse &response)
+{
+    const std::string text = headerValue(response.headers, "Store-Era");
+    const char *end = text.data() + text.size();
+    std::uint64_t number = 0;
+    if (const auto [parsed, error] = std::from_chars(text.data(), end, number); error != std::errc() || parsed != end) {
+        return std::nullopt;
+    }
+    return StoreEra(number);
+}
+
 KeyValueProtocol metadataStoreProtocol()
 {
-    return {.encode = encodeCall, .decode = decodeResult};
+    return {.encode = encodeCall, .decode = decodeResult, .era = readEra};
 }
 
 } // namespace Carawaymill
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -59,6 +59,17 @@
         protocol.decode(ReadRange{"a"}, HttpResponse{.status = 200, .headers = {}, .body = "no JSON"})));
 }
 
+TEST_CASE("every metadata store response states the era of the store and an unreadable era is unknown")
+{
+    const KeyValueProtocol protocol = metadataStoreProtocol();
+    CHECK(protocol.era({.status = 200, .headers = {{"store-era", "3"}}, .body = {}}) == StoreEra(3));
+    CHECK(protocol.era({.status = 503, .headers = {{"Store-Era", "4"}}, .body = {}}) == StoreEra(4));
+    for (const std::string unreadable : {"", "-1", "4x"}) {
+        CHECK(!protocol.era({.status = 200, .headers = {{"Store-Era", unreadable}}, .body = {}}));
+    }
+    CHECK(!protocol.era({.status = 200, .headers = {}, .body = {}}));
+}
+
 TEST_CASE("the platform's configuration is decoded into a routing configuration")
 {
     const nlohmann::json json = nlohmann::json::parse(R"({"Version":7,
