--- a/src/lease/tests/LeaseManagerTest.cpp
+++ b/src/lease/tests/LeaseManagerTest.cpp
@@ -206,6 +206,72 @@
     CHECK_FALSE(records.of(fukuoka).lease);
 }
 
+/// Replaces the store by an older copy of it and informs the hosts.
+static void restore(LeaseSimulation &simulation, const KeyValueStore &copy, StoreEra era)
+{
+    simulation.store = copy;
+    simulation.changeEra({.era = era, .restored = true});
+}
+
+TEST_CASE("after a restore of the store no host holds the scope by its old lease and its next number is higher")
+{
+    LeaseSimulation simulation({});
+    simulation.changeEra({.era = StoreEra(1), .restored = false});
+    const KeyValueStore empty = simulation.store;
+    for (std::size_t host = 0; host < 3; ++host) {
+        simulation.request(host, fukuoka);
+    }
+    simulation.run(3s);
+    REQUIRE(simulation.acquired.size() == 1);
+    const FencingNumber before = simulation.acquired.back().fencingNumber;
+    restore(simulation, empty, StoreEra(2));
+    CHECK(simulation.holders(fukuoka).empty());
+    REQUIRE(simulation.lost.size() == 1);
+    CHECK(simulation.lost.back().reason == LeaseLossReason::EndedByService);
+    simulation.run(20s);
+    CHECK(simulation.holders(fukuoka).size() == 1);
+    CHECK(simulation.acquired.back().fencingNumber > before);
+    CHECK(simulation.violations.empty());
+}
+
+TEST_CASE("records of an earlier era do not block the lower revisions of a restored store")
+{
+    LeaseSimulation simulation({});
+    simulation.changeEra({.era = StoreEra(1), .restored = false});
+    simulation.request(0, fukuoka);
+    simulation.run(3s);
+    const KeyValueStore copy = simulation.store;
+    // The scope changes its holder often, which raises the revisions of its records.
+    for (int round = 0; round < 5; ++round) {
+        simulation.release(0, fukuoka);
+        simulation.run(2s);
+        simulation.request(0, fukuoka);
+        simulation.run(3s);
+    }
+    simulation.request(1, fukuoka);
+    simulation.run(2s);
+    restore(simulation, copy, StoreEra(2));
+    simulation.run(30s);
+    CHECK(simulation.holders(fukuoka).size() == 1);
+    CHECK(simulation.violations.empty());
+}
+
+TEST_CASE("a number after a delayed commit of an earlier era overwrote the record exceeds all numbers of this era")
+{
+    LeaseScopeRecords records;
+    records.fencing = KeyValueRecord{.key = fencingKey(fukuoka), .value = "4", .revision = Revision(10), .lease = {}};
+    const FencingNumber first = records.nextFencingNumber(StoreEra(2));
+    CHECK(LeaseScopeRecords().nextFencingNumber(StoreEra(3)) > first);
+    // The holder wrote its number at revision 11; the delayed commit replaced it at revision 12.
+    records.fencing->value = "3";
+    records.fencing->revision = Revision(12);
+    CHECK(records.nextFencingNumber(StoreEra(2)) > first);
+    // Without an era the numbers count up from the last one.
+    CHECK(records.nextFencingNumber(std::nullopt) == FencingNumber(4));
+    // JSON numbers are exact up to 2^53.
+    CHECK(records.nextFencingNumber(StoreEra(100'000)) < FencingNumber(std::uint64_t(1) << 53U));
+}
+
 TEST_CASE("options out of range are rejected by name")
 {
     const auto refused = LeaseManager::create({.host = HostId("a"), .timeToLive = 2s});
--- a/src/lease/tests/LeaseSimulation.h
+++ b/src/lease/tests/LeaseSimulation.h
@@ -48,6 +48,13 @@
 
     void release(std::size_t host, const LeaseScopeId &scope) { dispatch(host, ReleaseScope{scope}); }
 
+    void changeEra(const StoreEraChanged &change)
+    {
+        for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+            dispatch(host, change);
+        }
+    }
+
     /// A paused host handles nothing; events for it are queued until `resume`.
     void pause(std::size_t host) { m_hosts[host].paused = true; }
 
