RelayedWatch: Confirm no revision of another era of the store

A host that watches through its collector could be told "no change" with a fresh confirmation while its revision, of before a restore, was ahead of the store's, and kept admitting by a withdrawn key.

The collector drops its ranges when the era rises and answers requests of another or unknown era as unavailable, so that the host asks the service. The host ignores answers of another era, and gives up its pending requests when the era rises.

Before: StoreEraTest.cpp:131: ERROR: CHECK( isUnavailable(server.handleRequest(follower, watchRequest(100, std::nullopt), start + 40ms)) ) is NOT correct!

--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -42,18 +42,23 @@
             .host = *host, .range = range, .call = call, .deadline = now + wait + m_options.responseTimeout});
     return SendRangeWatchMessage{
         .to = *host,
-        .message = RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait}};
+        .message = RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait, .era = m_era}};
 }
 
 void RelayedWatchClient::storeEraChanged(const StoreEraChanged &change)
 {
     m_era = change.era;
+    if (change.restored) {
+        m_pending.clear();
+    }
 }
 
 std::optional<RelayedWatchAnswered> RelayedWatchClient::handleResponse(const HostId &from, RangeWatchResponse response)
 {
     const auto pending = m_pending.find(response.number);
-    if (pending == m_pending.end() || pending->second.host != from || pending->second.range != response.range) {
+    // A response of another or an unknown era is ignored; the request then times out and the service is asked.
+    if (pending == m_pending.end() || pending->second.host != from || pending->second.range != response.range
+        || response.era != m_era) {
         return std::nullopt;
     }
     RelayedWatchAnswered answered{.range = response.range,
@@ -61,7 +66,8 @@
                                             .result = RangeChanged{.written = std::move(response.written),
                                                                    .deletedKeys = std::move(response.deletedKeys),
                                                                    .storeRevision = response.revision},
-                                            .age = response.age}};
+                                            .age = response.age,
+                                            .era = response.era}};
     m_pending.erase(pending);
     return answered;
 }
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -61,6 +61,9 @@
 std::vector<SendRangeWatchMessage> RelayedWatchServer::storeEraChanged(const StoreEraChanged &change, TimePoint now)
 {
     m_era = change.era;
+    if (change.restored) {
+        m_ranges.clear();
+    }
     return respondDue(now);
 }
 
@@ -86,7 +89,7 @@
 {
     const RangeWatchRequest &request = pending.request;
     const auto found = m_ranges.find(request.range);
-    if (found == m_ranges.end() || now - found->second.confirmedAt > maximumAge(request.range)
+    if (request.era != m_era || found == m_ranges.end() || now - found->second.confirmedAt > maximumAge(request.range)
         || request.after < found->second.begin) {
         return RangeWatchUnavailable{.number = request.number};
     }
@@ -117,7 +120,8 @@
                                 .written = {},
                                 .deletedKeys = {},
                                 .revision = std::max(request.after, cached.revision),
-                                .age = pending.arrivedAt - cached.confirmedAt};
+                                .age = pending.arrivedAt - cached.confirmedAt,
+                                .era = m_era};
     for (auto &[key, record] : latest) {
         if (record) {
             response.written.push_back(std::move(*record));
