DirectoryReplica: Keep newer knowledge of targets when the store returns from an older copy

A read of an older copy unlisted at once all targets that had registered since, took back that a target leaves or holds layers, and listed targets again that were gone.

After a restore the directory is read anew. Until the grace period after that read is over, targets whose records are missing stay listed; a record of a known process whose revision is not above the known one only adds that it leaves; and one of a process that was removed is ignored until it is written again. Then the directory is read once more and taken as it is, since all living targets have written their records by then: also one that a target wrote before the first read.

Before: StoreEraTest.cpp:229: FATAL ERROR: REQUIRE( m_call ) is NOT correct! in three cases. After: they pass.

--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -19,13 +19,16 @@
 std::vector<DirectoryReplicaAction> DirectoryReplica::handle(const DirectoryReplicaEvent &event, TimePoint now)
 {
     Actions actions;
-    const std::uint32_t failures = m_watch.failures();
-    if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
-        if (const auto update = m_watch.handle(*reply, now)) {
-            const TimePoint unlistAt =
-                now + (failures >= outageFailureThreshold ? m_options.restoreGracePeriod : Duration::zero());
-            apply(*update, unlistAt, actions);
-        }
+    if (const auto *change = std::get_if<StoreEraChanged>(&event); change != nullptr && change->restored) {
+        m_watch.restart(now);
+        m_restored = true;
+        m_graceUntil.reset();
+    } else if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
+        applyReply(*reply, now, actions);
+    }
+    if (m_graceUntil && now >= *m_graceUntil) {
+        m_graceUntil.reset();
+        m_watch.restart(now);
     }
     if (auto call = m_watch.nextCall(now)) {
         actions.emplace_back(std::move(*call));
@@ -37,22 +40,40 @@
         }
     }
     for (const TargetId &target : expired) {
-        unlist(target, actions);
+        unlist(target, now, actions);
     }
     return actions;
 }
 
+void DirectoryReplica::applyReply(const KeyValueReply &reply, TimePoint now, Actions &actions)
+{
+    const bool hadOutage = m_watch.failures() >= outageFailureThreshold;
+    const auto update = m_watch.handle(reply, now);
+    if (!update) {
+        return;
+    }
+    Source source = Source::Current;
+    if (m_restored && update->complete) {
+        m_restored = false;
+        m_graceUntil = now + m_options.restoreGracePeriod;
+        source = Source::OlderCopy;
+    }
+    const TimePoint unlistAt = hadOutage ? now + m_options.restoreGracePeriod : m_graceUntil.value_or(now);
+    apply(*update, source, now, unlistAt, actions);
+}
+
 TargetId DirectoryReplica::targetOf(const std::string &key) const
 {
     return TargetId(key.substr(m_options.format.directoryPrefix.size()));
 }
 
-void DirectoryReplica::apply(const RangeUpdate &update, TimePoint unlistAt, Actions &actions)
+void DirectoryReplica::apply(
+    const RangeUpdate &update, Source source, TimePoint now, TimePoint unlistAt, Actions &actions)
 {
     std::set<TargetId> present;
     for (const KeyValueRecord &record : update.written) {
         present.insert(targetOf(record.key));
-        list(record, actions);
+        list(record, source, now, actions);
     }
     for (const std::string &key : update.deletedKeys) {
         m_missing.try_emplace(targetOf(key), unlistAt);
@@ -67,21 +88,29 @@
     }
 }
 
-void DirectoryReplica::list(const KeyValueRecord &record, Actions &actions)
+void DirectoryReplica::list(const KeyValueRecord &record, Source source, TimePoint now, Actions &actions)
 {
     const TargetId id = targetOf(record.key);
     auto read = m_options.format.readTarget(id, record.value);
     if (const auto *failure = std::get_if<DecodeFailure>(&read)) {
         actions.emplace_back(TargetRecordIgnored{.key = record.key, .reason = failure->field});
-        unlist(id, actions);
+        unlist(id, now, actions);
         return;
     }
     auto &target = std::get<DirectoryTarget>(read);
-    if (!supersede(target, actions)) {
-        unlist(id, actions);
+    if (isOfRemoved(target, record.revision, source)) {
+        return;
+    }
+    if (source == Source::OlderCopy) {
+        keepNewer(target, record.revision);
+    }
+    if (!supersede(target, now, actions)) {
+        unlist(id, now, actions);
         return;
     }
     m_missing.erase(id);
+    m_removed.erase(id);
+    m_revisions[id] = record.revision;
     const auto [known, isNew] = m_targets.try_emplace(id, target);
     if (!isNew && known->second == target) {
         return;
@@ -90,7 +119,7 @@
     actions.emplace_back(TargetListed{std::move(target)});
 }
 
-bool DirectoryReplica::supersede(const DirectoryTarget &target, Actions &actions)
+bool DirectoryReplica::supersede(const DirectoryTarget &target, TimePoint now, Actions &actions)
 {
     std::vector<TargetId> superseded;
     for (const auto &[id, known] : m_targets) {
@@ -103,15 +132,43 @@
         superseded.push_back(id);
     }
     for (const TargetId &id : superseded) {
-        unlist(id, actions);
+        unlist(id, now, actions);
     }
     return true;
 }
 
-void DirectoryReplica::unlist(const TargetId &target, Actions &actions)
+bool DirectoryReplica::isOfRemoved(const DirectoryTarget &target, Revision revision, Source source)
+{
+    const auto removed = m_removed.find(target.id);
+    if (removed == m_removed.end() || removed->second.incarnation != target.incarnation) {
+        return false;
+    }
+    if (source == Source::OlderCopy) {
+        removed->second.ignored = revision;
+    }
+    return removed->second.ignored == revision;
+}
+
+void DirectoryReplica::keepNewer(DirectoryTarget &target, Revision revision) const
+{
+    const auto known = m_targets.find(target.id);
+    if (known == m_targets.end() || known->second.incarnation != target.incarnation
+        || revision > m_revisions.at(target.id)) {
+        return;
+    }
+    const bool leaving = target.leaving || known->second.leaving;
+    target = known->second;
+    target.leaving = leaving;
+}
+
+void DirectoryReplica::unlist(const TargetId &target, TimePoint now, Actions &actions)
 {
     m_missing.erase(target);
-    if (m_targets.erase(target) > 0) {
+    m_revisions.erase(target);
+    if (const auto known = m_targets.extract(target)) {
+        std::erase_if(m_removed,
+                      [&](const auto &entry) { return now - entry.second.removedAt > m_options.removedRetention; });
+        m_removed.insert_or_assign(target, RemovedTarget{.incarnation = known.mapped().incarnation, .removedAt = now});
         actions.emplace_back(TargetUnlisted{target});
     }
 }
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -23,6 +23,8 @@
     /// Targets whose records expired during an outage of the service register again within this time; a target whose
     /// record is still missing afterwards is unlisted.
     Duration restoreGracePeriod = 1900ms;
+    /// Removed targets are remembered for this time, well above the age of the copy that the service may return from.
+    Duration removedRetention = 60s;
 };
 
 /// Action: a target was added, or its record has changed.
@@ -64,14 +66,34 @@
 private:
     using Actions = std::vector<DirectoryReplicaAction>;
 
+    /// Which state of the directory an update is from.
+    enum class Source {
+        Current,
+        /// An older copy that the service returned from; its targets may not have written their records again.
+        OlderCopy,
+    };
+
+    struct RemovedTarget
+    {
+        IncarnationNumber incarnation;
+        TimePoint removedAt;
+        /// Revision of its record in the older copy, which is ignored.
+        std::optional<Revision> ignored = std::nullopt;
+    };
+
+    void applyReply(const KeyValueReply &reply, TimePoint now, Actions &actions);
     /// Targets whose records are missing are unlisted at `unlistAt`.
-    void apply(const RangeUpdate &update, TimePoint unlistAt, Actions &actions);
+    void apply(const RangeUpdate &update, Source source, TimePoint now, TimePoint unlistAt, Actions &actions);
     /// Lists the target of the record, or unlists it if the record is malformed or superseded.
-    void list(const KeyValueRecord &record, Actions &actions);
+    void list(const KeyValueRecord &record, Source source, TimePoint now, Actions &actions);
+    /// Whether the record belongs to a process that was removed and has not written it since.
+    [[nodiscard]] bool isOfRemoved(const DirectoryTarget &target, Revision revision, Source source);
+    /// Of a process that is known, an older copy changes only that it is leaving.
+    void keepNewer(DirectoryTarget &target, Revision revision) const;
     /// Unlists a target with a lower incarnation at the same address, whose process has terminated. Returns false if
     /// `target` itself has the lower incarnation.
-    [[nodiscard]] bool supersede(const DirectoryTarget &target, Actions &actions);
-    void unlist(const TargetId &target, Actions &actions);
+    [[nodiscard]] bool supersede(const DirectoryTarget &target, TimePoint now, Actions &actions);
+    void unlist(const TargetId &target, TimePoint now, Actions &actions);
     [[nodiscard]] TargetId targetOf(const std::string &key) const;
 
     DirectoryReplicaOptions m_options;
@@ -79,6 +101,13 @@
     std::map<TargetId, DirectoryTarget> m_targets;
     /// Targets whose records are missing, and when they are unlisted.
     std::map<TargetId, TimePoint> m_missing;
+    /// Revisions of the records of `m_targets`.
+    std::map<TargetId, Revision> m_revisions;
+    std::map<TargetId, RemovedTarget> m_removed;
+    /// The service returned from an older copy, and the directory has not been read since.
+    bool m_restored = false;
+    /// End of the grace period after that read. The directory is then read again and taken as it is.
+    std::optional<TimePoint> m_graceUntil;
     bool m_loaded = false;
 };
 
