HostRegistry: Register anew and keep the other hosts listed when the store returns from an older copy

The id of this host's lease may have been given out again, so that a renewal extended the lease of another host. Records missing from the copy shrank the fleet at once: lease candidates, shares of the retry budget, membership.

After a restore the lease, the record and the call in flight are forgotten and a new lease is requested at once. Hosts whose records are missing stay listed for the time to live of a record, 3 s.

Before: StoreEraTest.cpp:321: FATAL ERROR: REQUIRE( own ) is NOT correct! After: the case passes.

--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -3,6 +3,8 @@
 #include "support/Codec.h"
 #include "support/Hash.h"
 
+#include <algorithm>
+
 namespace Carawaymill {
 
 static constexpr const char *registryPrefix = "hosts/";
@@ -43,12 +45,16 @@
 std::vector<HostRegistryAction> HostRegistry::handle(const HostRegistryEvent &event, TimePoint now)
 {
     Actions actions;
+    const std::map<HostId, ListedHost> before = m_hosts;
+    if (const auto *change = std::get_if<StoreEraChanged>(&event); change != nullptr && change->restored) {
+        restart(now);
+    }
     if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
         if (reply->id.value() % 2 == 1) {
             handleReply(*reply, now);
         } else if (const auto update = m_watch.handle(
                        {.id = CallId(reply->id.value() / 2), .result = reply->result, .age = reply->age}, now)) {
-            applyUpdate(*update, actions);
+            applyUpdate(*update, now);
         }
     }
     if (auto call = m_watch.nextCall(now)) {
@@ -56,6 +62,14 @@
         actions.emplace_back(std::move(*call));
     }
     maintainRegistration(now, actions);
+    removeMissing(now);
+    if (m_hosts != before) {
+        RegisteredHostsChanged registered;
+        for (const auto &[id, host] : m_hosts) {
+            registered.hosts.push_back(host);
+        }
+        actions.emplace_back(std::move(registered));
+    }
     return actions;
 }
 
@@ -128,28 +142,45 @@
                reply.result);
 }
 
-void HostRegistry::applyUpdate(const RangeUpdate &update, Actions &actions)
+void HostRegistry::restart(TimePoint now)
 {
-    const std::map<HostId, ListedHost> before = m_hosts;
+    m_watch.restart(now);
+    m_inFlight.reset();
+    m_lease.reset();
+    m_recordRevision = Revision();
+    m_recorded = false;
+    m_nextAt = now;
+    m_graceUntil = now + m_options.restoreGracePeriod;
+}
+
+void HostRegistry::applyUpdate(const RangeUpdate &update, TimePoint now)
+{
+    const TimePoint removeAt = std::max(now, m_graceUntil);
     if (update.complete) {
-        m_hosts.clear();
+        for (const auto &[id, host] : m_hosts) {
+            m_missing.try_emplace(id, removeAt);
+        }
+    }
+    for (const std::string &key : update.deletedKeys) {
+        m_missing.try_emplace(HostId(key.substr(std::string_view(registryPrefix).size())), removeAt);
     }
     for (const KeyValueRecord &record : update.written) {
         if (auto host = readRecord(record)) {
+            m_missing.erase(host->host);
             m_hosts.insert_or_assign(host->host, *host);
         }
     }
-    for (const std::string &key : update.deletedKeys) {
-        m_hosts.erase(HostId(key.substr(std::string_view(registryPrefix).size())));
-    }
-    if (m_hosts == before) {
-        return;
-    }
-    RegisteredHostsChanged registered;
-    for (const auto &[id, host] : m_hosts) {
-        registered.hosts.push_back(host);
-    }
-    actions.emplace_back(std::move(registered));
+}
+
+void HostRegistry::removeMissing(TimePoint now)
+{
+    std::erase_if(m_missing, [&](const auto &entry) {
+        const bool isDue = now >= entry.second;
+        if (isDue) {
+            m_hosts.erase(entry.first);
+        }
+        return isDue;
+    });
 }
 
 } // namespace Carawaymill
--- a/src/forwarding/HostRegistry.h
+++ b/src/forwarding/HostRegistry.h
@@ -22,6 +22,9 @@
     /// new host.
     Duration watchWait = 3s;
     Duration minimumWatchInterval = 1s;
+    /// After the service returned from an older copy, hosts whose records are missing stay listed for this time. They
+    /// notice at their next renewal and register again.
+    Duration restoreGracePeriod = 3s;
 };
 
 /// Action: the hosts that are registered now.
@@ -62,8 +65,12 @@
     /// Handles the reply to a call of maintainRegistration().
     void handleReply(const KeyValueReply &reply, TimePoint now);
     void call(KeyValueRequest request, TimePoint now, Actions &actions);
-    /// Applies changes of the registry's records; reports the hosts if they have changed.
-    void applyUpdate(const RangeUpdate &update, Actions &actions);
+    /// Starts over after the service returned from an older copy: the lease id may have been given out again.
+    void restart(TimePoint now);
+    /// Applies changes of the registry's records.
+    void applyUpdate(const RangeUpdate &update, TimePoint now);
+    /// Removes hosts whose records are missing and whose grace period is over.
+    void removeMissing(TimePoint now);
 
     HostRegistryOptions m_options;
     RangeWatch m_watch;
@@ -80,6 +87,10 @@
     bool m_deregistering = false;
     TimePoint m_nextAt{};
     std::map<HostId, ListedHost> m_hosts;
+    /// Hosts whose records are missing, and when they are removed.
+    std::map<HostId, TimePoint> m_missing;
+    /// Records that are found missing before then may be written again.
+    TimePoint m_graceUntil{};
 };
 
 } // namespace Carawaymill
