--- a/src/lease/LeaseManager.cpp
+++ b/src/lease/LeaseManager.cpp
@@ -46,6 +46,7 @@
     std::visit(Overloaded{
                    [](const Tick &) {},
                    [this](const KeyValueReply &reply) { handleReply(reply); },
+                   [this](const StoreEraChanged &change) { handleEraChange(change); },
                    [this](const RequestScope &requested) { requestScope(requested.scope); },
                    [this](const ReleaseScope &released) { releaseScope(released.scope); },
                },
@@ -91,6 +92,24 @@
     }
 }
 
+void LeaseManager::handleEraChange(const StoreEraChanged &change)
+{
+    m_era = change.era;
+    if (!change.restored) {
+        return;
+    }
+    m_session.restart(m_now);
+    m_watcher.restart(m_now);
+    m_records = LeaseRecords();
+    m_calls.clear();
+    handleLeaseExpiry();
+    for (auto &[id, scope] : m_scopes) {
+        if (scope.awaitsResponse()) {
+            collect(id, scope.handleOutcomeUnknown(situationOf(id)));
+        }
+    }
+}
+
 void LeaseManager::handleScopeResponse(const Call &call, const KeyValueResult &result)
 {
     const Commit &commit = std::get<Commit>(call.request);
@@ -226,7 +245,8 @@
                                .recordsKnown = m_watcher.hasRead(),
                                .lease = m_session.lease(),
                                .leaseValid = m_session.isValid(m_now),
-                               .validUntil = m_session.validUntil()};
+                               .validUntil = m_session.validUntil(),
+                               .era = m_era};
 }
 
 } // namespace Carawaymill
