--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -36,6 +36,8 @@
     TokenCount promptTokens;
     /// The caller's estimate of the completion length if it sends one, otherwise its maximum.
     TokenCount expectedTokens;
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    std::vector<std::string> sharedParts;
     /// Method, target, end-to-end headers and body, as they are forwarded.
     HttpRequest http;
 };
@@ -163,6 +165,8 @@
     TargetsRefused,
     TimeoutReached,
     ResponseLost,
+    /// Requests that share a trait with this one crash their targets.
+    Condemned,
 };
 
 /// Action: respond to a caller whose request ends without a target's response.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -42,6 +42,8 @@
         return "timeout-reached";
     case ForwardFailure::ResponseLost:
         return "answer-lost";
+    case ForwardFailure::Condemned:
+        return "condemned";
     }
     return "";
 }
@@ -647,6 +649,8 @@
     moveStreams(*atFault, context);
 }
 
+void Forwarder::on(const AttributionMessageReceived & /*event*/, HandlerContext & /*context*/) { }
+
 void Forwarder::moveStreams(const TargetId &target, HandlerContext &context)
 {
     std::vector<RequestId> stopped;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -6,6 +6,7 @@
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
+#include "quarantine/CrashAttribution.h"
 
 #include <map>
 #include <memory>
@@ -49,7 +50,8 @@
                                     TargetResponseData,
                                     TargetResponseCompleted,
                                     TargetResponseFailed,
-                                    ProgressReported>;
+                                    ProgressReported,
+                                    AttributionMessageReceived>;
 
 /// Action: a log line about a decision on a request.
 struct ForwardLogLine
@@ -73,6 +75,7 @@
                                      WriteStream,
                                      EndStream,
                                      AbortStream,
+                                     BroadcastAttributionMessage,
                                      ForwardLogLine,
                                      ForwardEnded>;
 
@@ -185,6 +188,7 @@
     void on(const TargetResponseCompleted &event, HandlerContext &context);
     void on(const TargetResponseFailed &event, HandlerContext &context);
     void on(const ProgressReported &event, HandlerContext &context);
+    void on(const AttributionMessageReceived &event, HandlerContext &context);
 
     /// Accepts the early requests once the configuration and the directory are read or the grace period is over.
     void acceptEarlyRequests(HandlerContext &context);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -121,6 +121,16 @@
     }
 }
 
+void ForwardingCoordinator::attributionReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    auto message = decode<AttributionMessage>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&message)) {
+        logUnreadable(from, *failure, context);
+        return;
+    }
+    forward(AttributionMessageReceived{std::get<AttributionMessage>(std::move(message))}, context);
+}
+
 void ForwardingCoordinator::startDraining(TimePoint now)
 {
     m_registry.deregister();
@@ -309,6 +319,12 @@
     for (ForwarderAction &action : m_forwarder.handle(event, fresh, context.targets.router(), context.now)) {
         std::visit(Overloaded{[&](ForwardLogLine &logLine) { context.output.log(std::move(logLine.line)); },
                               [&](ForwardEnded &ended) { m_metrics.requestEnded(ended.outcome, ended.took); },
+                              [&](BroadcastAttributionMessage &broadcast) {
+                                  for (const HostId &host : context.fleet.membership().aliveHosts()) {
+                                      context.fleet.send(
+                                          host, PeerChannel::Quarantine, broadcast.message, context.output);
+                                  }
+                              },
                               [&](ForwardToTarget &dispatch) {
                                   m_metrics.count("dispatches");
                                   context.output.add(std::move(dispatch));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -365,7 +365,12 @@
         m_calls.limitsReceived(event.from, message->body, context);
         break;
     case PeerChannel::Quarantine:
-        m_calls.quarantineReceived(message->body, m_ledger, context);
+        // Where routes are published, the channel carries the attribution of crashes; model jobs of entries are idle.
+        if (m_forwarding) {
+            m_forwarding->attributionReceived(event.from, message->body, context);
+        } else {
+            m_calls.quarantineReceived(message->body, m_ledger, context);
+        }
         break;
     case PeerChannel::Configuration:
         if (m_forwarding) {
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -19,6 +19,9 @@
 static constexpr const char *resumeHeader = "Last-Event-Id";
 /// Number of prompt tokens and maximum number of completion tokens, separated by a comma.
 static constexpr const char *tokenCountsHeader = "X-Token-Counts";
+/// The parts of the prompt in order, as comma-separated `id:tokens`. The last one belongs to the request or its
+/// session.
+static constexpr const char *promptPartsHeader = "X-Prefix-Hash";
 /// The caller's estimate of the number of completion tokens.
 static constexpr const char *lengthHintHeader = "X-Length-Hint";
 /// Set by a target that did not run the request.
@@ -89,6 +92,19 @@
     std::erase_if(headers, [&](const auto &header) { return isConnectionHeader(header.first, connection); });
 }
 
+/// The ids of all parts but the last.
+static std::vector<std::string> readSharedParts(std::string_view value)
+{
+    std::vector<std::string> parts;
+    for (std::size_t comma = value.find(','); comma != std::string_view::npos; comma = value.find(',')) {
+        std::string_view id = value.substr(0, std::min(comma, value.find(':')));
+        id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+        parts.emplace_back(id);
+        value.remove_prefix(comma + 1);
+    }
+    return parts;
+}
+
 static std::optional<std::string> bearerKey(const HttpHeaders &headers)
 {
     static constexpr std::string_view scheme = "Bearer ";
@@ -121,6 +137,7 @@
     if (const auto length = readNumber(headerValue(headers, lengthHintHeader))) {
         read.expectedTokens = TokenCount(*length);
     }
+    read.sharedParts = readSharedParts(headerValue(headers, promptPartsHeader));
     removeConnectionHeaders(request.headers);
     std::erase_if(request.headers, [](const auto &header) { return isReplacedHeader(header.first); });
     read.http = std::move(request);
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -240,3 +240,16 @@
     CHECK(readProgress(query, response(200, report)).blockedAtAddress == "10.0.0.2:1");
     CHECK(!readProgress(query, HttpNoResponse{}).answered);
 }
+
+TEST_CASE("the shared parts of a prompt are read without the last part, which belongs to the request")
+{
+    const auto partsOf = [](const std::string &value) {
+        return readForwardRequest(
+                   {.method = "POST", .target = "/s/x", .headers = {{"X-Prefix-Hash", value}}, .body = {}})
+            .sharedParts;
+    };
+    CHECK(partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == std::vector<std::string>{"5c1e07a2", "91bd3f06"});
+    CHECK(partsOf("5c1e07a2:800, 91bd3f06:410, e4402b7d:250") == std::vector<std::string>{"5c1e07a2", "91bd3f06"});
+    CHECK(partsOf("5c1e07a2:800").empty());
+    CHECK(partsOf("").empty());
+}
