Forwarding: Refuse requests that share what crashes their targets

Callers saw target after target crash, and their streams break off, while requests with one part in their prompts came at any host. Each lost response was repeated at another target, which crashed too, and nothing remembered what had just begun there.

CrashObserver queries a target after the response of a request that had just begun is lost: one that does not answer has crashed. Forwarder reports its crashes and the requests that run soundly to CrashAttribution, exchanges both with the other hosts, and refuses condemned requests on acceptance, from the queue and before each repeat or move. A stream is broken off instead of repeated. The node sets the host's identity and shows counters.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -53,6 +53,7 @@
     , m_random(stableHash("forwarder", m_options.targets.seed))
     , m_targets(m_options.targets)
     , m_retries(m_options.retries)
+    , m_attribution(m_options.attribution)
     , m_queue(m_options.queue)
 {
 }
@@ -184,6 +185,8 @@
         call.deadline = *call.callerDeadline - responseMargin;
     }
     call.deadline = std::min(call.deadline, receivedAt + call.route->timeout);
+    call.traits = traitsOf(
+        call.organisation.value_or(OrganisationId()), request.http.target, request.http.body, request.sharedParts);
     call.service = selectService(*call.route, request.attempt);
     m_retries.recordRequest(call.service, context.now);
     dispatch(call, ForwardFailure::NoTarget, context);
@@ -191,6 +194,9 @@
 
 void Forwarder::dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
+    if (refuseCondemned(call, context)) {
+        return;
+    }
     auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
     if (!chosen) {
         refuse(call, fallbackReason, context);
@@ -223,6 +229,9 @@
     }
     for (const RequestId id : m_queue.order(context.now)) {
         Call &call = m_calls.at(id);
+        if (refuseCondemned(call, context)) {
+            continue;
+        }
         auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
         if (chosen && chosen->congested) {
             // The calls behind it rarely need less capacity, and each choice of targets is expensive.
@@ -245,6 +254,8 @@
     call.runs += 1;
     call.ranAt[chosen.target] += 1;
     call.head.reset();
+    call.answeredSince.reset();
+    call.provenSound = false;
     call.body.clear();
     call.relay.restart();
     call.progressAt = context.now;
@@ -276,6 +287,9 @@
 
 void Forwarder::dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
+    if (refuseCondemned(call, context)) {
+        return;
+    }
     if (call.dispatches >= m_options.maximumDispatches || context.now >= call.deadline) {
         refuse(call, fallbackReason, context);
         return;
@@ -335,6 +349,8 @@
     call.attempt = stalled.attempt;
     call.chosen = std::move(stalled.chosen);
     call.head = std::move(stalled.head);
+    call.answeredSince = stalled.answeredSince;
+    call.provenSound = false;
     call.relay = std::move(stalled.relay);
     call.body.clear();
     call.progressAt = context.now;
@@ -393,6 +409,9 @@
 void Forwarder::stalledFailed(const TargetResponseFailed &event, HandlerContext &context)
 {
     if (Call *call = stalledAttempt(event.id, event.attempt)) {
+        if (event.sent) {
+            recordLoss(*call, event.attempt, call->stalled->chosen, call->stalled->answeredSince, context);
+        }
         m_targets.recordFailure(call->stalled->chosen.target, context.now);
         endStalled(*call, false, context);
     }
@@ -415,6 +434,7 @@
         return;
     }
     call->head = event;
+    call->answeredSince = context.now;
     if (beginsStream(*call, event) && !call->streaming) {
         endStalled(*call, true, context);
         call->streaming = true;
@@ -452,6 +472,7 @@
         return;
     }
     endStalled(call, true, context);
+    recordSurvival(call, context);
     m_targets.recordResponse(*call.chosen, context.router);
     writeEvents(call, std::move(events), context);
 }
@@ -512,6 +533,7 @@
             responseLost(call, context);
             return;
         }
+        recordSurvival(call, context);
         endAttempt(call, false, context);
         context.actions.emplace_back(EndStream{call.id});
         finish(call, "streamed", context);
@@ -535,6 +557,9 @@
         dispatchAgain(call, ForwardFailure::ResponseLost, context);
         return;
     }
+    if (success) {
+        recordSurvival(call, context);
+    }
     endAttempt(call, false, context);
     context.actions.emplace_back(Respond{.id = call.id, .response = std::move(response)});
     finish(call, "answered", context);
@@ -567,6 +592,7 @@
 
 void Forwarder::responseLost(Call &call, HandlerContext &context)
 {
+    recordLoss(call, call.attempt, *call.chosen, call.answeredSince, context);
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
     call.lastAttemptEnd = "lost";
@@ -584,6 +610,10 @@
 void Forwarder::on(const Tick &, HandlerContext &context)
 {
     m_targets.tick(context.router, context.now);
+    for (const TargetCrashObserved &crash : m_crashObserver.takeCrashes(context.now)) {
+        attribute(crash, context);
+    }
+    attribute(Tick{}, context);
     acceptEarlyRequests(context);
     serveQueue(context);
     std::vector<RequestId> due;
@@ -626,6 +656,7 @@
 
 void Forwarder::on(const ProgressReported &event, HandlerContext &context)
 {
+    m_crashObserver.recordReport(event);
     Call *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr || !call->progressQueriedAt) {
         return;
@@ -649,7 +680,73 @@
     moveStreams(*atFault, context);
 }
 
-void Forwarder::on(const AttributionMessageReceived & /*event*/, HandlerContext & /*context*/) { }
+void Forwarder::on(const AttributionMessageReceived &event, HandlerContext &context)
+{
+    attribute(event, context);
+}
+
+void Forwarder::attribute(const CrashAttributionEvent &event, HandlerContext &context)
+{
+    for (CrashAttributionAction &action : m_attribution.handle(event, context.now)) {
+        std::visit(
+            Overloaded{
+                [&](BroadcastAttributionMessage &broadcast) { context.actions.emplace_back(std::move(broadcast)); },
+                [&](const auto &decision) { context.actions.emplace_back(ForwardLogLine{describe(decision)}); }},
+            action);
+    }
+}
+
+bool Forwarder::refuseCondemned(Call &call, HandlerContext &context)
+{
+    if (!m_attribution.refusalTime(call.traits, context.now)) {
+        return false;
+    }
+    attribute(CondemnedRequestRefused{call.traits}, context);
+    refuse(call, ForwardFailure::Condemned, context);
+    return true;
+}
+
+std::vector<RequestTrait>
+Forwarder::suspectTraits(const Call &call, std::optional<TimePoint> answeredSince, TimePoint now) const
+{
+    if (answeredSince) {
+        return now - *answeredSince < m_options.justBegunPeriod ? call.traits : std::vector<RequestTrait>();
+    }
+    // A stream that is not answered yet mostly waits for its turn, so that its parts are no evidence. The request
+    // itself may have crashed the target before its first event.
+    if (call.route->responseKind == ResponseKind::EventStream && !call.traits.empty()) {
+        return {call.traits.front()};
+    }
+    return call.traits;
+}
+
+void Forwarder::recordLoss(const Call &call,
+                           AttemptNumber attempt,
+                           const ChosenTargets &chosen,
+                           std::optional<TimePoint> answeredSince,
+                           HandlerContext &context)
+{
+    const auto traits = suspectTraits(call, answeredSince, context.now);
+    if (traits.empty() || !m_crashObserver.recordLoss(chosen.target, call.id, attempt, traits, context.now)) {
+        return;
+    }
+    context.actions.emplace_back(QueryProgress{.id = call.id,
+                                               .attempt = attempt,
+                                               .address = chosen.address,
+                                               .callerAttempt = call.request->attempt,
+                                               .timeout = m_options.progressQueryTimeout});
+}
+
+void Forwarder::recordSurvival(Call &call, HandlerContext &context)
+{
+    const bool isStream = call.route->responseKind == ResponseKind::EventStream;
+    if (call.provenSound || !call.answeredSince
+        || (isStream && context.now - *call.answeredSince < m_options.justBegunPeriod)) {
+        return;
+    }
+    call.provenSound = true;
+    attribute(TraitsProvenSound{call.traits}, context);
+}
 
 void Forwarder::moveStreams(const TargetId &target, HandlerContext &context)
 {
@@ -684,6 +781,10 @@
 
 void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
 {
+    // A condemned request stays where it runs: elsewhere it would crash another target.
+    if (m_attribution.refusalTime(call.traits, context.now)) {
+        return;
+    }
     auto chosen = chooseForMove(call, stopped, context);
     if (!chosen || call.dispatches >= m_options.maximumDispatches || !m_retries.tryRetry(call.service, context.now)) {
         return;
@@ -699,6 +800,7 @@
         call.stalled = StalledAttempt{.attempt = call.attempt,
                                       .chosen = *std::exchange(call.chosen, std::nullopt),
                                       .head = std::move(call.head),
+                                      .answeredSince = call.answeredSince,
                                       .relay = call.relay};
     }
     sendToTarget(call, std::move(*chosen), context);
@@ -712,6 +814,10 @@
 
 Duration Forwarder::retryAfter(const Call &call, ForwardFailure reason, const HandlerContext &context)
 {
+    if (reason == ForwardFailure::Condemned) {
+        const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
+        return std::min(condemned, m_options.condemnedRetryAfter);
+    }
     Duration longest = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter;
     if (call.callerDeadline) {
         const Duration left = *call.callerDeadline - context.now;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/CrashObserver.h"
 #include "forwarding/EventStreamRelay.h"
 #include "forwarding/FleetRetryBudget.h"
 #include "forwarding/ForwardMessages.h"
@@ -23,6 +24,12 @@
     ForwardTargetsOptions targets;
     FleetRetryBudgetOptions retries;
     StartQueueOptions queue;
+    CrashAttributionOptions attribution;
+    /// A request may have crashed its target only within this time after its answer began; one that is still written
+    /// then is sound.
+    Duration justBegunPeriod = 400ms;
+    /// Upper bound of the Retry-After that is sent with `ForwardFailure::Condemned`.
+    Duration condemnedRetryAfter = 30s;
     /// A stream without an event for this multiple of its objective, at least for `minimumStallTimeout`, is treated as
     /// stalled: its first target is queried for the progress.
     double stallTimeoutPerObjective = 2;
@@ -110,6 +117,8 @@
 
     [[nodiscard]] const FleetRetryBudget &retries() const { return m_retries; }
 
+    [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
+
 private:
     /// The attempt that a stream was moved away from. It stays open until another target has begun, since a target that
     /// falls silent may go on.
@@ -118,6 +127,7 @@
         AttemptNumber attempt;
         ChosenTargets chosen;
         std::optional<TargetResponseStarted> head;
+        std::optional<TimePoint> answeredSince;
         EventStreamRelay relay;
     };
 
@@ -130,6 +140,7 @@
         std::shared_ptr<const RouteTable> table;
         const Route *route = nullptr;
         std::optional<OrganisationId> organisation;
+        std::vector<RequestTrait> traits;
         ServiceId service;
         TimePoint receivedAt;
         /// Time by which the caller gets a response, or its stream is broken off.
@@ -152,6 +163,10 @@
         const char *lastAttemptEnd = "none";
 
         std::optional<TargetResponseStarted> head;
+        /// When the target began to answer the current attempt.
+        std::optional<TimePoint> answeredSince;
+        /// Whether the current attempt has proven the request's traits sound.
+        bool provenSound = false;
         std::string body;
         /// Error response of a target, which is sent to the caller unless another target succeeds.
         std::optional<HttpResponse> targetFailure;
@@ -244,6 +259,20 @@
     [[nodiscard]] std::optional<ChosenTargets>
     chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context);
     void timeOut(Call &call, HandlerContext &context);
+    void attribute(const CrashAttributionEvent &event, HandlerContext &context);
+    /// Refuses the call if one of its traits is condemned. Returns whether it did.
+    bool refuseCondemned(Call &call, HandlerContext &context);
+    /// The traits of an attempt that had only just begun, so that it may have crashed its target.
+    [[nodiscard]] std::vector<RequestTrait>
+    suspectTraits(const Call &call, std::optional<TimePoint> answeredSince, TimePoint now) const;
+    /// Records that the response of an attempt at the target was lost, which may be a crash of the target.
+    void recordLoss(const Call &call,
+                    AttemptNumber attempt,
+                    const ChosenTargets &chosen,
+                    std::optional<TimePoint> answeredSince,
+                    HandlerContext &context);
+    /// Records the traits as sound if the current attempt has been answered for long enough.
+    void recordSurvival(Call &call, HandlerContext &context);
     void refuse(Call &call, ForwardFailure reason, HandlerContext &context);
     /// Logs the outcome of the call and removes it.
     void finish(Call &call, const std::string &outcome, HandlerContext &context);
@@ -253,6 +282,8 @@
     Random m_random;
     ForwardTargets m_targets;
     FleetRetryBudget m_retries;
+    CrashAttribution m_attribution;
+    CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
     StartQueue m_queue;
--- a/src/forwarding/tests/CrashingRequestTest.cpp
+++ b/src/forwarding/tests/CrashingRequestTest.cpp
@@ -225,6 +225,7 @@
     {
         ForwarderOptions options;
         options.targets.seed = host;
+        options.attribution.self = HostId("host" + std::to_string(host));
         return options;
     }
 
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -51,7 +51,8 @@
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
                                .seed = stableHash("forwarding", options.seed)},
-                   .retries = options.forwarding->retries})
+                   .retries = options.forwarding->retries,
+                   .attribution = {.self = options.host, .incarnation = options.incarnation}})
 {
 }
 
@@ -345,6 +346,9 @@
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
     gauge("retries_refused_total", m_forwarder.retries().refused());
+    gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
+    gauge("quarantine_condemned_traits", m_forwarder.attribution().condemnedTraits());
+    gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
     gauge("ready", ready(now) ? 1 : 0);
     if (const SharedConfiguration &configuration = m_configuration.configuration()) {
         gauge("configuration_version", configuration->version.value());
