Quarantine: Add failing tests on late first events and late connections

If a target sends the head of its response before it begins to write, a request that crashes it with its first event would count as long answered. A starting host asks for the condemned parts within its first 0.3 s only, in which it may have no connection to the others; then it learns them up to 10 s later.

--- a/src/forwarding/tests/CrashObserverTest.cpp
+++ b/src/forwarding/tests/CrashObserverTest.cpp
@@ -49,3 +49,14 @@
         CHECK(has<QueryProgress>(fixture.handle(ForwarderFixture::failed(dispatch))) == isYoung);
     }
 }
+
+TEST_CASE("a target whose stream broke soon after its first event is queried although its head had come long before")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(dispatch));
+    fixture.now += 600ms;
+    fixture.handle(ForwarderFixture::event(dispatch, 1));
+    fixture.now += 100ms;
+    CHECK(has<QueryProgress>(fixture.handle(ForwarderFixture::failed(dispatch))));
+}
--- a/src/quarantine/tests/CrashAttributionTest.cpp
+++ b/src/quarantine/tests/CrashAttributionTest.cpp
@@ -36,7 +36,8 @@
                 // The messages pass the codec, as they do between processes.
                 nlohmann::json json = broadcast->message;
                 for (std::size_t to = 0; to < m_hosts.size(); ++to) {
-                    if (to != host && random.fraction() >= m_lossShare) {
+                    const bool connected = !isolated.contains(host) && !isolated.contains(to);
+                    if (to != host && connected && random.fraction() >= m_lossShare) {
                         m_pending.emplace_back(to, json.get<AttributionMessage>());
                     }
                 }
@@ -77,6 +78,8 @@
 
     TimePoint now{1h};
     Random random{7};
+    /// Hosts without a connection to the others.
+    std::set<std::size_t> isolated;
 
 private:
     double m_lossShare = 0;
@@ -219,6 +222,25 @@
     CHECK(fleet.refusing(traits("q", {"bad"})) == 4);
 }
 
+TEST_CASE("a host that is connected a second after its start learns soon which parts are condemned")
+{
+    AttributionFleet fleet(3, 0.3);
+    for (int crash = 0; crash < 3; ++crash) {
+        fleet.handle(
+            0, TargetCrashObserved{.target = target(crash), .traits = traits("p" + std::to_string(crash), {"bad"})});
+        fleet.advance(1s);
+    }
+    // Ends with a fresh announcement, so that the next one is far.
+    fleet.advance(11s);
+    fleet.addHost();
+    fleet.isolated = {3};
+    fleet.advance(1s);
+    REQUIRE(fleet.refusing(traits("q", {"bad"})) == 3);
+    fleet.isolated.clear();
+    fleet.advance(1s);
+    CHECK(fleet.refusing(traits("q", {"bad"})) == 4);
+}
+
 TEST_CASE("a condemnation lasts while its requests still come and ends when they stay away")
 {
     AttributionFleet fleet(2);
