Quarantine: Count from the first bytes and ask for condemned parts longer

A request counted as answered from the head of its response on. A target may send the head before it begins to write, and crash when it does; then the request would never have been suspected. The time now counts from the first bytes of the body, and a stream with a head but no bytes is suspected too.

A starting host asked for condemned parts within its first 0.3 s, mostly before it had a connection to any other host. It now asks until it hears of one, 6 s at most, and other hosts answer once per round of repeats.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -410,7 +410,12 @@
 {
     if (Call *call = stalledAttempt(event.id, event.attempt)) {
         if (event.sent) {
-            recordLoss(*call, event.attempt, call->stalled->chosen, call->stalled->answeredSince, context);
+            const StalledAttempt &stalled = *call->stalled;
+            recordLoss(*call,
+                       stalled.attempt,
+                       stalled.chosen,
+                       suspectTraits(*call, stalled.head.has_value(), stalled.answeredSince, context.now),
+                       context);
         }
         m_targets.recordFailure(call->stalled->chosen.target, context.now);
         endStalled(*call, false, context);
@@ -434,7 +439,6 @@
         return;
     }
     call->head = event;
-    call->answeredSince = context.now;
     if (beginsStream(*call, event) && !call->streaming) {
         endStalled(*call, true, context);
         call->streaming = true;
@@ -458,6 +462,7 @@
     if (!call->head) {
         return;
     }
+    call->answeredSince = call->answeredSince.value_or(context.now);
     if (beginsStream(*call, *call->head)) {
         relayStream(*call, event.bytes, context);
     } else {
@@ -592,7 +597,11 @@
 
 void Forwarder::responseLost(Call &call, HandlerContext &context)
 {
-    recordLoss(call, call.attempt, *call.chosen, call.answeredSince, context);
+    recordLoss(call,
+               call.attempt,
+               *call.chosen,
+               suspectTraits(call, call.head.has_value(), call.answeredSince, context.now),
+               context);
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
     call.lastAttemptEnd = "lost";
@@ -707,14 +716,14 @@
 }
 
 std::vector<RequestTrait>
-Forwarder::suspectTraits(const Call &call, std::optional<TimePoint> answeredSince, TimePoint now) const
+Forwarder::suspectTraits(const Call &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const
 {
     if (answeredSince) {
         return now - *answeredSince < m_options.justBegunPeriod ? call.traits : std::vector<RequestTrait>();
     }
-    // A stream that is not answered yet mostly waits for its turn, so that its parts are no evidence. The request
+    // A stream without a head mostly waits for its turn, so that its parts are no evidence. The request
     // itself may have crashed the target before its first event.
-    if (call.route->responseKind == ResponseKind::EventStream && !call.traits.empty()) {
+    if (!hasHead && call.route->responseKind == ResponseKind::EventStream && !call.traits.empty()) {
         return {call.traits.front()};
     }
     return call.traits;
@@ -723,10 +732,9 @@
 void Forwarder::recordLoss(const Call &call,
                            AttemptNumber attempt,
                            const ChosenTargets &chosen,
-                           std::optional<TimePoint> answeredSince,
+                           const std::vector<RequestTrait> &traits,
                            HandlerContext &context)
 {
-    const auto traits = suspectTraits(call, answeredSince, context.now);
     if (traits.empty() || !m_crashObserver.recordLoss(chosen.target, call.id, attempt, traits, context.now)) {
         return;
     }
@@ -740,8 +748,8 @@
 void Forwarder::recordSurvival(Call &call, HandlerContext &context)
 {
     const bool isStream = call.route->responseKind == ResponseKind::EventStream;
-    if (call.provenSound || !call.answeredSince
-        || (isStream && context.now - *call.answeredSince < m_options.justBegunPeriod)) {
+    const bool isYoung = !call.answeredSince || context.now - *call.answeredSince < m_options.justBegunPeriod;
+    if (call.provenSound || (isStream && isYoung)) {
         return;
     }
     call.provenSound = true;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -163,7 +163,7 @@
         const char *lastAttemptEnd = "none";
 
         std::optional<TargetResponseStarted> head;
-        /// When the target began to answer the current attempt.
+        /// When the first bytes of the current attempt's response body were received.
         std::optional<TimePoint> answeredSince;
         /// Whether the current attempt has proven the request's traits sound.
         bool provenSound = false;
@@ -264,12 +264,12 @@
     bool refuseCondemned(Call &call, HandlerContext &context);
     /// The traits of an attempt that had only just begun, so that it may have crashed its target.
     [[nodiscard]] std::vector<RequestTrait>
-    suspectTraits(const Call &call, std::optional<TimePoint> answeredSince, TimePoint now) const;
+    suspectTraits(const Call &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const;
     /// Records that the response of an attempt at the target was lost, which may be a crash of the target.
     void recordLoss(const Call &call,
                     AttemptNumber attempt,
                     const ChosenTargets &chosen,
-                    std::optional<TimePoint> answeredSince,
+                    const std::vector<RequestTrait> &traits,
                     HandlerContext &context);
     /// Records the traits as sound if the current attempt has been answered for long enough.
     void recordSurvival(Call &call, HandlerContext &context);
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -19,7 +19,7 @@
     if (!m_startedAt) {
         m_startedAt = now;
         m_nextAnnounce = now + m_options.announceInterval;
-        send(CondemnedTraitsRequested{}, now, actions);
+        send(CondemnedTraitsRequested{}, m_options.startRequestCount, now, actions);
     }
     std::visit([&](const auto &concrete) { on(concrete, now, actions); }, event);
     return actions;
@@ -47,6 +47,7 @@
             .id = {.reporter = m_options.self, .incarnation = m_options.incarnation, .number = m_lastReport},
             .target = event.target,
             .traits = event.traits},
+        m_options.sendCount,
         now,
         actions);
     recordCrash(event.target, event.traits, now, actions);
@@ -123,6 +124,9 @@
 
 void CrashAttribution::received(const TraitsCondemned &condemned, TimePoint now, Actions &actions)
 {
+    std::erase_if(m_outbox, [](const QueuedMessage &queued) {
+        return std::holds_alternative<CondemnedTraitsRequested>(queued.message);
+    });
     std::vector<Fingerprint> sound;
     std::size_t known = 0;
     for (const CondemnedTrait &trait : condemned.traits) {
@@ -144,7 +148,10 @@
 
 void CrashAttribution::received(const CondemnedTraitsRequested & /*request*/, TimePoint now, Actions &actions)
 {
-    announceCondemned(now, actions);
+    // The repeats of the last announcement answer as well.
+    if (!m_announcedAt || now - *m_announcedAt >= m_options.repeatInterval * m_options.sendCount) {
+        announceCondemned(now, actions);
+    }
 }
 
 void CrashAttribution::recordCrash(const TargetId &target,
@@ -202,7 +209,7 @@
     for (const Fingerprint &trait : traits) {
         m_exonerated[trait] = now;
     }
-    send(TraitsExonerated{std::move(traits)}, now, actions);
+    send(TraitsExonerated{std::move(traits)}, m_options.sendCount, now, actions);
 }
 
 bool CrashAttribution::isProven(const Fingerprint &trait, TimePoint now) const
@@ -296,17 +303,17 @@
              .remainingMilliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining, 0))});
     }
     if (!announced.traits.empty()) {
-        send(std::move(announced), now, actions);
+        m_announcedAt = now;
+        send(std::move(announced), m_options.sendCount, now, actions);
     }
 }
 
-void CrashAttribution::send(AttributionMessage message, TimePoint now, Actions &actions)
+void CrashAttribution::send(AttributionMessage message, unsigned count, TimePoint now, Actions &actions)
 {
     actions.emplace_back(BroadcastAttributionMessage{message});
-    if (m_options.sendCount > 1) {
-        m_outbox.push_back({.message = std::move(message),
-                            .repeatsLeft = m_options.sendCount - 1,
-                            .nextRepeat = now + m_options.repeatInterval});
+    if (count > 1) {
+        m_outbox.push_back(
+            {.message = std::move(message), .repeatsLeft = count - 1, .nextRepeat = now + m_options.repeatInterval});
     }
 }
 
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -88,6 +88,9 @@
     Duration announceInterval = 10s;
     /// Messages may be lost: each is sent this often, at this interval.
     unsigned sendCount = 3;
+    /// A starting host asks for the condemned traits up to this often, at the same interval, until it hears of one: its
+    /// connections to the other hosts take some seconds.
+    unsigned startRequestCount = 40;
     Duration repeatInterval = 150ms;
     /// An exoneration is not announced again within this time.
     Duration exonerationInterval = 2s;
@@ -158,7 +161,7 @@
     void markExplained();
     void condemn(const Fingerprint &trait, TimePoint until, std::size_t crashes, Actions &actions);
     void announceCondemned(TimePoint now, Actions &actions);
-    void send(AttributionMessage message, TimePoint now, Actions &actions);
+    void send(AttributionMessage message, unsigned count, TimePoint now, Actions &actions);
     void expire(TimePoint now);
 
     CrashAttributionOptions m_options;
@@ -175,6 +178,8 @@
     std::vector<QueuedMessage> m_outbox;
     std::optional<TimePoint> m_startedAt;
     TimePoint m_nextAnnounce;
+    /// When the condemned traits were last announced by this host.
+    std::optional<TimePoint> m_announcedAt;
     std::uint64_t m_lastReport = 0;
     std::uint64_t m_crashCount = 0;
     std::uint64_t m_refusedCount = 0;
