--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -42,6 +42,8 @@
         return "timeout-reached";
     case ForwardFailure::ResponseLost:
         return "answer-lost";
+    case ForwardFailure::Condemned:
+        return "condemned";
     }
     return "";
 }
@@ -51,6 +53,7 @@
     , m_random(stableHash("forwarder", m_options.targets.seed))
     , m_targets(m_options.targets)
     , m_retries(m_options.retries)
+    , m_attribution(m_options.attribution)
     , m_queue(m_options.queue)
 {
 }
@@ -182,6 +185,8 @@
         call.deadline = *call.callerDeadline - responseMargin;
     }
     call.deadline = std::min(call.deadline, receivedAt + call.route->timeout);
+    call.traits = traitsOf(
+        call.organisation.value_or(OrganisationId()), request.http.target, request.http.body, request.sharedParts);
     call.service = selectService(*call.route, request.attempt);
     m_retries.recordRequest(call.service, context.now);
     dispatch(call, ForwardFailure::NoTarget, context);
@@ -189,6 +194,9 @@
 
 void Forwarder::dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
+    if (refuseCondemned(call, context)) {
+        return;
+    }
     auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
     if (!chosen) {
         refuse(call, fallbackReason, context);
@@ -221,6 +229,9 @@
     }
     for (const RequestId id : m_queue.order(context.now)) {
         Call &call = m_calls.at(id);
+        if (refuseCondemned(call, context)) {
+            continue;
+        }
         auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
         if (chosen && chosen->congested) {
             // The calls behind it rarely need less capacity, and each choice of targets is expensive.
@@ -243,6 +254,8 @@
     call.runs += 1;
     call.ranAt[chosen.target] += 1;
     call.head.reset();
+    call.answeredSince.reset();
+    call.provenSound = false;
     call.body.clear();
     call.relay.restart();
     call.progressAt = context.now;
@@ -274,6 +287,9 @@
 
 void Forwarder::dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
+    if (refuseCondemned(call, context)) {
+        return;
+    }
     if (call.dispatches >= m_options.maximumDispatches || context.now >= call.deadline) {
         refuse(call, fallbackReason, context);
         return;
@@ -333,6 +349,8 @@
     call.attempt = stalled.attempt;
     call.chosen = std::move(stalled.chosen);
     call.head = std::move(stalled.head);
+    call.answeredSince = stalled.answeredSince;
+    call.provenSound = false;
     call.relay = std::move(stalled.relay);
     call.body.clear();
     call.progressAt = context.now;
@@ -402,6 +420,14 @@
         return;
     }
     const TargetId target = call->stalled->chosen.target;
+    if (event.sent) {
+        const StalledAttempt &stalled = *call->stalled;
+        recordLoss(*call,
+                   stalled.attempt,
+                   stalled.chosen,
+                   suspectTraits(*call, stalled.head.has_value(), stalled.answeredSince, context.now),
+                   context);
+    }
     endStalled(*call, false, context);
     if (event.sent) {
         m_targets.recordFailure(target, context.now);
@@ -465,6 +491,7 @@
     if (!call->head) {
         return;
     }
+    call->answeredSince = call->answeredSince.value_or(context.now);
     if (beginsStream(*call, *call->head)) {
         relayStream(*call, event.bytes, context);
     } else {
@@ -479,6 +506,7 @@
         return;
     }
     endStalled(call, true, context);
+    recordSurvival(call, context);
     m_targets.recordResponse(*call.chosen, context.router, context.now);
     writeEvents(call, std::move(events), context);
 }
@@ -556,6 +584,7 @@
             responseLost(call, context);
             return;
         }
+        recordSurvival(call, context);
         endAttempt(call, false, context);
         context.actions.emplace_back(EndStream{call.id});
         finish(call, "streamed", context);
@@ -579,6 +608,9 @@
         dispatchAgain(call, ForwardFailure::ResponseLost, context);
         return;
     }
+    if (success) {
+        recordSurvival(call, context);
+    }
     endAttempt(call, false, context);
     context.actions.emplace_back(Respond{.id = call.id, .response = std::move(response)});
     finish(call, "answered", context);
@@ -607,6 +639,11 @@
 
 void Forwarder::responseLost(Call &call, HandlerContext &context)
 {
+    recordLoss(call,
+               call.attempt,
+               *call.chosen,
+               suspectTraits(call, call.head.has_value(), call.answeredSince, context.now),
+               context);
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
     call.lastAttemptEnd = "lost";
@@ -624,6 +661,10 @@
 void Forwarder::on(const Tick &, HandlerContext &context)
 {
     m_targets.tick(context.router, context.now);
+    for (const TargetCrashObserved &crash : m_crashObserver.takeCrashes(context.now)) {
+        attribute(crash, context);
+    }
+    attribute(Tick{}, context);
     acceptEarlyRequests(context);
     serveQueue(context);
     std::vector<RequestId> due;
@@ -666,6 +707,7 @@
 
 void Forwarder::on(const ProgressReported &event, HandlerContext &context)
 {
+    m_crashObserver.recordReport(event);
     Call *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr || !call->progressQueriedAt) {
         return;
@@ -693,6 +735,73 @@
     moveStreams(*atFault, context);
 }
 
+void Forwarder::on(const AttributionMessageReceived &event, HandlerContext &context)
+{
+    attribute(event, context);
+}
+
+void Forwarder::attribute(const CrashAttributionEvent &event, HandlerContext &context)
+{
+    for (CrashAttributionAction &action : m_attribution.handle(event, context.now)) {
+        std::visit(
+            Overloaded{
+                [&](BroadcastAttributionMessage &broadcast) { context.actions.emplace_back(std::move(broadcast)); },
+                [&](const auto &decision) { context.actions.emplace_back(ForwardLogLine{describe(decision)}); }},
+            action);
+    }
+}
+
+bool Forwarder::refuseCondemned(Call &call, HandlerContext &context)
+{
+    if (!m_attribution.refusalTime(call.traits, context.now)) {
+        return false;
+    }
+    attribute(CondemnedRequestRefused{call.traits}, context);
+    refuse(call, ForwardFailure::Condemned, context);
+    return true;
+}
+
+std::vector<RequestTrait>
+Forwarder::suspectTraits(const Call &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const
+{
+    if (answeredSince) {
+        return now - *answeredSince < m_options.justBegunPeriod ? call.traits : std::vector<RequestTrait>();
+    }
+    // A stream without a head mostly waits for its turn, so that its parts are no evidence. The request
+    // itself may have crashed the target before its first event.
+    if (!hasHead && call.route->responseKind == ResponseKind::EventStream && !call.traits.empty()) {
+        return {call.traits.front()};
+    }
+    return call.traits;
+}
+
+void Forwarder::recordLoss(const Call &call,
+                           AttemptNumber attempt,
+                           const ChosenTargets &chosen,
+                           const std::vector<RequestTrait> &traits,
+                           HandlerContext &context)
+{
+    if (traits.empty() || !m_crashObserver.recordLoss(chosen.target, call.id, attempt, traits, context.now)) {
+        return;
+    }
+    context.actions.emplace_back(QueryProgress{.id = call.id,
+                                               .attempt = attempt,
+                                               .address = chosen.address,
+                                               .callerAttempt = call.request->attempt,
+                                               .timeout = m_options.progressQueryTimeout});
+}
+
+void Forwarder::recordSurvival(Call &call, HandlerContext &context)
+{
+    const bool isStream = call.route->responseKind == ResponseKind::EventStream;
+    const bool isYoung = !call.answeredSince || context.now - *call.answeredSince < m_options.justBegunPeriod;
+    if (call.provenSound || (isStream && isYoung)) {
+        return;
+    }
+    call.provenSound = true;
+    attribute(TraitsProvenSound{call.traits}, context);
+}
+
 void Forwarder::moveStreams(const TargetId &target, HandlerContext &context)
 {
     std::vector<RequestId> stopped;
@@ -736,6 +845,10 @@
 
 void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
 {
+    // A condemned request stays where it runs: elsewhere it would crash another target.
+    if (m_attribution.refusalTime(call.traits, context.now)) {
+        return;
+    }
     auto chosen = chooseForMove(call, stopped, context);
     if (!chosen || !m_retries.tryRetry(call.service, context.now)) {
         return;
@@ -747,6 +860,7 @@
     call.stalled = StalledAttempt{.attempt = call.attempt,
                                   .chosen = *std::exchange(call.chosen, std::nullopt),
                                   .head = std::move(call.head),
+                                  .answeredSince = call.answeredSince,
                                   .relay = call.relay};
     sendToTarget(call, std::move(*chosen), context);
 }
@@ -759,6 +873,10 @@
 
 Duration Forwarder::retryAfter(const Call &call, ForwardFailure reason, const HandlerContext &context)
 {
+    if (reason == ForwardFailure::Condemned) {
+        const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
+        return std::min(condemned, m_options.condemnedRetryAfter);
+    }
     Duration longest = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter;
     Duration shortest{};
     const bool lacksTarget = reason == ForwardFailure::NoTarget || reason == ForwardFailure::TargetsRefused;
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -51,7 +51,8 @@
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
                                .seed = stableHash("forwarding", options.seed)},
-                   .retries = options.forwarding->retries})
+                   .retries = options.forwarding->retries,
+                   .attribution = {.self = options.host, .incarnation = options.incarnation}})
 {
 }
 
@@ -121,6 +122,16 @@
     }
 }
 
+void ForwardingCoordinator::attributionReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    auto message = decode<AttributionMessage>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&message)) {
+        logUnreadable(from, *failure, context);
+        return;
+    }
+    forward(AttributionMessageReceived{std::get<AttributionMessage>(std::move(message))}, context);
+}
+
 void ForwardingCoordinator::startDraining(TimePoint now)
 {
     m_registry.deregister();
@@ -322,6 +333,12 @@
     for (ForwarderAction &action : m_forwarder.handle(event, fresh, context.targets.router(), context.now)) {
         std::visit(Overloaded{[&](ForwardLogLine &logLine) { context.output.log(std::move(logLine.line)); },
                               [&](ForwardEnded &ended) { m_metrics.requestEnded(ended.outcome, ended.took); },
+                              [&](BroadcastAttributionMessage &broadcast) {
+                                  for (const HostId &host : context.fleet.membership().aliveHosts()) {
+                                      context.fleet.send(
+                                          host, PeerChannel::Quarantine, broadcast.message, context.output);
+                                  }
+                              },
                               [&](ForwardToTarget &dispatch) {
                                   m_metrics.count("dispatches");
                                   context.output.add(std::move(dispatch));
@@ -342,6 +359,9 @@
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
     gauge("retries_refused_total", m_forwarder.retries().refused());
+    gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
+    gauge("quarantine_condemned_traits", m_forwarder.attribution().condemnedTraits());
+    gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
     gauge("ready", ready(now) ? 1 : 0);
     if (m_storeEra) {
         gauge("store_era", m_storeEra->value());
