ConfigurationReplica, DirectoryReplica: Ask the other hosts after a restore and keep processes newer than the copy

Configuration: a watch went on from a revision of before the restore, which misses changes once revisions pass it again; and a host that starts with an older copy admitted by a key that the other hosts knew to be withdrawn. After a restore the configuration is read anew, and for 2 s, and for 1 s after the first confirmation of a starting host, the others are asked for a newer version although the store confirms the older one. Versions never fall, as before.

Directory: a record of an earlier process in the copy replaced a later process of the same target, or brought it back.

--- a/src/forwarding/ConfigurationReplica.cpp
+++ b/src/forwarding/ConfigurationReplica.cpp
@@ -79,7 +79,7 @@
     if (auto call = m_watch.nextCall(now)) {
         actions.emplace_back(std::move(*call));
     }
-    const bool overdue = !m_confirmedAt || now - *m_confirmedAt >= m_options.queryPeersAfter;
+    const bool overdue = !m_confirmedAt || now - *m_confirmedAt >= m_options.queryPeersAfter || now < m_queryPeersUntil;
     if (overdue && now - m_requestedAt >= m_options.peerQueryInterval) {
         m_requestedAt = now;
         ++m_requestNumber;
@@ -101,11 +101,20 @@
         }
     }
     if (m_configuration) {
+        if (!m_confirmedAt) {
+            m_queryPeersUntil = now + m_options.queryPeersAfterStart;
+        }
         m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), *m_watch.confirmedAt());
     }
 }
 
-void ConfigurationReplica::on(const StoreEraChanged & /*event*/, TimePoint /*now*/, Actions & /*actions*/) { }
+void ConfigurationReplica::on(const StoreEraChanged &event, TimePoint now, Actions & /*actions*/)
+{
+    if (event.restored) {
+        m_watch.restart(now);
+        m_queryPeersUntil = now + m_options.queryPeersAfterRestore;
+    }
+}
 
 void ConfigurationReplica::on(const ConfigurationMessageReceived &event, TimePoint now, Actions &actions)
 {
--- a/src/forwarding/ConfigurationReplica.h
+++ b/src/forwarding/ConfigurationReplica.h
@@ -22,6 +22,11 @@
     Duration maximumAge = 3500ms;
     /// The other hosts are queried once the last confirmation by the service is older than this.
     Duration queryPeersAfter = 1900ms;
+    /// After the service returned from an older copy, the other hosts are queried for this time although the service
+    /// confirms the configuration: they may have received a newer one that the operators have not written again yet.
+    Duration queryPeersAfterRestore = 2s;
+    /// The same after the first confirmation, since a starting host does not know when the service was restored.
+    Duration queryPeersAfterStart = 1s;
     /// Time between two queries to the other hosts.
     Duration peerQueryInterval = 300ms;
 };
@@ -136,6 +141,8 @@
     std::uint64_t m_requestNumber = 0;
     /// When the request with the number `m_requestNumber` was sent.
     TimePoint m_requestedAt{};
+    /// Until then the other hosts are queried although the service confirms the configuration.
+    TimePoint m_queryPeersUntil{};
 };
 
 /// Log lines of the actions.
--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -140,7 +140,7 @@
 bool DirectoryReplica::isOfRemoved(const DirectoryTarget &target, Revision revision, Source source)
 {
     const auto removed = m_removed.find(target.id);
-    if (removed == m_removed.end() || removed->second.incarnation != target.incarnation) {
+    if (removed == m_removed.end() || removed->second.incarnation < target.incarnation) {
         return false;
     }
     if (source == Source::OlderCopy) {
@@ -152,11 +152,14 @@
 void DirectoryReplica::keepNewer(DirectoryTarget &target, Revision revision) const
 {
     const auto known = m_targets.find(target.id);
-    if (known == m_targets.end() || known->second.incarnation != target.incarnation
-        || revision > m_revisions.at(target.id)) {
+    if (known == m_targets.end() || known->second.incarnation < target.incarnation) {
         return;
     }
-    const bool leaving = target.leaving || known->second.leaving;
+    const bool isSame = known->second.incarnation == target.incarnation;
+    if (isSame && revision > m_revisions.at(target.id)) {
+        return;
+    }
+    const bool leaving = known->second.leaving || (isSame && target.leaving);
     target = known->second;
     target.leaving = leaving;
 }
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -86,9 +86,9 @@
     void apply(const RangeUpdate &update, Source source, TimePoint now, TimePoint unlistAt, Actions &actions);
     /// Lists the target of the record, or unlists it if the record is malformed or superseded.
     void list(const KeyValueRecord &record, Source source, TimePoint now, Actions &actions);
-    /// Whether the record belongs to a process that was removed and has not written it since.
+    /// Whether the record belongs to a process that was removed, or an earlier one, and was not written since.
     [[nodiscard]] bool isOfRemoved(const DirectoryTarget &target, Revision revision, Source source);
-    /// Of a process that is known, an older copy changes only that it is leaving.
+    /// Of a process that is known, an older copy changes only that it is leaving; earlier processes are ignored.
     void keepNewer(DirectoryTarget &target, Revision revision) const;
     /// Unlists a target with a lower incarnation at the same address, whose process has terminated. Returns false if
     /// `target` itself has the lower incarnation.
--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -42,7 +42,8 @@
             .host = *host, .range = range, .call = call, .deadline = now + wait + m_options.responseTimeout});
     return SendRangeWatchMessage{
         .to = *host,
-        .message = RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait, .era = m_era}};
+        .message =
+            RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait, .era = m_era}};
 }
 
 void RelayedWatchClient::storeEraChanged(const StoreEraChanged &change)
