Forwarding: Add a failing test on requests whose targets answer with failures

A request that a target runs and answers with a failure has not crashed it, yet only successes counted as proof, so that an unlucky one stayed condemned.

--- a/src/forwarding/tests/CrashingRequestTest.cpp
+++ b/src/forwarding/tests/CrashingRequestTest.cpp
@@ -330,3 +330,21 @@
     CHECK(fleet.poisonSentAfter(fleet.crashes()[2] + connectivityPeriod) <= 3);
     CHECK(servedShare(fleet, sound) > 0.9);
 }
+
+TEST_CASE("a condemned request that still runs is no longer refused once its target has answered with a failure")
+{
+    ForwarderFixture fixture;
+    const ForwardRequested requested = ForwarderFixture::request(1, "/post/x");
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(requested));
+    const auto traits =
+        traitsOf(OrganisationId("club"), requested.request.http.target, requested.request.http.body, {});
+    fixture.handle(AttributionMessageReceived{
+        TraitsCondemned{{{.fingerprint = traits.front().fingerprint, .remainingMilliseconds = 600'000}}}});
+    const auto refused = only<RefuseCaller>(fixture.handle(ForwarderFixture::request(2, "/post/x")));
+    CHECK(refused.reason == ForwardFailure::Condemned);
+    CHECK(!refused.mayHaveRun);
+    CHECK(refused.retryAfter > 1s);
+    fixture.handle(ForwarderFixture::started(dispatch, 500));
+    fixture.handle(ForwarderFixture::ended(dispatch));
+    CHECK(has<ForwardToTarget>(fixture.handle(ForwarderFixture::request(3, "/post/x"))));
+}
