Forwarding: Count a signed failure as proof that its request crashes no target

A failure that the target has signed was produced by a target that went on running. It now proves the request's traits sound, like a success, and lifts a condemnation.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -549,6 +549,10 @@
         responseLost(call, context);
         return;
     }
+    // A failure that the target signed shows as well that the request did not crash it.
+    if (call.head->sealed) {
+        recordSurvival(call, context);
+    }
     const bool success = head.status < firstFailureStatus;
     HttpResponse response{.status = head.status, .headers = head.headers, .body = std::move(call.body)};
     if (!success && (call.stalled || mayRunAgain(call))) {
@@ -562,9 +566,6 @@
         dispatchAgain(call, ForwardFailure::ResponseLost, context);
         return;
     }
-    if (success) {
-        recordSurvival(call, context);
-    }
     endAttempt(call, false, context);
     context.actions.emplace_back(Respond{.id = call.id, .response = std::move(response)});
     finish(call, "answered", context);
