--- /dev/null
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -0,0 +1,126 @@
+#include "daemon/tests/PlatformFixture.h"
+
+#include "support/BootClock.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Carawaymill {
+
+using boost::asio::ip::tcp;
+
+static std::string freePeerAddress(boost::asio::io_context &context)
+{
+    const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return "tcp://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+PlatformFixture::PlatformFixture(std::size_t hosts)
+    : m_platform(std::make_unique<PlatformStandIn>(m_context))
+    , m_client(m_context)
+{
+    FLAGS_minloglevel = google::GLOG_WARNING;
+    std::vector<ListedHost> listed;
+    for (std::size_t index = 0; index < hosts; ++index) {
+        listed.push_back({.host = HostId("host-" + std::to_string(index + 1)),
+                          .state = HostListState::Live,
+                          .peerAddress = freePeerAddress(m_context),
+                          .failureDomain = FailureDomainId("zone-1"),
+                          .region = RegionId("region-1")});
+    }
+    for (const ListedHost &self : listed) {
+        DaemonSettings settings{.host = self.host, .failureDomain = self.failureDomain, .region = self.region};
+        settings.peerAddress = self.peerAddress;
+        settings.peerKey = "carawaymill-entry-hosts";
+        settings.operatorTokenHash = std::string(64, '0');
+        settings.keyValueService = m_platform->store().address();
+        std::ranges::copy_if(listed, std::back_inserter(settings.peers), [&](const ListedHost &other) {
+            return other.host != self.host;
+        });
+        settings.leaseTimeToLive = 4s;
+        settings.forwarding = ForwardingSettings();
+        auto daemon = Daemon::create(m_context, std::move(settings));
+        if (const auto *failure = std::get_if<StartFailure>(&daemon)) {
+            FAIL(failure->reason);
+        }
+        m_daemons.push_back(std::get<std::unique_ptr<Daemon>>(std::move(daemon)));
+    }
+}
+
+std::shared_ptr<CallerExchange> PlatformFixture::call(std::size_t host, const std::string &path)
+{
+    auto call = std::make_shared<CallerExchange>();
+    call->attempt = "attempt-" + std::to_string(++m_lastAttempt);
+    call->sentAt = readBootClock();
+    const HttpRequest request{.method = "POST",
+                              .target = path,
+                              .headers = {{"Host", publishedHost},
+                                          {"X-Attempt-Id", call->attempt},
+                                          {"X-Deadline-Ms", "10000"},
+                                          {"X-Model", "standin-model"},
+                                          {"X-Token-Counts", "100,20"}},
+                              .body = "{}"};
+    call->exchange =
+        m_client.open("127.0.0.1:" + std::to_string(m_daemons.at(host)->callerPort()),
+                      request,
+                      {.timeout = 15s, .freshConnection = true},
+                      [record = call.get()](const HttpStreamEvent &event) {
+                          std::visit(Overloaded{[&](const HttpResponseHead &head) { record->status = head.status; },
+                                                [&](const HttpBodyPart &part) { record->body += part.bytes; },
+                                                [&](HttpResponseEnd) { record->complete = true; },
+                                                [&](HttpNotSent) { record->failed = true; },
+                                                [&](HttpNoResponse) { record->failed = true; }},
+                                     event);
+                      });
+    return call;
+}
+
+bool PlatformFixture::runUntil(const std::function<bool()> &condition, Duration limit)
+{
+    const TimePoint end = readBootClock() + limit;
+    while (!condition()) {
+        if (readBootClock() >= end) {
+            return false;
+        }
+        m_context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+void PlatformFixture::runFor(Duration duration)
+{
+    (void)runUntil([] { return false; }, duration);
+}
+
+bool PlatformFixture::waitUntilServed(const std::string &path, Duration limit)
+{
+    const TimePoint end = readBootClock() + limit;
+    for (std::size_t host = 0; host < m_daemons.size(); ++host) {
+        bool served = false;
+        while (!served && readBootClock() < end) {
+            const auto attempt = call(host, path);
+            (void)runUntil([&] { return attempt->ended(); }, end - readBootClock());
+            served = attempt->complete && attempt->status == 200;
+            runFor(50ms);
+        }
+        if (!served) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string streamEvents(EventCount count)
+{
+    std::string events;
+    for (EventCount id = 1; id <= count; ++id) {
+        events += "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+    }
+    return events;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/daemon/tests/PlatformFixture.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "daemon/Daemon.h"
+#include "http/HttpClient.h"
+#include "platformstandin/PlatformStandIn.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// A caller's request and what it got.
+struct CallerExchange
+{
+    std::string attempt;
+    TimePoint sentAt;
+    unsigned status = 0;
+    std::string body;
+    /// The response arrived completely.
+    bool complete = false;
+    /// The connection failed before the response was complete.
+    bool failed = false;
+    std::unique_ptr<HttpExchange> exchange;
+
+    [[nodiscard]] bool ended() const { return complete || failed; }
+};
+
+/// Hosts that run real daemons on the stand-in of the platform, and their callers, all in one `io_context`.
+class PlatformFixture
+{
+public:
+    explicit PlatformFixture(std::size_t hosts = 1);
+
+    [[nodiscard]] PlatformStandIn &platform() { return *m_platform; }
+
+    /// Sends a caller's request to a host.
+    std::shared_ptr<CallerExchange> call(std::size_t host, const std::string &path);
+
+    /// Runs until the condition holds; false if that takes longer than `limit`.
+    bool runUntil(const std::function<bool()> &condition, Duration limit);
+    void runFor(Duration duration);
+
+    /// Sends requests to the path until every host has answered one with status 200; false after `limit`.
+    bool waitUntilServed(const std::string &path, Duration limit);
+
+private:
+    boost::asio::io_context m_context;
+    std::unique_ptr<PlatformStandIn> m_platform;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    HttpClient m_client;
+    std::uint64_t m_lastAttempt = 0;
+};
+
+/// The events of a stream with the ids from 1 to `count`, as target stand-ins write them.
+[[nodiscard]] std::string streamEvents(EventCount count);
+
+} // namespace Carawaymill
