Daemon: Test silence, leaving and rest of targets over real sockets

Three tests of a real daemon on the platform's stand-in: a stream whose target is silent for a second, a target that states in an answer that it leaves, and a target that rests. The hosts get a retry burst, as deployments have one: with a handful of requests the ratio alone allows no retry.

--- a/src/daemon/tests/PlatformFixture.cpp
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -8,11 +8,15 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 
 namespace Carawaymill {
 
 using boost::asio::ip::tcp;
 
+/// Enough for the retries of one test: with few requests, the ratio alone allows none.
+static constexpr double retryBurst = 40;
+
 static std::string freePeerAddress(boost::asio::io_context &context)
 {
     const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
@@ -23,7 +27,10 @@
     : m_platform(std::make_unique<PlatformStandIn>(m_context))
     , m_client(m_context)
 {
-    FLAGS_minloglevel = google::GLOG_WARNING;
+    // Each request writes some log lines.
+    if (std::getenv("GLOG_minloglevel") == nullptr) {
+        FLAGS_minloglevel = google::GLOG_WARNING;
+    }
     std::vector<ListedHost> listed;
     for (std::size_t index = 0; index < hosts; ++index) {
         listed.push_back({.host = HostId("host-" + std::to_string(index + 1)),
@@ -43,6 +50,7 @@
         });
         settings.leaseTimeToLive = 4s;
         settings.forwarding = ForwardingSettings();
+        settings.forwarding->retries.burst = retryBurst;
         auto daemon = Daemon::create(m_context, std::move(settings));
         if (const auto *failure = std::get_if<StartFailure>(&daemon)) {
             FAIL(failure->reason);
@@ -118,7 +126,8 @@
 {
     std::string events;
     for (EventCount id = 1; id <= count; ++id) {
-        events += "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+        const std::string text = std::to_string(id);
+        events.append("id: ").append(text).append("\ndata: token ").append(text).append("\n\n");
     }
     return events;
 }
--- a/src/daemon/tests/ServingTest.cpp
+++ b/src/daemon/tests/ServingTest.cpp
@@ -47,6 +47,13 @@
             .engine = EngineStandInProfile{.acceleratorKind = publishedAcceleratorKind, .layers = {}}};
 }
 
+/// Arrivals of requests at the target that the predicate holds for.
+template<typename Predicate>
+static std::ptrdiff_t countArrivals(const TargetStandIn &target, Predicate predicate)
+{
+    return std::ranges::count_if(target.arrivals(), predicate);
+}
+
 TEST_CASE("a plain request and streams of a plain target and an engine are served whole on the platform")
 {
     PlatformFixture fixture;
@@ -69,3 +76,112 @@
     CHECK(generation->complete);
     CHECK(generation->body == streamEvents(engine.options().eventsPerStream));
 }
+
+/// Guards against streams that are broken off, or sent to target after target, while all of their connections are quiet
+/// for a second.
+TEST_CASE("a stream whose target is silent for a second ends whole and reaches two targets at most")
+{
+    static constexpr Duration silence = 1s;
+    PlatformFixture fixture;
+    fixture.platform().publish(configuration());
+    std::vector<TargetStandIn *> targets;
+    for (const char *id : {"s1", "s2", "s3"}) {
+        targets.push_back(&fixture.platform().addTarget(streamTarget(id)));
+    }
+    REQUIRE(fixture.waitUntilServed("/stream/a", startLimit));
+
+    const auto stream = fixture.call(0, "/stream/b");
+    const auto received = [&stream](const TargetArrival &arrival) { return arrival.attempt == stream->attempt; };
+    REQUIRE(fixture.runUntil([&] { return stream->body.size() > streamEvents(3).size(); }, responseLimit));
+    const auto serving = std::ranges::find_if(
+        targets, [&](const TargetStandIn *target) { return countArrivals(*target, received) > 0; });
+    REQUIRE(serving != targets.end());
+    (*serving)->beSilentUntil(readBootClock() + silence);
+    REQUIRE(fixture.runUntil([&] { return stream->ended(); }, responseLimit));
+    CHECK(stream->complete);
+    CHECK(stream->body == streamEvents((*serving)->options().eventsPerStream));
+    // The silent target reads what was sent to it meanwhile.
+    fixture.runFor(silence);
+    std::ptrdiff_t dispatches = 0;
+    for (const TargetStandIn *target : targets) {
+        dispatches += countArrivals(*target, received);
+    }
+    CHECK(dispatches <= 2);
+}
+
+/// Guards against requests to a target that leaves without saying so in the directory.
+TEST_CASE("a target that says in an answer that it leaves gets no request after the drain bound")
+{
+    /// The platform's bound, from when the host has passed on the answer.
+    static constexpr Duration drainBound = 2s;
+    PlatformFixture fixture;
+    fixture.platform().publish(configuration());
+    TargetStandIn &leaving = fixture.platform().addTarget(plainTarget("p1"));
+    const TargetStandIn &staying = fixture.platform().addTarget(plainTarget("p2"));
+    REQUIRE(fixture.waitUntilServed("/plain/a", startLimit));
+
+    leaving.leave();
+    std::vector<std::shared_ptr<CallerExchange>> calls;
+    const auto keepCalling = [&](const std::function<bool()> &condition, Duration limit) {
+        const TimePoint end = readBootClock() + limit;
+        while (!condition() && readBootClock() < end) {
+            calls.push_back(fixture.call(0, "/plain/b"));
+            fixture.runFor(20ms);
+        }
+    };
+    const auto passedOn = [&] {
+        return std::ranges::any_of(calls, [](const auto &call) { return call->body == "served by p1"; });
+    };
+    keepCalling(passedOn, responseLimit);
+    REQUIRE(passedOn());
+    const TimePoint boundFrom = readBootClock() + drainBound;
+    keepCalling([] { return false; }, drainBound + 1500ms);
+    REQUIRE(fixture.runUntil([&] { return std::ranges::all_of(calls, [](const auto &call) { return call->ended(); }); },
+                             responseLimit));
+
+    std::set<std::string> sentAfterBound;
+    for (const auto &call : calls) {
+        CHECK(call->status == 200);
+        if (call->sentAt >= boundFrom) {
+            sentAfterBound.insert(call->attempt);
+        }
+    }
+    const auto sentLate = [&](const TargetArrival &arrival) { return sentAfterBound.contains(arrival.attempt); };
+    REQUIRE(!sentAfterBound.empty());
+    CHECK(countArrivals(leaving, sentLate) == 0);
+    CHECK(countArrivals(staying, sentLate) == static_cast<std::ptrdiff_t>(sentAfterBound.size()));
+}
+
+/// Guards against requests that go on to a target which has stated how long it wants none.
+TEST_CASE("a target that rests gets two requests at most from half a second later to the end of its rest")
+{
+    static constexpr Duration rest = 2500ms;
+    /// Requests that arrive so soon after the answer may have been on their way.
+    static constexpr Duration allowedDelay = 500ms;
+    static constexpr std::ptrdiff_t allowedArrivals = 2;
+    PlatformFixture fixture;
+    fixture.platform().publish(configuration());
+    TargetStandIn &resting = fixture.platform().addTarget(plainTarget("p1"));
+    REQUIRE(fixture.waitUntilServed("/plain/a", startLimit));
+
+    const TimePoint restEnd = readBootClock() + rest;
+    resting.restUntil(restEnd);
+    const auto rejected = [](const TargetArrival &arrival) { return !arrival.ran; };
+    std::vector<std::shared_ptr<CallerExchange>> calls;
+    while (readBootClock() < restEnd) {
+        calls.push_back(fixture.call(0, "/plain/b"));
+        fixture.runFor(20ms);
+    }
+    REQUIRE(fixture.runUntil([&] { return std::ranges::all_of(calls, [](const auto &call) { return call->ended(); }); },
+                             responseLimit));
+
+    const auto first = std::ranges::find_if(resting.arrivals(), rejected);
+    REQUIRE(first != resting.arrivals().end());
+    const TimePoint from = first->at + allowedDelay;
+    CHECK(
+        countArrivals(resting, [&](const TargetArrival &arrival) { return arrival.at >= from && arrival.at < restEnd; })
+        <= allowedArrivals);
+    // A request sent shortly before the end may still be served.
+    CHECK(std::ranges::all_of(calls, [](const auto &call) { return call->status == 503 || call->status == 200; }));
+    CHECK(fixture.waitUntilServed("/plain/c", responseLimit));
+}
--- a/src/platformstandin/TargetStandIn.cpp
+++ b/src/platformstandin/TargetStandIn.cpp
@@ -168,7 +168,7 @@
             return true;
         }
         const std::string id = std::to_string(run.next);
-        run.responder->writeChunk("id: " + id + "\ndata: token " + id + "\n\n");
+        run.responder->writeChunk(std::string("id: ").append(id).append("\ndata: token ").append(id).append("\n\n"));
         ++run.next;
     }
     return false;
