Daemon: Add a failing test on the store's return from an older copy

Two hosts have seen more revisions than the store has after its return. The operators' next configuration gets one of the revisions that are given out again, and neither host takes it over.

Seen: CHECK( moved->status == 200 ) is NOT correct! values: CHECK( 404 == 200 ), on both hosts, 4 s after the write. Streams in progress end whole, and targets are used.

--- a/src/daemon/tests/ServingTest.cpp
+++ b/src/daemon/tests/ServingTest.cpp
@@ -185,3 +185,69 @@
     CHECK(std::ranges::all_of(calls, [](const auto &call) { return call->status == 503 || call->status == 200; }));
     CHECK(fixture.waitUntilServed("/plain/c", responseLimit));
 }
+
+/// Guards against a host that waits for revisions which the store has given out a second time, and so misses changes.
+TEST_CASE("after the store returns from an older copy a new configuration is in force on all hosts within its bound")
+{
+    /// A configuration is in force everywhere within this time of its write.
+    static constexpr Duration applyBound = 4s;
+    static constexpr std::size_t hosts = 2;
+    PlatformFixture fixture(hosts);
+    PublishedConfiguration published = configuration();
+    fixture.platform().publish(published);
+    fixture.platform().addTarget(plainTarget("p1"));
+    fixture.platform().addTarget(streamTarget("s1"));
+    fixture.platform().addTarget(streamTarget("s2"));
+    REQUIRE(fixture.waitUntilServed("/plain/a", startLimit));
+    const auto registered = [&] {
+        const KeyValueStore &store = fixture.platform().store().store();
+        return store.record("hosts/host-1").has_value() && store.record("hosts/host-2").has_value();
+    };
+    REQUIRE(fixture.runUntil(registered, startLimit));
+
+    fixture.platform().store().keepCopy();
+    const TargetStandIn &lost = fixture.platform().addTarget(plainTarget("p2"));
+    // The hosts have seen more revisions than the store gives out again before the new configuration.
+    for (int change = 0; change < 3; ++change) {
+        ++published.version;
+        fixture.platform().publish(published);
+        fixture.runFor(600ms);
+    }
+    std::vector<std::shared_ptr<CallerExchange>> streams;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        streams.push_back(fixture.call(host, "/stream/b"));
+    }
+    REQUIRE(fixture.runUntil(
+        [&] { return std::ranges::all_of(streams, [](const auto &stream) { return !stream->body.empty(); }); },
+        responseLimit));
+    fixture.platform().returnStoreFromCopy(0s);
+    ++published.version;
+    published.routes.front().prefix = "/moved/";
+    fixture.platform().publish(published);
+    const TimePoint publishedAt = readBootClock();
+
+    REQUIRE(fixture.runUntil(
+        [&] { return std::ranges::all_of(streams, [](const auto &stream) { return stream->ended(); }); },
+        responseLimit));
+    for (const auto &stream : streams) {
+        CHECK(stream->complete);
+        CHECK(stream->body == streamEvents(TargetStandInOptions().eventsPerStream));
+    }
+    fixture.runFor(publishedAt + applyBound - readBootClock());
+    const std::size_t arrivalsBefore = lost.arrivals().size();
+    for (std::size_t host = 0; host < hosts; ++host) {
+        INFO("host ", host + 1);
+        for (int round = 0; round < 4; ++round) {
+            const auto moved = fixture.call(host, "/moved/a");
+            const auto dropped = fixture.call(host, "/plain/a");
+            const auto stream = fixture.call(host, "/stream/a");
+            REQUIRE(
+                fixture.runUntil([&] { return moved->ended() && dropped->ended() && stream->ended(); }, responseLimit));
+            CHECK(moved->status == 200);
+            CHECK(dropped->status == 404);
+            CHECK(stream->complete);
+        }
+    }
+    CHECK(lost.arrivals().size() > arrivalsBefore);
+    CHECK(registered());
+}
