Forwarding: Look up engine profiles in one place and copy no host map in a quiet tick

HostRegistry copied its whole host map in every tick, 50 times a second, to notice a change that only a reply or the end of a grace period can bring; ForwardTargets had the look-up of a known service's profile twice, and merged services that had not changed. No behaviour changes, and no test is touched.

--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -79,6 +79,13 @@
     return static_cast<double>((memory - held).value()) / bytesPerLayerToken;
 }
 
+/// Null for a plain or unknown service.
+static const EngineProfile *profileOf(const std::map<ServiceId, ServiceDescription> &services, const ServiceId &service)
+{
+    const auto known = services.find(service);
+    return known != services.end() && known->second.engine ? &*known->second.engine : nullptr;
+}
+
 ModelId routedModel(const ServiceId &service)
 {
     return ModelId(service.value());
@@ -94,12 +101,12 @@
 {
     const bool sameServices = m_configuration && m_configuration->services == configuration->services;
     m_configuration = configuration;
-    for (const auto &[id, service] : configuration->services) {
-        m_services.insert_or_assign(id, service);
-    }
     if (sameServices) {
         return;
     }
+    for (const auto &[id, service] : configuration->services) {
+        m_services.insert_or_assign(id, service);
+    }
     for (const auto &[id, target] : m_targets) {
         updateRouter(target, router);
     }
@@ -310,11 +317,10 @@
 
 void ForwardTargets::updateRouter(const DirectoryTarget &target, ChainRouter &router) const
 {
-    const auto known = m_services.find(target.service);
-    if (known == m_services.end() || !known->second.engine) {
+    const EngineProfile *engine = profileOf(m_services, target.service);
+    if (engine == nullptr) {
         return;
     }
-    const EngineProfile *engine = &*known->second.engine;
     const auto kind = engine->kinds.find(target.acceleratorKind);
     if (kind == engine->kinds.end()) {
         return;
@@ -353,8 +359,8 @@
                                                     ChainRouter &router,
                                                     TimePoint now)
 {
-    if (const auto known = m_services.find(service); known != m_services.end() && known->second.engine) {
-        return chooseChain(service, *known->second.engine, request, excluded, router, now);
+    if (const EngineProfile *engine = profileOf(m_services, service)) {
+        return chooseChain(service, *engine, request, excluded, router, now);
     }
     return choosePlain(service, excluded, now);
 }
--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -45,7 +45,11 @@
 std::vector<HostRegistryAction> HostRegistry::handle(const HostRegistryEvent &event, TimePoint now)
 {
     Actions actions;
-    const std::map<HostId, ListedHost> before = m_hosts;
+    // Hosts change only by a reply or when the grace period of missing ones ends; most ticks copy nothing.
+    std::optional<std::map<HostId, ListedHost>> before;
+    if (std::holds_alternative<KeyValueReply>(event) || !m_missing.empty()) {
+        before = m_hosts;
+    }
     if (const auto *change = std::get_if<StoreEraChanged>(&event); change != nullptr && change->restored) {
         restart(now);
     }
@@ -63,7 +67,7 @@
     }
     maintainRegistration(now, actions);
     removeMissing(now);
-    if (m_hosts != before) {
+    if (before && m_hosts != *before) {
         RegisteredHostsChanged registered;
         for (const auto &[id, host] : m_hosts) {
             registered.hosts.push_back(host);
