Daemon: Add a failing test on a target's request limit over two hosts

Cause: no test had a target that names a limit, and the stand-in of the platform could not play one.

--- a/src/daemon/tests/ServingTest.cpp
+++ b/src/daemon/tests/ServingTest.cpp
@@ -186,6 +186,61 @@
     CHECK(fixture.waitUntilServed("/plain/c", responseLimit));
 }
 
+/// The most arrivals that the predicate holds for in any window of that length.
+template<typename Predicate>
+static std::ptrdiff_t mostArrivals(const TargetStandIn &target, Duration window, Predicate predicate)
+{
+    std::vector<TimePoint> times;
+    for (const TargetArrival &arrival : target.arrivals()) {
+        if (predicate(arrival)) {
+            times.push_back(arrival.at);
+        }
+    }
+    std::ptrdiff_t most = 0;
+    for (auto first = times.begin(), last = times.begin(); last != times.end(); ++last) {
+        while (*last - *first >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/// Guards against hosts that each send a target as much as it takes from all of them together.
+TEST_CASE("a target that names a request limit gets no more than it from two hosts together")
+{
+    static constexpr double limit = 5;
+    static constexpr Duration window = 4s;
+    /// The platform's bound for the requests in any window.
+    static constexpr double allowed = 1.5 * limit * 4 + 5;
+    /// Time in which the hosts learn of the limit and divide it.
+    static constexpr Duration settlingTime = 3s;
+    PlatformFixture fixture(2);
+    fixture.platform().publish(configuration());
+    TargetStandIn &limited = fixture.platform().addTarget(plainTarget("p1"));
+    fixture.platform().addTarget(plainTarget("p2"));
+    REQUIRE(fixture.waitUntilServed("/plain/a", startLimit));
+
+    limited.limitRequests(limit);
+    const TimePoint namedAt = readBootClock();
+    std::vector<std::shared_ptr<CallerExchange>> calls;
+    while (readBootClock() < namedAt + settlingTime + 2 * window) {
+        // The first host gets four times as many requests as the second.
+        for (const std::size_t host : {0U, 0U, 0U, 0U, 1U}) {
+            calls.push_back(fixture.call(host, "/plain/b"));
+            fixture.runFor(10ms);
+        }
+    }
+    REQUIRE(fixture.runUntil([&] { return std::ranges::all_of(calls, [](const auto &call) { return call->ended(); }); },
+                             responseLimit));
+
+    const auto settled = [&](const TargetArrival &arrival) { return arrival.at >= namedAt + settlingTime; };
+    CHECK(static_cast<double>(mostArrivals(limited, window, settled)) <= allowed);
+    // It is used all the same.
+    CHECK(static_cast<double>(mostArrivals(limited, window, settled)) >= limit * 4 / 2);
+    CHECK(std::ranges::all_of(calls, [](const auto &call) { return call->status == 200; }));
+}
+
 /// Guards against a host that waits for revisions which the store has given out a second time, and so misses changes.
 TEST_CASE("after the store returns from an older copy a new configuration is in force on all hosts within its bound")
 {
--- a/src/platformstandin/TargetStandIn.cpp
+++ b/src/platformstandin/TargetStandIn.cpp
@@ -186,6 +186,9 @@
     if (m_leaving) {
         response.headers.emplace_back("Server-Leaving", "1");
     }
+    if (m_requestsPerSecond) {
+        response.headers.emplace_back("Server-Limit", std::to_string(*m_requestsPerSecond));
+    }
     return response;
 }
 
--- a/src/platformstandin/TargetStandIn.h
+++ b/src/platformstandin/TargetStandIn.h
@@ -83,6 +83,10 @@
     /// Rejects requests until `time` and states the time left in `Retry-After`.
     void restUntil(TimePoint time) { m_restUntil = time; }
 
+    /// States in all answers from now on how many requests a second it takes from all hosts together; std::nullopt
+    /// ends that.
+    void limitRequests(std::optional<double> perSecond) { m_requestsPerSecond = perSecond; }
+
 private:
     struct PendingRequest
     {
@@ -121,6 +125,7 @@
     bool m_leaving = false;
     TimePoint m_silentUntil{};
     TimePoint m_restUntil{};
+    std::optional<double> m_requestsPerSecond;
     std::vector<TargetArrival> m_arrivals;
     std::vector<PendingRequest> m_pending;
     std::vector<Run> m_runs;
