Platform: Read the request limit that a target states

Cause: the header that names the limit was read nowhere, so that neither decisions nor logs knew of it. Change: TargetResponseStarted has the limit; unreadable and negative values count as none. Result: test "response headers of a target state how many requests a second it takes". Nothing acts on it yet.

--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -84,6 +84,8 @@
     bool leaving = false;
     /// The responding target wants no requests from this host for this time.
     std::optional<Duration> restFor;
+    /// How many requests a second the responding target takes from all hosts together, if it limits them.
+    std::optional<double> requestsPerSecond;
 };
 
 /// Event: bytes of the response's body were received.
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -35,11 +35,16 @@
 static constexpr const char *leavingHeader = "Server-Leaving";
 /// Set by a target that rejects a request: the seconds, possibly with a fraction, for which it wants no requests.
 static constexpr const char *restHeader = "Retry-After";
+/// Set in every response of a target that limits its requests: how many a second it takes from all hosts together, a
+/// decimal number.
+static constexpr const char *requestLimitHeader = "Server-Limit";
 
 static constexpr unsigned statusMisdirected = 421;
 static constexpr unsigned statusUnavailable = 503;
 /// Longer rests are not believed.
 static constexpr double longestRestSeconds = 3600;
+/// Requests per second; no target takes more, so that a higher limit is none.
+static constexpr double highestRequestLimit = 1e6;
 
 static std::optional<std::uint64_t> readNumber(std::string_view text)
 {
@@ -48,16 +53,21 @@
     return failure == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
+/// Reads a number from 0 to `highest` that may have a fraction.
+static std::optional<double> readDecimal(const std::string &text, double highest)
+{
+    double number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isRead = failure == std::errc() && end == text.data() + text.size();
+    return isRead && number >= 0 && number <= highest ? std::optional(number) : std::nullopt;
+}
+
 /// Reads a number of seconds that may have a fraction.
 static std::optional<Duration> readSeconds(const std::string &text)
 {
-    double seconds = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (failure != std::errc() || end != text.data() + text.size()
-        || !(seconds >= 0 && seconds <= longestRestSeconds)) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const auto seconds = readDecimal(text, longestRestSeconds);
+    return seconds ? std::optional(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds)))
+                   : std::nullopt;
 }
 
 /// Whether the header applies to a single connection and must not be forwarded. `connection` is the value of the
@@ -242,6 +252,7 @@
     if (started.head.status == statusUnavailable) {
         started.restFor = readSeconds(headerValue(headers, restHeader));
     }
+    started.requestsPerSecond = readDecimal(headerValue(headers, requestLimitHeader), highestRequestLimit);
     if (std::string address = headerValue(headers, failedTargetHeader); !address.empty()) {
         started.addressAtFault = std::move(address);
     }
--- a/src/platform/tests/PlatformCodecTest.cpp
+++ b/src/platform/tests/PlatformCodecTest.cpp
@@ -219,6 +219,23 @@
     CHECK(!head(200, {{"Retry-After", "2"}}).restFor);
 }
 
+TEST_CASE("response headers of a target state how many requests a second it takes")
+{
+    const auto limitOf = [](const std::string &value) {
+        return readResponseHead(RequestId(1),
+                                AttemptNumber(1),
+                                {.status = 200, .headers = {{"X-Server-Seal", "seal"}, {"Server-Limit", value}}})
+            .requestsPerSecond;
+    };
+    CHECK(limitOf("6.9") == 6.9);
+    CHECK(limitOf("12") == 12);
+    CHECK(limitOf("0") == 0);
+    for (const char *unreadable : {"", "-1", "few", "nan", "inf", "6.9x", "1e300"}) {
+        CHECK(!limitOf(unreadable));
+    }
+    CHECK(!readResponseHead(RequestId(1), AttemptNumber(1), {.status = 200, .headers = {}}).requestsPerSecond);
+}
+
 TEST_CASE("response headers of a target state whether the request ran and whether the body is signed")
 {
     const auto head = [](unsigned status, HttpHeaders headers) {
