Forwarding: Share the request limits that targets name over all hosts

Cause: no code read the limit, and the forwarding of published routes bounds no rate over hosts. Change: TargetRequestLimits shares each limit through SharedLimits, the mechanism of the catalogue's limits, and Forwarder::choose takes room in it for each request sent. A limited target may still run later stages of a path. The start queue holds up only the service that lacks capacity. Conclusion: a host cannot exceed what the others leave, since shares never sum up to more than the limit.

--- a/src/admission/LimitAllowance.cpp
+++ b/src/admission/LimitAllowance.cpp
@@ -142,25 +142,41 @@
     m_current.tokens += static_cast<double>(tokens.value());
 }
 
-Duration LimitAllowance::timeUntilFit(TokenCount tokens, TimePoint now)
+bool LimitAllowance::jobFits() const
+{
+    return m_jobs + 1.0 <= std::floor(m_limits.jobsInProgress * fraction() + tolerance);
+}
+
+double LimitAllowance::missingRequests() const
+{
+    return 1.0 - m_requests - tolerance;
+}
+
+double LimitAllowance::missingTokens(TokenCount tokens) const
+{
+    return static_cast<double>(tokens.value()) - m_tokens - tolerance;
+}
+
+bool LimitAllowance::fits(TokenCount tokens, TimePoint now)
 {
     advance(now);
-    const auto cost = static_cast<double>(tokens.value());
-    const double jobs = std::floor(m_limits.jobsInProgress * fraction() + tolerance);
-    const double missingRequests = 1.0 - m_requests - tolerance;
-    const double missingTokens = cost - m_tokens - tolerance;
-    const bool jobFits = m_jobs + 1.0 <= jobs;
-    if (jobFits && missingRequests <= 0 && missingTokens <= 0) {
+    return jobFits() && missingRequests() <= 0 && missingTokens(tokens) <= 0;
+}
+
+Duration LimitAllowance::timeUntilFit(TokenCount tokens, TimePoint now)
+{
+    if (fits(tokens, now)) {
         return Duration(0);
     }
+    const auto cost = static_cast<double>(tokens.value());
     m_waitingTokens = now < m_waitingUntil ? std::max(m_waitingTokens, cost) : cost;
     m_waitingUntil = now + waitingTime;
     const double requestRate = m_limits.requestsPerSecond * fraction();
     const double tokenRate = m_limits.tokensPerSecond * fraction();
-    if (!jobFits || requestRate <= 0 || tokenRate <= 0) {
+    if (!jobFits() || requestRate <= 0 || tokenRate <= 0) {
         return unknownWait;
     }
-    return fromSeconds(std::max({missingRequests / requestRate, missingTokens / tokenRate, 1e-6}));
+    return fromSeconds(std::max({missingRequests() / requestRate, missingTokens(tokens) / tokenRate, 1e-6}));
 }
 
 Duration LimitAllowance::leastTimeUntilFit(TokenCount tokens) const
--- a/src/admission/LimitAllowance.h
+++ b/src/admission/LimitAllowance.h
@@ -37,6 +37,8 @@
 
     /// Counts a request towards the demand, once for each request.
     void offer(TokenCount tokens, TimePoint now);
+    /// Whether a request of so many tokens fits now.
+    [[nodiscard]] bool fits(TokenCount tokens, TimePoint now);
     /// How long until a request of so many tokens may fit; 0 if it fits now. A request that does not fit counts as
     /// waiting for a second.
     [[nodiscard]] Duration timeUntilFit(TokenCount tokens, TimePoint now);
@@ -73,6 +75,11 @@
     void clamp();
     void rollWindow(TimePoint now);
     [[nodiscard]] double fraction() const;
+    /// Whether the share leaves room for one more job.
+    [[nodiscard]] bool jobFits() const;
+    /// What the buckets lack for a request; not positive if it fits.
+    [[nodiscard]] double missingRequests() const;
+    [[nodiscard]] double missingTokens(TokenCount tokens) const;
     [[nodiscard]] double demandedFraction(TimePoint now) const;
 
     Limits m_limits;
--- a/src/admission/SharedLimits.cpp
+++ b/src/admission/SharedLimits.cpp
@@ -315,7 +315,19 @@
 
 Result<LimitReservation, LimitReached, LimitMissing> SharedLimits::reserve(const LimitedRequest &request, TimePoint now)
 {
-    const std::vector<LimitName> names{limitName(request.organisation), limitName(request.entry)};
+    return reserve(
+        {limitName(request.organisation), limitName(request.entry)}, request.tokens, request.firstAttempt, now);
+}
+
+bool SharedLimits::hasRoom(const LimitName &name, TokenCount tokens, TimePoint now)
+{
+    Limit *limit = find(name);
+    return limit != nullptr && limit->allowance.fits(tokens, now);
+}
+
+Result<LimitReservation, LimitReached, LimitMissing>
+SharedLimits::reserve(const std::vector<LimitName> &names, TokenCount tokens, bool firstAttempt, TimePoint now)
+{
     std::optional<LimitReached> reached;
     Duration leastWait{};
     std::vector<Limit *> limits;
@@ -327,13 +339,13 @@
         limits.push_back(limit);
     }
     for (Limit *limit : limits) {
-        if (request.firstAttempt) {
-            limit->allowance.offer(request.tokens, now);
+        if (firstAttempt) {
+            limit->allowance.offer(tokens, now);
         }
-        const Duration wait = limit->allowance.timeUntilFit(request.tokens, now);
+        const Duration wait = limit->allowance.timeUntilFit(tokens, now);
         if (wait > Duration(0)) {
             askSoon(*limit);
-            leastWait = std::max(leastWait, limit->allowance.leastTimeUntilFit(request.tokens));
+            leastWait = std::max(leastWait, limit->allowance.leastTimeUntilFit(tokens));
             if (!reached || wait > reached->retryAfter) {
                 reached = LimitReached{.limit = limit->name, .retryAfter = wait};
             }
@@ -344,9 +356,9 @@
         return *reached;
     }
     for (Limit *limit : limits) {
-        limit->allowance.take(request.tokens, now);
+        limit->allowance.take(tokens, now);
     }
-    return LimitReservation{.limits = names, .tokens = request.tokens};
+    return LimitReservation{.limits = names, .tokens = tokens};
 }
 
 void SharedLimits::settle(const LimitReservation &reservation, TokenCount used, TimePoint now)
--- a/src/admission/SharedLimits.h
+++ b/src/admission/SharedLimits.h
@@ -113,6 +113,12 @@
     /// Takes room for a request in the limits of its organisation and of its entry, or in neither.
     [[nodiscard]] Result<LimitReservation, LimitReached, LimitMissing> reserve(const LimitedRequest &request,
                                                                                TimePoint now);
+    /// The same for any limits. `firstAttempt` and `tokens` as in `LimitedRequest`.
+    [[nodiscard]] Result<LimitReservation, LimitReached, LimitMissing>
+    reserve(const std::vector<LimitName> &names, TokenCount tokens, bool firstAttempt, TimePoint now);
+    /// Whether the limit has room for a request of so many tokens. Adds nothing to the demand; false for an unknown
+    /// limit.
+    [[nodiscard]] bool hasRoom(const LimitName &name, TokenCount tokens, TimePoint now);
     /// Ends a reservation; `used` are the tokens that were prompted and generated in fact.
     void settle(const LimitReservation &reservation, TokenCount used, TimePoint now);
 
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -355,7 +355,7 @@
 
 std::optional<ChosenTargets> ForwardTargets::choose(const ServiceId &service,
                                                     const ForwardRequest &request,
-                                                    const std::set<TargetId> &excluded,
+                                                    const ExcludedTargets &excluded,
                                                     ChainRouter &router,
                                                     TimePoint now)
 {
@@ -371,12 +371,13 @@
 }
 
 std::optional<ChosenTargets>
-ForwardTargets::choosePlain(const ServiceId &service, const std::set<TargetId> &excluded, TimePoint now)
+ForwardTargets::choosePlain(const ServiceId &service, const ExcludedTargets &excluded, TimePoint now)
 {
     const DirectoryTarget *best = nullptr;
     double lowest = 0;
     for (const auto &[id, target] : m_targets) {
-        if (target.service != service || isLeaving(id) || isSuspected(id) || isResting(id) || excluded.contains(id)) {
+        if (target.service != service || isLeaving(id) || isSuspected(id) || isResting(id)
+            || excluded.everywhere.contains(id) || excluded.asFirst.contains(id)) {
             continue;
         }
         const Load &load = m_loads[id];
@@ -398,7 +399,7 @@
 std::optional<ChosenTargets> ForwardTargets::chooseChain(const ServiceId &service,
                                                          const EngineProfile &engine,
                                                          const ForwardRequest &request,
-                                                         const std::set<TargetId> &excluded,
+                                                         const ExcludedTargets &excluded,
                                                          ChainRouter &router,
                                                          TimePoint now) const
 {
@@ -417,7 +418,8 @@
                                       .secondsToEnterDomain = secondsToEnterDomain,
                                       .secondsBetweenDomains = transfer + delays,
                                       .prefixes = {},
-                                      .excludedTargets = excluded},
+                                      .excludedTargets = excluded.everywhere,
+                                      .excludedFirstTargets = excluded.asFirst},
                                      now);
     const auto *chain = std::get_if<RoutedChain>(&routed);
     if (chain == nullptr) {
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -44,6 +44,17 @@
     TokenCount tokens;
     /// At least one target has no KV cache capacity left for the request.
     bool congested = false;
+    /// The request limit of `target` leaves no room for the request now.
+    bool limited = false;
+};
+
+/// Targets that a choice leaves out.
+struct ExcludedTargets
+{
+    /// Excluded from the whole path.
+    std::set<TargetId> everywhere;
+    /// Excluded as the first target of the path.
+    std::set<TargetId> asFirst;
 };
 
 /// Why a target rejected a request.
@@ -122,7 +133,7 @@
     /// Returns std::nullopt if no target, or no chain of targets with all layers, is available.
     [[nodiscard]] std::optional<ChosenTargets> choose(const ServiceId &service,
                                                       const ForwardRequest &request,
-                                                      const std::set<TargetId> &excluded,
+                                                      const ExcludedTargets &excluded,
                                                       ChainRouter &router,
                                                       TimePoint now);
 
@@ -171,11 +182,11 @@
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
     [[nodiscard]] std::optional<ChosenTargets>
-    choosePlain(const ServiceId &service, const std::set<TargetId> &excluded, TimePoint now);
+    choosePlain(const ServiceId &service, const ExcludedTargets &excluded, TimePoint now);
     [[nodiscard]] std::optional<ChosenTargets> chooseChain(const ServiceId &service,
                                                            const EngineProfile &engine,
                                                            const ForwardRequest &request,
-                                                           const std::set<TargetId> &excluded,
+                                                           const ExcludedTargets &excluded,
                                                            ChainRouter &router,
                                                            TimePoint now) const;
     [[nodiscard]] double recentFailures(const Load &load, TimePoint now) const;
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -54,6 +54,7 @@
     , m_targets(m_options.targets)
     , m_retries(m_options.retries)
     , m_attribution(m_options.attribution)
+    , m_limits(m_options.limits)
     , m_queue(m_options.queue)
 {
 }
@@ -76,6 +77,7 @@
 void Forwarder::targetListed(const DirectoryTarget &target, ChainRouter &router)
 {
     m_targets.listed(target, router);
+    m_limits.listed(target.id, target.incarnation);
 }
 
 void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
@@ -192,18 +194,44 @@
     dispatch(call, ForwardFailure::NoTarget, context);
 }
 
+bool Forwarder::mustWait(const Call &call, const ChosenTargets &chosen)
+{
+    // A stream whose caller has already received its head resumes at once, even on congested targets.
+    return chosen.limited || (chosen.congested && !call.streaming);
+}
+
+std::optional<ChosenTargets> Forwarder::choose(Call &call, const std::set<TargetId> &excluded, HandlerContext &context)
+{
+    const auto chooseWithout = [&](const ExcludedTargets &without) {
+        return m_targets.choose(call.service, *call.request, without, context.router, context.now);
+    };
+    const auto takeRoom = [&, isNew = !call.wasLimited](const ChosenTargets &chosen) {
+        return m_limits.tryTake(chosen.target, isNew, context.now);
+    };
+    auto chosen = chooseWithout({.everywhere = excluded, .asFirst = {}});
+    if (!chosen || mustWait(call, *chosen) || takeRoom(*chosen)) {
+        return chosen;
+    }
+    call.wasLimited = true;
+    auto other = chooseWithout({.everywhere = excluded, .asFirst = m_limits.withoutRoom(context.now)});
+    if (other && !mustWait(call, *other) && takeRoom(*other)) {
+        return other;
+    }
+    chosen->limited = true;
+    return chosen;
+}
+
 void Forwarder::dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
     if (refuseCondemned(call, context)) {
         return;
     }
-    auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
+    auto chosen = choose(call, call.tried, context);
     if (!chosen) {
         refuse(call, fallbackReason, context);
         return;
     }
-    // A stream whose caller has already received its head resumes at once, even on congested targets.
-    if (chosen->congested && !call.streaming) {
+    if (mustWait(call, *chosen)) {
         enqueue(call, context);
         return;
     }
@@ -227,15 +255,17 @@
     for (const RequestId id : m_queue.takeOverdue(context.now)) {
         refuse(m_calls.at(id), ForwardFailure::Overloaded, context);
     }
+    std::set<ServiceId> withoutCapacity;
     for (const RequestId id : m_queue.order(context.now)) {
         Call &call = m_calls.at(id);
-        if (refuseCondemned(call, context)) {
+        if (withoutCapacity.contains(call.service) || refuseCondemned(call, context)) {
             continue;
         }
-        auto chosen = m_targets.choose(call.service, *call.request, call.tried, context.router, context.now);
-        if (chosen && chosen->congested) {
-            // The calls behind it rarely need less capacity, and each choice of targets is expensive.
-            return;
+        auto chosen = choose(call, call.tried, context);
+        if (chosen && mustWait(call, *chosen)) {
+            // The service's calls behind it rarely need less capacity, and each choice of targets is expensive.
+            withoutCapacity.insert(call.service);
+            continue;
         }
         m_queue.remove(id);
         if (chosen) {
@@ -474,6 +504,14 @@
                                                     + " for_ms=" + std::to_string(milliseconds)});
         m_targets.recordRest(target, *head.restFor, context.router, context.now);
     }
+    const bool isAuthentic = head.sealed || (head.notRun && !head.misdirected);
+    if (const auto listed = m_targets.targets().find(target);
+        listed != m_targets.targets().end() && isAuthentic
+        && m_limits.recordStatement(target, listed->second.incarnation, head.requestsPerSecond, context.now)) {
+        context.actions.emplace_back(
+            ForwardLogLine{"Forward: event=limit target=" + target.value() + " requests_per_s="
+                           + (head.requestsPerSecond ? std::to_string(*head.requestsPerSecond) : "none")});
+    }
 }
 
 bool Forwarder::beginsStream(const Call &call, const TargetResponseStarted &head)
@@ -666,6 +704,7 @@
         attribute(crash, context);
     }
     attribute(Tick{}, context);
+    dispatchLimits(Tick{}, context);
     acceptEarlyRequests(context);
     serveQueue(context);
     std::vector<RequestId> due;
@@ -741,6 +780,23 @@
     attribute(event, context);
 }
 
+void Forwarder::on(const FleetChanged &event, HandlerContext &context)
+{
+    dispatchLimits(event, context);
+}
+
+void Forwarder::on(const ShareMessageReceived &event, HandlerContext &context)
+{
+    dispatchLimits(event, context);
+}
+
+void Forwarder::dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context)
+{
+    for (SharedLimitsAction &action : m_limits.handle(event, context.now)) {
+        context.actions.emplace_back(std::get<SendShareMessage>(std::move(action)));
+    }
+}
+
 void Forwarder::attribute(const CrashAttributionEvent &event, HandlerContext &context)
 {
     for (CrashAttributionAction &action : m_attribution.handle(event, context.now)) {
@@ -826,8 +882,7 @@
     return mayRunAgain(call) && !call.stalled && !isOtherResponse && call.dispatches < m_options.maximumDispatches;
 }
 
-std::optional<ChosenTargets>
-Forwarder::chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context)
+std::optional<ChosenTargets> Forwarder::chooseForMove(Call &call, const TargetId &stopped, HandlerContext &context)
 {
     // A target cannot tell two attempts of one request apart: the first target must differ, the others should.
     std::set<TargetId> excluded = call.tried;
@@ -837,11 +892,14 @@
     for (const PathStage &stage : call.chosen->path) {
         wholePath.insert(stage.target);
     }
-    auto chosen = m_targets.choose(call.service, *call.request, wholePath, context.router, context.now);
-    if (!chosen || chosen->congested) {
-        chosen = m_targets.choose(call.service, *call.request, excluded, context.router, context.now);
+    const auto hasRoom = [](const std::optional<ChosenTargets> &chosen) {
+        return chosen && !chosen->congested && !chosen->limited;
+    };
+    auto chosen = choose(call, wholePath, context);
+    if (!hasRoom(chosen)) {
+        chosen = choose(call, excluded, context);
     }
-    return chosen && !chosen->congested ? std::move(chosen) : std::nullopt;
+    return hasRoom(chosen) ? std::move(chosen) : std::nullopt;
 }
 
 void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -7,6 +7,7 @@
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
+#include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
 #include <map>
@@ -25,6 +26,7 @@
     FleetRetryBudgetOptions retries;
     StartQueueOptions queue;
     CrashAttributionOptions attribution;
+    TargetRequestLimitsOptions limits;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
     Duration justBegunPeriod = 400ms;
@@ -58,7 +60,9 @@
                                     TargetResponseCompleted,
                                     TargetResponseFailed,
                                     ProgressReported,
-                                    AttributionMessageReceived>;
+                                    AttributionMessageReceived,
+                                    FleetChanged,
+                                    ShareMessageReceived>;
 
 /// Action: a log line about a decision on a request.
 struct ForwardLogLine
@@ -83,6 +87,7 @@
                                      EndStream,
                                      AbortStream,
                                      BroadcastAttributionMessage,
+                                     SendShareMessage,
                                      ForwardLogLine,
                                      ForwardEnded>;
 
@@ -119,6 +124,8 @@
 
     [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
 
+    [[nodiscard]] const TargetRequestLimits &limits() const { return m_limits; }
+
 private:
     /// The attempt that a stream was moved away from. It stays open until another target has begun, since a target that
     /// falls silent may go on.
@@ -155,6 +162,8 @@
         std::optional<StalledAttempt> stalled;
         std::set<TargetId> tried;
         std::uint32_t dispatches = 0;
+        /// Whether a target's request limit has left no room for the call.
+        bool wasLimited = false;
         /// Number of attempts that a target may have run.
         std::uint32_t runs = 0;
         /// The first targets of these attempts, and the number of attempts at each.
@@ -204,6 +213,8 @@
     void on(const TargetResponseFailed &event, HandlerContext &context);
     void on(const ProgressReported &event, HandlerContext &context);
     void on(const AttributionMessageReceived &event, HandlerContext &context);
+    void on(const FleetChanged &event, HandlerContext &context);
+    void on(const ShareMessageReceived &event, HandlerContext &context);
 
     /// Accepts the early requests once the configuration and the directory are read or the grace period is over.
     void acceptEarlyRequests(HandlerContext &context);
@@ -218,6 +229,13 @@
     [[nodiscard]] std::optional<ForwardFailure>
     admit(const ForwardRequest &request, Call &call, const HandlerContext &context) const;
     [[nodiscard]] static ServiceId selectService(const Route &route, const std::string &attempt);
+    /// Chooses targets and takes room for the call in the request limit of the first one. Takes none if the call has to
+    /// wait for capacity.
+    [[nodiscard]] std::optional<ChosenTargets>
+    choose(Call &call, const std::set<TargetId> &excluded, HandlerContext &context);
+    /// Whether the call has to wait until the chosen targets have capacity.
+    [[nodiscard]] static bool mustWait(const Call &call, const ChosenTargets &chosen);
+    void dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context);
     /// Sends the call to a target or queues it; refuses it with `fallbackReason` if no target is available.
     void dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context);
     void sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context);
@@ -266,7 +284,7 @@
     void moveStream(Call &call, const TargetId &stopped, HandlerContext &context);
     /// The targets that a stream can be moved to; std::nullopt if there are none with capacity.
     [[nodiscard]] std::optional<ChosenTargets>
-    chooseForMove(const Call &call, const TargetId &stopped, HandlerContext &context);
+    chooseForMove(Call &call, const TargetId &stopped, HandlerContext &context);
     void timeOut(Call &call, HandlerContext &context);
     void attribute(const CrashAttributionEvent &event, HandlerContext &context);
     /// Refuses the call if one of its traits is condemned. Returns whether it did.
@@ -292,6 +310,7 @@
     ForwardTargets m_targets;
     FleetRetryBudget m_retries;
     CrashAttribution m_attribution;
+    TargetRequestLimits m_limits;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -90,6 +90,10 @@
     , forwarder([&options] {
         options.targets.ownFailureDomain = FailureDomainId("a");
         options.retries.burst = 100;
+        if (options.limits.self.value().empty()) {
+            options.limits = {
+                .self = HostId("host"), .incarnation = IncarnationNumber(1), .firstStartOfDeployment = true};
+        }
         return options;
     }())
 {
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -52,7 +52,10 @@
                                .ownRegion = options.region,
                                .seed = stableHash("forwarding", options.seed)},
                    .retries = options.forwarding->retries,
-                   .attribution = {.self = options.host, .incarnation = options.incarnation}})
+                   .attribution = {.self = options.host, .incarnation = options.incarnation},
+                   .limits = {.self = options.host,
+                              .incarnation = options.incarnation,
+                              .firstStartOfDeployment = options.firstStartOfDeployment}})
 {
 }
 
@@ -132,6 +135,23 @@
     forward(AttributionMessageReceived{std::get<AttributionMessage>(std::move(message))}, context);
 }
 
+void ForwardingCoordinator::limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    auto message = decode<ShareMessage>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&message)) {
+        logUnreadable(from, *failure, context);
+        return;
+    }
+    forward(ShareMessageReceived{.from = from, .message = std::get<ShareMessage>(std::move(message))}, context);
+}
+
+void ForwardingCoordinator::membersChanged(NodeContext &context)
+{
+    forward(FleetChanged{.knownHosts = context.fleet.members().size(),
+                         .aliveHosts = context.fleet.membership().aliveHosts()},
+            context);
+}
+
 void ForwardingCoordinator::startDraining(TimePoint now)
 {
     m_registry.deregister();
@@ -339,6 +359,9 @@
                                           host, PeerChannel::Quarantine, broadcast.message, context.output);
                                   }
                               },
+                              [&](SendShareMessage &send) {
+                                  context.fleet.send(send.to, PeerChannel::Limits, send.message, context.output);
+                              },
                               [&](ForwardToTarget &dispatch) {
                                   m_metrics.count("dispatches");
                                   context.output.add(std::move(dispatch));
@@ -362,6 +385,8 @@
     gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
     gauge("quarantine_condemned_traits", m_forwarder.attribution().condemnedTraits());
     gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
+    gauge("limited_targets", m_forwarder.limits().limitedTargets());
+    gauge("target_limit_refusals_total", m_forwarder.limits().refusals());
     gauge("ready", ready(now) ? 1 : 0);
     if (m_storeEra) {
         gauge("store_era", m_storeEra->value());
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -35,6 +35,9 @@
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void attributionReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    void limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    /// Informs the forwarder that the state of a host changed.
+    void membersChanged(NodeContext &context);
     /// Dispatches an event of a forwarded request to the forwarder.
     void forward(const ForwarderEvent &event, NodeContext &context);
     /// Starts to drain: leaves the register, and refuses new requests once the drain accept period is over.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -381,7 +381,12 @@
         m_ledger.messageReceived(event.from, message->body, context);
         break;
     case PeerChannel::Limits:
-        m_calls.limitsReceived(event.from, message->body, context);
+        // Where routes are published, the channel carries the shares of the targets' limits.
+        if (m_forwarding) {
+            m_forwarding->limitsReceived(event.from, message->body, context);
+        } else {
+            m_calls.limitsReceived(event.from, message->body, context);
+        }
         break;
     case PeerChannel::Quarantine:
         // Where routes are published, the channel carries the attribution of crashes; model jobs of entries are idle.
@@ -425,6 +430,7 @@
 void Node::membersChanged(NodeContext &context)
 {
     if (m_forwarding) {
+        m_forwarding->membersChanged(context);
         refreshScopes(context);
         return;
     }
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -56,8 +56,8 @@
     Duration leaseTimeToLive = 10s;
     /// Number of hosts that contend for each lease scope at the same time.
     std::uint32_t candidatesPerScope = 1;
-    /// Set if this node forwards requests along published routes; the catalogue, the ledger and the shared limits are
-    /// not used then.
+    /// Set if this node forwards requests along published routes; the catalogue, the ledger and the limits of
+    /// organisations and entries are not used then.
     std::optional<ForwardingOptions> forwarding = std::nullopt;
 };
 
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -192,6 +192,11 @@
     return request.excludedTargets.empty() || !request.excludedTargets.contains(target.id());
 }
 
+bool ChainRouter::usableFirst(const RoutingTarget &target, const RouteRequest &request)
+{
+    return request.excludedFirstTargets.empty() || !request.excludedFirstTargets.contains(target.id());
+}
+
 ChainRouter::CachedTokens ChainRouter::cachedTokens(const RouteRequest &request, TimePoint now) const
 {
     CachedTokens cached;
@@ -230,13 +235,15 @@
 
 void ChainRouter::sampleCandidates(const StageIndex &index,
                                    const Segment &segment,
+                                   bool first,
                                    const RouteRequest &request,
                                    const CachedTokens &cached,
                                    std::vector<std::uint32_t> &sampled)
 {
     const std::size_t before = sampled.size();
     const auto add = [&](std::uint32_t holding) {
-        if (usable(m_targets[index.holdings()[holding].target], request)
+        const RoutingTarget &target = m_targets[index.holdings()[holding].target];
+        if (usable(target, request) && (!first || usableFirst(target, request))
             && std::find(sampled.begin() + static_cast<std::ptrdiff_t>(before), sampled.end(), holding)
                    == sampled.end()) {
             sampled.push_back(holding);
@@ -272,7 +279,7 @@
             continue;
         }
         const std::size_t before = sampled.size();
-        sampleCandidates(index, segment, request, cached, sampled);
+        sampleCandidates(index, segment, segment.layers.contains(layers.first), request, cached, sampled);
         if (segment.layers.first > covered || sampled.size() == before) {
             break;
         }
@@ -313,7 +320,8 @@
         stageCandidates.push_back({.layers = candidate.layers,
                                    .secondsPerLayer = candidate.cost.secondsPerLayer,
                                    .secondsPerStage = candidate.cost.secondsPerStage,
-                                   .domain = number});
+                                   .domain = number,
+                                   .mayBeFirst = usableFirst(m_targets[candidate.target], request)});
     }
     const DomainCrossingCost crossing{.firstDomain = 0,
                                       .secondsToEnter = request.secondsToEnterDomain,
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -112,12 +112,16 @@
     [[nodiscard]] std::vector<Holding> holdingsOf(const ModelKey &key) const;
     void markOutdated(const std::vector<HeldRange> &held);
     [[nodiscard]] const StageIndex &indexOf(const RouteRequest &request);
+    /// Whether the request allows the target, or allows it as the first one.
     [[nodiscard]] static bool usable(const RoutingTarget &target, const RouteRequest &request);
+    [[nodiscard]] static bool usableFirst(const RoutingTarget &target, const RouteRequest &request);
     [[nodiscard]] CachedTokens cachedTokens(const RouteRequest &request, TimePoint now) const;
     [[nodiscard]] Candidate
     candidateFor(const Holding &held, TokenCount cachedTokens, const RouteRequest &request, TimePoint now) const;
+    /// `first`: whether a stage that covers the segment is the first one.
     void sampleCandidates(const StageIndex &index,
                           const Segment &segment,
+                          bool first,
                           const RouteRequest &request,
                           const CachedTokens &cached,
                           std::vector<std::uint32_t> &sampled);
--- a/src/routing/CheapestChain.cpp
+++ b/src/routing/CheapestChain.cpp
@@ -91,7 +91,7 @@
         const LayerRange segment{boundaries[i], boundaries[i + 1]};
         const double secondsToCross = i == 0 ? crossing.secondsToEnter : crossing.secondsBetweenStages;
         for (std::size_t candidate = 0; candidate < candidates.size(); ++candidate) {
-            if (!candidates[candidate].layers.contains(segment)) {
+            if (!candidates[candidate].layers.contains(segment) || (i == 0 && !candidates[candidate].mayBeFirst)) {
                 continue;
             }
             const std::uint32_t domain = candidates[candidate].domain;
--- a/src/routing/CheapestChain.h
+++ b/src/routing/CheapestChain.h
@@ -17,6 +17,8 @@
     double secondsPerStage = 0;
     /// Index of the candidate's failure domain, counted from 0.
     std::uint32_t domain = 0;
+    /// Whether the candidate may run the first stage.
+    bool mayBeFirst = true;
 };
 
 /// Additional cost where neighbouring stages are in different failure domains.
--- a/src/routing/RoutingMessages.h
+++ b/src/routing/RoutingMessages.h
@@ -94,6 +94,8 @@
     /// Fingerprints of the prompt's prefixes, shortest first; empty when not known.
     std::vector<PrefixFingerprint> prefixes;
     std::set<TargetId> excludedTargets;
+    /// Targets that may run any stage but the first.
+    std::set<TargetId> excludedFirstTargets;
     /// The job may crash the targets that run it: choose targets with as few other open streams as possible.
     bool isolated = false;
 };
