PlatformStandIn: Play the loss of one host's links to the targets

Cause: the stand-in had one way to each target for all hosts, so that no test could cut off one of them. Change: HostLinks gives a host its own view of the store, in which targets have the addresses of proxies; LinkProxy refuses new connections, drops everything, or resets.

--- a/src/platformstandin/MetadataStoreStandIn.h
+++ b/src/platformstandin/MetadataStoreStandIn.h
@@ -30,6 +30,9 @@
 
     void tick(TimePoint now);
 
+    /// Answers a call.
+    void handle(const HttpRequest &request, std::unique_ptr<HttpResponder> responder);
+
     /// Writes or deletes a record as the operators or a target do.
     void write(const std::string &key, const std::string &value, TimePoint now);
     void remove(const std::string &key, TimePoint now);
@@ -53,7 +56,6 @@
         TimePoint end;
     };
 
-    void handle(const HttpRequest &request, std::unique_ptr<HttpResponder> responder);
     void respond(HttpResponder &responder, HttpResponse response) const;
     [[nodiscard]] KeyValueResult apply(const MetadataStoreCall &call, TimePoint now);
     [[nodiscard]] Revision revisionOf(const std::string &key) const;
--- a/src/platformstandin/PlatformStandIn.cpp
+++ b/src/platformstandin/PlatformStandIn.cpp
@@ -56,6 +56,11 @@
     return target;
 }
 
+HostLinks &PlatformStandIn::addHostLinks()
+{
+    return *m_hostLinks.emplace_back(std::make_unique<HostLinks>(m_context, m_store));
+}
+
 void PlatformStandIn::returnStoreFromCopy(Duration rewriteDelay)
 {
     m_store.returnFromCopy();
--- a/src/platformstandin/PlatformStandIn.h
+++ b/src/platformstandin/PlatformStandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platformstandin/HostLinks.h"
 #include "platformstandin/MetadataStoreStandIn.h"
 #include "platformstandin/PublishedConfiguration.h"
 #include "platformstandin/TargetStandIn.h"
@@ -28,6 +29,9 @@
     /// Starts a target and registers it. The reference holds as long as the stand-in.
     TargetStandIn &addTarget(TargetStandInOptions options);
 
+    /// Adds links of their own for one host, which can be lost. The reference holds as long as the stand-in.
+    HostLinks &addHostLinks();
+
     /// Returns the store to the copy that it kept; `rewriteDelay` later the operators and the targets write their
     /// records again.
     void returnStoreFromCopy(Duration rewriteDelay);
@@ -41,6 +45,7 @@
     MetadataStoreStandIn m_store;
     std::optional<PublishedConfiguration> m_configuration;
     std::vector<std::unique_ptr<TargetStandIn>> m_targets;
+    std::vector<std::unique_ptr<HostLinks>> m_hostLinks;
     std::optional<TimePoint> m_rewriteAt;
 
     class Timer;
