--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "daemon/LogLimiter.h"
+#include "daemon/TargetRelay.h"
 #include "hostlist/HostListHttpClient.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
@@ -46,7 +47,8 @@
         , m_keyValue(m_client,
                      {.protocol = m_settings.forwarding ? metadataStoreProtocol() : etcdGatewayProtocol(),
                       .addresses = {m_settings.keyValueService}})
-        , m_targets(m_client, [this](const NodeEvent &event) { feed(event); })
+        , m_targets(m_client, m_settings.peerKey, [this](const NodeEvent &event) { feed(event); })
+        , m_relay(m_client, m_settings.peerKey, [this](const NodeEvent &event) { feed(event); })
         , m_tick(context)
     {
     }
@@ -66,6 +68,12 @@
                 return failure;
             }
         }
+        if (m_settings.forwarding && m_settings.forwarding->relay.port != 0) {
+            if (auto failure =
+                    listen(m_settings.forwarding->relay, &Implementation::takeRelayedRequest, m_relayServer)) {
+                return failure;
+            }
+        }
         auto link = PeerLink::create(
             m_context,
             {.host = m_settings.host, .listenAddress = m_settings.peerAddress, .key = m_settings.peerKey},
@@ -170,6 +178,11 @@
         responder->send({.status = ready ? statusReady : statusNotReady, .headers = {}, .body = {}});
     }
 
+    void takeRelayedRequest(HttpRequest request, Responder responder)
+    {
+        m_relay.take(std::move(request), std::move(responder));
+    }
+
     // Takes its arguments like the other request takers.
     void answerMetrics(HttpRequest /*request*/, Responder responder) // NOLINT(performance-unnecessary-value-param)
     {
@@ -203,7 +216,8 @@
     void finishDrain()
     {
         const TimePoint now = readBootClock();
-        const bool idle = now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0;
+        const bool idle = now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0
+                          && m_relay.inProgress() == 0;
         if (!idle && now < *m_drainUntil) {
             return;
         }
@@ -341,6 +355,12 @@
 
     void perform(QueryProgress &action) { m_targets.queryProgress(action); }
 
+    void perform(ProbeTarget &action) { m_targets.probe(action); }
+
+    void perform(PassOnRequest &action) { m_relay.perform(action); }
+
+    void perform(RefuseRelay &action) { m_relay.perform(action); }
+
     void perform(RefuseCaller &action)
     {
         Respond respond{.id = action.id, .response = refusalResponse(action)};
@@ -373,6 +393,7 @@
     EngineHttpClient m_engines;
     KeyValueHttpClient m_keyValue;
     TargetClient m_targets;
+    TargetRelay m_relay;
     LogLimiter m_log{LogLimiterOptions{}};
     boost::asio::steady_timer m_tick;
     std::unique_ptr<PeerLink> m_peers;
@@ -385,6 +406,7 @@
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
     std::unique_ptr<HttpServer> m_operators;
+    std::unique_ptr<HttpServer> m_relayServer;
 };
 
 Daemon::Daemon(std::unique_ptr<Implementation> implementation)
@@ -410,6 +432,9 @@
         forwarding = ForwardingOptions{.publications = platformPublicationFormat(),
                                        .retries = settings.forwarding->retries,
                                        .configurationMaximumAge = settings.forwarding->configurationMaximumAge};
+        if (const ListenSettings &relay = settings.forwarding->relay; relay.port != 0) {
+            forwarding->relayAddress = relay.address + ":" + std::to_string(relay.port);
+        }
     }
     auto node = Node::create({.host = settings.host,
                               .failureDomain = settings.failureDomain,
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -213,6 +213,8 @@
     forwarding.readiness = readListener(reader, "readiness");
     forwarding.metrics = {.address = settings.host.value(),
                           .port = static_cast<std::uint16_t>(reader.number("metricsPort", 0, largestPort))};
+    forwarding.relay = {.address = settings.host.value(),
+                        .port = static_cast<std::uint16_t>(reader.number("relayPort", 0, largestPort))};
     const std::uint64_t peerPort = reader.number("peerPort", 0, largestPort);
     settings.peerAddress = "tcp://" + settings.host.value() + ":" + std::to_string(peerPort);
     settings.peers = readSeeds(reader, settings.host, peerPort);
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -29,6 +29,8 @@
     ListenSettings readiness;
     /// Where counters and latencies are served; port 0 serves none.
     ListenSettings metrics;
+    /// Where requests of other hosts are taken that have lost their links to the targets; port 0 takes none.
+    ListenSettings relay;
     FleetRetryBudgetOptions retries;
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration configurationMaximumAge = 3500ms;
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -71,6 +71,7 @@
              {{"readiness", "10.1.0.40:8220"},
               {"metricsPort", 9464},
               {"peerPort", 7340},
+              {"relayPort", 7355},
               {"seedHosts", {"10.1.0.40:8229", "10.2.0.29:8229"}},
               {"retryRatio", 0.2},
               {"retryBurst", 196},
--- a/src/daemon/tests/PlatformFixture.cpp
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -17,13 +17,18 @@
 /// Enough for the retries of one test: with few requests, the ratio alone allows none.
 static constexpr double retryBurst = 40;
 
-static std::string freePeerAddress(boost::asio::io_context &context)
+static std::uint16_t freePort(boost::asio::io_context &context)
 {
     const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return "tcp://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    return acceptor.local_endpoint().port();
+}
+
+static std::string freePeerAddress(boost::asio::io_context &context)
+{
+    return "tcp://127.0.0.1:" + std::to_string(freePort(context));
 }
 
-PlatformFixture::PlatformFixture(std::size_t hosts)
+PlatformFixture::PlatformFixture(std::size_t hosts, bool ownLinks)
     : m_platform(std::make_unique<PlatformStandIn>(m_context))
     , m_client(m_context)
 {
@@ -45,12 +50,16 @@
         settings.peerKey = "carawaymill-entry-hosts";
         settings.operatorTokenHash = std::string(64, '0');
         settings.keyValueService = m_platform->store().address();
+        if (ownLinks) {
+            settings.keyValueService = m_links.emplace_back(&m_platform->addHostLinks())->storeAddress();
+        }
         std::ranges::copy_if(listed, std::back_inserter(settings.peers), [&](const ListedHost &other) {
             return other.host != self.host;
         });
         settings.leaseTimeToLive = 4s;
         settings.forwarding = ForwardingSettings();
         settings.forwarding->retries.burst = retryBurst;
+        settings.forwarding->relay.port = freePort(m_context);
         auto daemon = Daemon::create(m_context, std::move(settings));
         if (const auto *failure = std::get_if<StartFailure>(&daemon)) {
             FAIL(failure->reason);
--- a/src/daemon/tests/PlatformFixture.h
+++ b/src/daemon/tests/PlatformFixture.h
@@ -34,10 +34,14 @@
 class PlatformFixture
 {
 public:
-    explicit PlatformFixture(std::size_t hosts = 1);
+    /// `ownLinks`: each host reaches the targets over links of its own; see `HostLinks`.
+    explicit PlatformFixture(std::size_t hosts = 1, bool ownLinks = false);
 
     [[nodiscard]] PlatformStandIn &platform() { return *m_platform; }
 
+    /// The links of a host; only if the hosts have links of their own.
+    [[nodiscard]] HostLinks &links(std::size_t host) { return *m_links.at(host); }
+
     /// Sends a caller's request to a host.
     std::shared_ptr<CallerExchange> call(std::size_t host, const std::string &path);
 
@@ -51,6 +55,7 @@
 private:
     boost::asio::io_context m_context;
     std::unique_ptr<PlatformStandIn> m_platform;
+    std::vector<HostLinks *> m_links;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     HttpClient m_client;
     std::uint64_t m_lastAttempt = 0;
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/RelayHosts.h"
 #include "http/CallerResponses.h"
 #include "http/HttpMessages.h"
 #include "support/Identifiers.h"
@@ -103,13 +104,23 @@
     AttemptNumber attempt;
 };
 
+/// Why a host did not pass on a request to a target.
+enum class RelayFailure : std::uint8_t {
+    /// The host cannot be reached, reaches no target itself or shuts down.
+    HostUnavailable,
+    /// The target cannot be reached from there, or must get no requests.
+    TargetUnavailable,
+};
+
 /// Event: the request or its response was lost; no complete response will arrive.
 struct TargetResponseFailed
 {
     RequestId id;
     AttemptNumber attempt;
-    /// Whether any byte of the request was sent.
+    /// Whether any byte of the request was sent to the target.
     bool sent = true;
+    /// Set if the request was to go by way of another host, which did not pass it on.
+    std::optional<RelayFailure> relayFailure = std::nullopt;
 };
 
 /// Event: response to `QueryProgress`.
@@ -138,6 +149,8 @@
     std::shared_ptr<const ForwardRequest> request;
     /// Use a new connection: a reused one might have been closed by the target, or deliver another request's response.
     bool freshConnection = false;
+    /// The host that passes the request on; std::nullopt if it goes directly to the target.
+    std::optional<RelayHost> via = std::nullopt;
 };
 
 /// Action: close the connection of the attempt, so that the target stops working on it.
@@ -156,6 +169,63 @@
     /// The attempt id that the caller chose.
     std::string callerAttempt;
     Duration timeout{};
+    TargetId target;
+    /// The host that passes the query on; std::nullopt if it goes directly to the target.
+    std::optional<RelayHost> via = std::nullopt;
+};
+
+/// Action: find out whether this host can open a connection to the target. Answered by one `TargetProbed`.
+struct ProbeTarget
+{
+    TargetId target;
+    std::string address;
+    /// For the connection, and again for the response.
+    Duration timeout{};
+};
+
+/// Event: response to `ProbeTarget`.
+struct TargetProbed
+{
+    TargetId target;
+    bool reached = false;
+};
+
+/// Identifies a request that this host passes on for another host.
+using RelayId = StrongCount<struct RelayIdTag, std::uint64_t>;
+
+/// Event: another host asks this one to pass on a request. Answered by `PassOnRequest` or `RefuseRelay`.
+struct RelayRequested
+{
+    RelayId id;
+    TargetId target;
+};
+
+/// Action: pass on the request to the target, and its response to the other host.
+struct PassOnRequest
+{
+    RelayId id;
+    TargetId target;
+    std::string address;
+};
+
+/// Action: tell the other host that the request is not passed on.
+struct RefuseRelay
+{
+    RelayId id;
+    RelayFailure reason = RelayFailure::HostUnavailable;
+};
+
+/// Event: the head of the response to a request that was passed on.
+struct RelayedResponseStarted
+{
+    TargetId target;
+    TargetResponseStarted head;
+};
+
+/// Event: a request could not be passed on, since no connection to the target could be opened.
+struct RelayedRequestNotSent
+{
+    TargetId target;
 };
 
 /// Why a request ends without a target's response.
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -197,6 +197,13 @@
     updateAvailability(target, router);
 }
 
+void ForwardTargets::clearUnresponsive(const TargetId &target, ChainRouter &router)
+{
+    if (m_unresponsive.erase(target) > 0) {
+        updateAvailability(target, router);
+    }
+}
+
 bool ForwardTargets::isLost(const TargetId &target) const
 {
     const auto found = m_unresponsive.find(target);
@@ -376,8 +383,8 @@
     const DirectoryTarget *best = nullptr;
     double lowest = 0;
     for (const auto &[id, target] : m_targets) {
-        if (target.service != service || isLeaving(id) || isSuspected(id) || isResting(id)
-            || excluded.everywhere.contains(id) || excluded.asFirst.contains(id)) {
+        if (target.service != service || !isUsable(id) || excluded.everywhere.contains(id)
+            || excluded.asFirst.contains(id)) {
             continue;
         }
         const Load &load = m_loads[id];
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -94,6 +94,9 @@
     void markUnresponsive(
         const TargetId &target, UnresponsiveCause cause, Duration period, ChainRouter &router, TimePoint now);
 
+    /// Ends what `markUnresponsive` recorded, since the target was not at fault.
+    void clearUnresponsive(const TargetId &target, ChainRouter &router);
+
     /// Records that events of a response arrived, for which every target on its path has worked.
     void recordResponse(const ChosenTargets &chosen, ChainRouter &router, TimePoint now);
 
@@ -124,6 +127,12 @@
         return m_suspectedUntil.contains(target) || m_unresponsive.contains(target);
     }
 
+    /// Whether requests may be sent to the target.
+    [[nodiscard]] bool isUsable(const TargetId &target) const
+    {
+        return !isLeaving(target) && !isSuspected(target) && !isResting(target);
+    }
+
     /// Whether the target's record or one of its responses states that it leaves.
     [[nodiscard]] bool isLeaving(const TargetId &target) const;
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -55,6 +55,8 @@
     , m_retries(m_options.retries)
     , m_attribution(m_options.attribution)
     , m_limits(m_options.limits)
+    , m_reach(m_options.reach)
+    , m_relays({.ownFailureDomain = m_options.targets.ownFailureDomain})
     , m_queue(m_options.queue)
 {
 }
@@ -63,6 +65,7 @@
 Forwarder::handle(const ForwarderEvent &event, bool fresh, ChainRouter &router, TimePoint now)
 {
     m_startedAt = m_startedAt.value_or(now);
+    m_now = now;
     HandlerContext context{.router = router, .now = now, .fresh = fresh, .actions = {}};
     std::visit([&](const auto &concrete) { on(concrete, context); }, event);
     return std::move(context.actions);
@@ -226,6 +229,10 @@
     if (refuseCondemned(call, context)) {
         return;
     }
+    if (m_reach.isSeparated() && !m_relays.choose(m_random, context.now)) {
+        refuse(call, ForwardFailure::NoTarget, context);
+        return;
+    }
     auto chosen = choose(call, call.tried, context);
     if (!chosen) {
         refuse(call, fallbackReason, context);
@@ -246,15 +253,23 @@
     }
     m_queue.add({.id = call.id,
                  .priority = call.route->priority,
-                 .arrivedAt = call.receivedAt,
+                 .arrivedAt = call.dispatches > 0 ? context.now : call.receivedAt,
                  .latencyObjective = call.route->latencyObjective});
 }
 
+bool Forwarder::mustAwaitReach(TimePoint now) const
+{
+    return m_reach.isDoubtful(now) && !m_reach.isSeparated();
+}
+
 void Forwarder::serveQueue(HandlerContext &context)
 {
     for (const RequestId id : m_queue.takeOverdue(context.now)) {
         refuse(m_calls.at(id), ForwardFailure::Overloaded, context);
     }
+    if (mustAwaitReach(context.now)) {
+        return;
+    }
     std::set<ServiceId> withoutCapacity;
     for (const RequestId id : m_queue.order(context.now)) {
         Call &call = m_calls.at(id);
@@ -290,6 +305,8 @@
     call.relay.restart();
     call.progressAt = context.now;
     call.progressQueriedAt.reset();
+    call.sentAt = context.now;
+    call.via = m_reach.isSeparated() ? m_relays.choose(m_random, context.now) : std::nullopt;
     m_targets.recordStart(chosen, context.router);
     m_queue.started(context.now);
     ForwardToTarget action{.id = call.id,
@@ -301,7 +318,8 @@
                            .timeLeft = {},
                            .resumeAfter = call.relay.last(),
                            .request = call.request,
-                           .freshConnection = call.route->repeat == RepeatPolicy::AtMostOnce};
+                           .freshConnection = call.route->repeat == RepeatPolicy::AtMostOnce,
+                           .via = call.via};
     if (call.callerDeadline) {
         action.timeLeft = *call.callerDeadline - context.now;
     }
@@ -334,6 +352,22 @@
     dispatch(call, fallbackReason, context);
 }
 
+void Forwarder::dispatchUnsent(Call &call, HandlerContext &context)
+{
+    if (call.dispatches >= m_options.maximumDispatches || context.now >= call.deadline) {
+        refuse(call, ForwardFailure::NoTarget, context);
+        return;
+    }
+    if (mustAwaitReach(context.now)) {
+        enqueue(call, context);
+        return;
+    }
+    context.actions.emplace_back(ForwardLogLine{"Forward: event=again request=" + call.request->attempt
+                                                + " after=not-sent dispatches=" + std::to_string(call.dispatches)
+                                                + " runs=" + std::to_string(call.runs)});
+    dispatch(call, ForwardFailure::NoTarget, context);
+}
+
 void Forwarder::endAttempt(Call &call, bool abandon, HandlerContext &context)
 {
     if (!call.chosen) {
@@ -378,6 +412,8 @@
                                                 + " target=" + stalled.chosen.target.value()});
     call.attempt = stalled.attempt;
     call.chosen = std::move(stalled.chosen);
+    call.via = std::move(stalled.via);
+    call.sentAt = stalled.sentAt;
     call.head = std::move(stalled.head);
     call.answeredSince = stalled.answeredSince;
     call.provenSound = false;
@@ -450,19 +486,24 @@
         return;
     }
     const TargetId target = call->stalled->chosen.target;
+    const std::optional<RelayHost> via = call->stalled->via;
     if (event.sent) {
         const StalledAttempt &stalled = *call->stalled;
         recordLoss(*call,
                    stalled.attempt,
                    stalled.chosen,
+                   stalled.via,
                    suspectTraits(*call, stalled.head.has_value(), stalled.answeredSince, context.now),
                    context);
     }
     endStalled(*call, false, context);
     if (event.sent) {
         m_targets.recordFailure(target, context.now);
+    } else if (event.relayFailure == RelayFailure::HostUnavailable && via) {
+        discountRun(*call, target);
+        m_relays.recordUnavailable(via->host, context.now);
     } else {
-        recordUnreachable(*call, target, context);
+        recordUnreachable(*call, target, via, context);
     }
 }
 
@@ -483,6 +524,9 @@
         return;
     }
     recordStatements(call->chosen->target, event, context);
+    if (event.head.onNewConnection && !call->via) {
+        m_reach.recordReached(call->sentAt);
+    }
     call->head = event;
     if (beginsStream(*call, event) && !call->streaming) {
         endStalled(*call, true, context);
@@ -592,15 +636,98 @@
                                                 + " status=" + std::to_string(head.head.status)});
 }
 
-void Forwarder::recordUnreachable(Call &call, const TargetId &target, HandlerContext &context)
+void Forwarder::recordUnreachable(Call &call,
+                                  const TargetId &target,
+                                  const std::optional<RelayHost> &via,
+                                  HandlerContext &context)
 {
     discountRun(call, target);
+    context.actions.emplace_back(ForwardLogLine{"Forward: event=unreachable request=" + call.request->attempt
+                                                + " target=" + target.value()
+                                                + " via=" + (via ? via->host.value() : "none")});
+    if (!via && !recordOutOfReach(target, context)) {
+        for (const TargetId &unreached : m_reach.unreached()) {
+            if (!call.ranAt.contains(unreached)) {
+                call.tried.erase(unreached);
+            }
+        }
+        return;
+    }
     call.tried.insert(target);
     m_targets.recordFailure(target, context.now);
     m_targets.markUnresponsive(
         target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
 }
 
+bool Forwarder::recordOutOfReach(const TargetId &target, HandlerContext &context)
+{
+    if (m_reach.recordFailure(target, m_targets.targets().size(), context.now)) {
+        clearBlame(context);
+    }
+    return !m_reach.isSeparated();
+}
+
+void Forwarder::clearBlame(HandlerContext &context)
+{
+    const std::vector<TargetId> unreached = m_reach.unreached();
+    for (const TargetId &blamed : unreached) {
+        m_targets.clearUnresponsive(blamed, context.router);
+    }
+    context.actions.emplace_back(
+        ForwardLogLine{"Forward: event=separated unreached_targets=" + std::to_string(unreached.size())});
+}
+
+void Forwarder::probe(HandlerContext &context)
+{
+    const std::map<TargetId, DirectoryTarget> &targets = m_targets.targets();
+    if (targets.empty() || !m_reach.takeProbeDue(context.now)) {
+        return;
+    }
+    const auto probed = std::next(targets.begin(), static_cast<std::ptrdiff_t>(m_random.below(targets.size())));
+    context.actions.emplace_back(ProbeTarget{
+        .target = probed->first, .address = probed->second.address, .timeout = m_options.progressQueryTimeout});
+}
+
+void Forwarder::on(const TargetProbed &event, HandlerContext &context)
+{
+    if (!event.reached) {
+        if (m_reach.recordProbeFailed(event.target, m_targets.targets().size(), context.now)) {
+            clearBlame(context);
+        }
+    } else if (m_reach.recordProbeAnswered()) {
+        context.actions.emplace_back(ForwardLogLine{"Forward: event=rejoined target=" + event.target.value()});
+    }
+}
+
+void Forwarder::on(const RelayRequested &event, HandlerContext &context)
+{
+    const bool isDraining = m_rejectFrom && context.now >= *m_rejectFrom;
+    if (isDraining || m_reach.isSeparated()) {
+        context.actions.emplace_back(RefuseRelay{.id = event.id, .reason = RelayFailure::HostUnavailable});
+        return;
+    }
+    const auto listed = m_targets.targets().find(event.target);
+    if (listed == m_targets.targets().end() || !m_targets.isUsable(event.target)) {
+        context.actions.emplace_back(RefuseRelay{.id = event.id, .reason = RelayFailure::TargetUnavailable});
+        return;
+    }
+    context.actions.emplace_back(
+        PassOnRequest{.id = event.id, .target = event.target, .address = listed->second.address});
+}
+
+void Forwarder::on(const RelayedResponseStarted &event, HandlerContext &context)
+{
+    recordStatements(event.target, event.head, context);
+}
+
+void Forwarder::on(const RelayedRequestNotSent &event, HandlerContext &context)
+{
+    if (recordOutOfReach(event.target, context)) {
+        m_targets.markUnresponsive(
+            event.target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
+    }
+}
+
 void Forwarder::targetRejected(Call &call, HandlerContext &context)
 {
     const TargetId target = call.chosen->target;
@@ -664,13 +791,20 @@
     }
     const TargetId target = call->chosen->target;
     if (!event.sent) {
-        recordUnreachable(*call, target, context);
+        if (event.relayFailure == RelayFailure::HostUnavailable && call->via) {
+            discountRun(*call, target);
+            m_relays.recordUnavailable(call->via->host, context.now);
+            // Each host is asked once at most before it is left out for a while.
+            call->dispatches -= 1;
+        } else {
+            recordUnreachable(*call, target, call->via, context);
+        }
         call->lastAttemptEnd = "not-sent";
         endAttempt(*call, false, context);
         if (returnToStalled(*call, context)) {
             return;
         }
-        dispatchAgain(*call, ForwardFailure::NoTarget, context);
+        dispatchUnsent(*call, context);
         return;
     }
     responseLost(*call, context);
@@ -681,6 +815,7 @@
     recordLoss(call,
                call.attempt,
                *call.chosen,
+               call.via,
                suspectTraits(call, call.head.has_value(), call.answeredSince, context.now),
                context);
     call.tried.insert(call.chosen->target);
@@ -700,8 +835,14 @@
 void Forwarder::on(const Tick &, HandlerContext &context)
 {
     m_targets.tick(context.router, context.now);
-    for (const TargetCrashObserved &crash : m_crashObserver.takeCrashes(context.now)) {
-        attribute(crash, context);
+    probe(context);
+    if (m_reach.isSeparated()) {
+        // Responses that were lost with this host's links are no sign of crashes.
+        (void)m_crashObserver.takeCrashes(context.now);
+    } else if (!m_reach.isDoubtful(context.now)) {
+        for (const TargetCrashObserved &crash : m_crashObserver.takeCrashes(context.now)) {
+            attribute(crash, context);
+        }
     }
     attribute(Tick{}, context);
     dispatchLimits(Tick{}, context);
@@ -738,11 +879,20 @@
         return;
     }
     call.progressQueriedAt = context.now;
+    if (m_reach.isSeparated() && !call.via) {
+        // The connection may have been lost with this host's links.
+        if (mayMove(call)) {
+            moveStream(call, call.chosen->target, context);
+        }
+        return;
+    }
     context.actions.emplace_back(QueryProgress{.id = call.id,
                                                .attempt = call.attempt,
                                                .address = call.chosen->address,
                                                .callerAttempt = call.request->attempt,
-                                               .timeout = m_options.progressQueryTimeout});
+                                               .timeout = m_options.progressQueryTimeout,
+                                               .target = call.chosen->target,
+                                               .via = call.via});
 }
 
 void Forwarder::on(const ProgressReported &event, HandlerContext &context)
@@ -759,6 +909,9 @@
             return;
         }
         atFault = call->chosen->target;
+        if (!call->via && !recordOutOfReach(*atFault, context)) {
+            return;
+        }
     } else {
         m_targets.recordReport(call->chosen->target, context.router);
         if (event.blockedAtAddress) {
@@ -835,6 +988,7 @@
 void Forwarder::recordLoss(const Call &call,
                            AttemptNumber attempt,
                            const ChosenTargets &chosen,
+                           const std::optional<RelayHost> &via,
                            const std::vector<RequestTrait> &traits,
                            HandlerContext &context)
 {
@@ -845,7 +999,9 @@
                                                .attempt = attempt,
                                                .address = chosen.address,
                                                .callerAttempt = call.request->attempt,
-                                               .timeout = m_options.progressQueryTimeout});
+                                               .timeout = m_options.progressQueryTimeout,
+                                               .target = chosen.target,
+                                               .via = via});
 }
 
 void Forwarder::recordSurvival(Call &call, HandlerContext &context)
@@ -918,6 +1074,8 @@
     call.lastAttemptEnd = "moved";
     call.stalled = StalledAttempt{.attempt = call.attempt,
                                   .chosen = *std::exchange(call.chosen, std::nullopt),
+                                  .via = call.via,
+                                  .sentAt = call.sentAt,
                                   .head = std::move(call.head),
                                   .answeredSince = call.answeredSince,
                                   .relay = call.relay};
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -7,6 +7,7 @@
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
+#include "forwarding/TargetReach.h"
 #include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
@@ -27,6 +28,7 @@
     StartQueueOptions queue;
     CrashAttributionOptions attribution;
     TargetRequestLimitsOptions limits;
+    TargetReachOptions reach;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
     Duration justBegunPeriod = 400ms;
@@ -62,7 +64,11 @@
                                     ProgressReported,
                                     AttributionMessageReceived,
                                     FleetChanged,
-                                    ShareMessageReceived>;
+                                    ShareMessageReceived,
+                                    TargetProbed,
+                                    RelayRequested,
+                                    RelayedResponseStarted,
+                                    RelayedRequestNotSent>;
 
 /// Action: a log line about a decision on a request.
 struct ForwardLogLine
@@ -80,6 +86,9 @@
 using ForwarderAction = std::variant<ForwardToTarget,
                                      AbandonAttempt,
                                      QueryProgress,
+                                     ProbeTarget,
+                                     PassOnRequest,
+                                     RefuseRelay,
                                      RefuseCaller,
                                      Respond,
                                      BeginStream,
@@ -113,6 +122,18 @@
 
     void setHosts(std::size_t hosts, TimePoint now) { m_retries.setHosts(hosts, now); }
 
+    /// Replaces the other hosts that pass on requests while this one has lost its links to all targets.
+    void setRelayHosts(std::vector<RelayHost> hosts) { m_relays.setHosts(std::move(hosts)); }
+
+    /// Whether the target is unresponsive for longer than a sound target may be silent, and this host's links to the
+    /// targets are not to blame.
+    [[nodiscard]] bool isLost(const TargetId &target) const
+    {
+        return !m_reach.isDoubtful(m_now) && m_targets.isLost(target);
+    }
+
+    [[nodiscard]] const TargetReach &reach() const { return m_reach; }
+
     /// Rejects new requests from `time` on, since the host shuts down.
     void rejectNewRequestsFrom(TimePoint time) { m_rejectFrom = time; }
 
@@ -133,6 +154,8 @@
     {
         AttemptNumber attempt;
         ChosenTargets chosen;
+        std::optional<RelayHost> via;
+        TimePoint sentAt;
         std::optional<TargetResponseStarted> head;
         std::optional<TimePoint> answeredSince;
         EventStreamRelay relay;
@@ -159,6 +182,9 @@
         AttemptNumber lastAttempt;
         /// Targets of the current attempt; std::nullopt between attempts.
         std::optional<ChosenTargets> chosen;
+        /// The host that the current attempt goes through, and when it was sent.
+        std::optional<RelayHost> via;
+        TimePoint sentAt;
         std::optional<StalledAttempt> stalled;
         std::set<TargetId> tried;
         std::uint32_t dispatches = 0;
@@ -215,6 +241,10 @@
     void on(const AttributionMessageReceived &event, HandlerContext &context);
     void on(const FleetChanged &event, HandlerContext &context);
     void on(const ShareMessageReceived &event, HandlerContext &context);
+    void on(const TargetProbed &event, HandlerContext &context);
+    void on(const RelayRequested &event, HandlerContext &context);
+    void on(const RelayedResponseStarted &event, HandlerContext &context);
+    void on(const RelayedRequestNotSent &event, HandlerContext &context);
 
     /// Accepts the early requests once the configuration and the directory are read or the grace period is over.
     void acceptEarlyRequests(HandlerContext &context);
@@ -241,9 +271,14 @@
     void sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context);
     /// Queues the call until its targets have capacity; refuses it if the queue is too long.
     void enqueue(Call &call, HandlerContext &context);
+    /// Whether probes are about to show if this host reaches targets. Calls that failed for that wait meanwhile.
+    [[nodiscard]] bool mustAwaitReach(TimePoint now) const;
     /// Dispatches queued calls while targets have capacity, and refuses those that have waited too long.
     void serveQueue(HandlerContext &context);
+    /// Like dispatch(), within the limits on repeats.
     void dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context);
+    /// The same for a call whose last attempt has not reached a target, which takes nothing from the retry budget.
+    void dispatchUnsent(Call &call, HandlerContext &context);
     [[nodiscard]] bool mayRunAgain(const Call &call) const;
     /// Ends the current attempt; `abandon` closes its connection.
     void endAttempt(Call &call, bool abandon, HandlerContext &context);
@@ -267,8 +302,16 @@
     /// Records that `target` sent `head`, which states that it has not run the request.
     void
     recordRejection(Call &call, const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
-    /// Records that no byte of the request could be sent to `target`.
-    void recordUnreachable(Call &call, const TargetId &target, HandlerContext &context);
+    /// Records that no byte of the request could be sent to `target`, from this host or from `via`.
+    void
+    recordUnreachable(Call &call, const TargetId &target, const std::optional<RelayHost> &via, HandlerContext &context);
+    /// Records that this host could not reach the target. Returns whether the target may be at fault; otherwise this
+    /// host has lost its links, and targets that it blamed for that are usable again.
+    bool recordOutOfReach(const TargetId &target, HandlerContext &context);
+    /// Makes targets usable again that were blamed for the links that this host has lost.
+    void clearBlame(HandlerContext &context);
+    /// Probes a target if this host doubts its links and a probe is due.
+    void probe(HandlerContext &context);
     void targetRejected(Call &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(Call &call, HandlerContext &context);
@@ -296,6 +339,7 @@
     void recordLoss(const Call &call,
                     AttemptNumber attempt,
                     const ChosenTargets &chosen,
+                    const std::optional<RelayHost> &via,
                     const std::vector<RequestTrait> &traits,
                     HandlerContext &context);
     /// Records the traits as sound if the current attempt has been answered for long enough.
@@ -311,12 +355,16 @@
     FleetRetryBudget m_retries;
     CrashAttribution m_attribution;
     TargetRequestLimits m_limits;
+    TargetReach m_reach;
+    RelayHosts m_relays;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
     StartQueue m_queue;
     std::vector<EarlyRequest> m_earlyRequests;
     /// Time of the first event.
+    /// Time of the last event.
+    TimePoint m_now{};
     std::optional<TimePoint> m_startedAt;
     bool m_directoryLoaded = false;
     std::optional<TimePoint> m_rejectFrom;
--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -11,8 +11,10 @@
 
 static std::string recordOf(const ListedHost &host)
 {
-    return nlohmann::json{
-        {"peerAddress", host.peerAddress}, {"failureDomain", host.failureDomain}, {"region", host.region}}
+    return nlohmann::json{{"peerAddress", host.peerAddress},
+                          {"failureDomain", host.failureDomain},
+                          {"region", host.region},
+                          {"relayAddress", host.relayAddress}}
         .dump();
 }
 
@@ -27,7 +29,8 @@
                       .state = HostListState::Live,
                       .peerAddress = json->value("peerAddress", ""),
                       .failureDomain = FailureDomainId(json->value("failureDomain", "")),
-                      .region = RegionId(json->value("region", ""))};
+                      .region = RegionId(json->value("region", "")),
+                      .relayAddress = json->value("relayAddress", "")};
 }
 
 HostRegistry::HostRegistry(HostRegistryOptions options)
--- a/src/forwarding/tests/CrashingRequestTest.cpp
+++ b/src/forwarding/tests/CrashingRequestTest.cpp
@@ -110,6 +110,10 @@
                                              .answered = !m_down.contains(query.address),
                                              .blockedAtAddress = {}});
                 });
+            } else if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
+                schedule(tick, [this, host, probe = *probe] {
+                    deliver(host, TargetProbed{.target = probe.target, .reached = !m_down.contains(probe.address)});
+                });
             } else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action)) {
                 m_running.erase({host, abandoned->id, abandoned->attempt});
             } else if (const auto *broadcast = std::get_if<BroadcastAttributionMessage>(&action)) {
--- a/src/forwarding/tests/SeparatedHostTest.cpp
+++ b/src/forwarding/tests/SeparatedHostTest.cpp
@@ -2,15 +2,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Carawaymill;
 
 /// Time in which a host has to notice that it reaches no target; the platform allows 3 s.
 static constexpr Duration noticeTime = 2s;
 
 /// Whether the request goes from this host to its target.
-static bool isDirect(const ForwardToTarget & /*dispatch*/)
+static bool isDirect(const ForwardToTarget &dispatch)
 {
-    return true;
+    return !dispatch.via;
 }
 
 /// Answers dispatches of the fixture's host, to which new connections to all targets are refused, until there are no
@@ -27,6 +29,9 @@
         };
         for (const ForwarderAction &action : actions) {
             refusals += std::holds_alternative<RefuseCaller>(action) ? 1 : 0;
+            if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
+                deliver(TargetProbed{.target = probe->target, .reached = false});
+            }
             const auto *dispatch = std::get_if<ForwardToTarget>(&action);
             if (dispatch == nullptr) {
                 continue;
@@ -50,6 +55,8 @@
         CAPTURE(path);
         ForwarderFixture fixture;
         fixture.forwarder.setHosts(2, fixture.now);
+        fixture.forwarder.setRelayHosts(
+            {{.host = HostId("other"), .failureDomain = FailureDomainId("b"), .address = "other:1"}});
         const TimePoint cutAt = fixture.now;
         std::size_t refusals = 0;
         for (std::uint64_t id = 1; id <= 200; ++id) {
@@ -60,3 +67,162 @@
         CHECK(refusals == 0);
     }
 }
+
+static RelayHost relayHost(const std::string &id)
+{
+    return {.host = HostId(id), .failureDomain = FailureDomainId("b"), .address = id + ":1"};
+}
+
+/// Makes new connections of the fixture's host fail until it counts as separated.
+static void separate(ForwarderFixture &fixture)
+{
+    for (std::uint64_t id = 1000; !fixture.forwarder.reach().isSeparated() && id < 1020; ++id) {
+        (void)answer(fixture, fixture.handle(ForwarderFixture::request(id, "/read/x")));
+        (void)answer(fixture, fixture.advance(40ms));
+    }
+    REQUIRE(fixture.forwarder.reach().isSeparated());
+}
+
+TEST_CASE("a separated host sends to targets itself again once a probe is answered")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    separate(fixture);
+    const auto relayed = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/read/x")));
+    CHECK(relayed.via == relayHost("other"));
+    fixture.advance(300ms);
+    fixture.handle(TargetProbed{.target = TargetId("desk1"), .reached = true});
+    CHECK(!only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(2, "/read/x"))).via);
+}
+
+TEST_CASE("a host that cannot pass a request on is left out and another one is asked")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("first"), relayHost("second")});
+    separate(fixture);
+    const auto relayed = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/post/x")));
+    REQUIRE(relayed.via);
+    TargetResponseFailed refused = ForwarderFixture::failed(relayed, false);
+    refused.relayFailure = RelayFailure::HostUnavailable;
+    const auto again = only<ForwardToTarget>(fixture.handle(refused));
+    REQUIRE(again.via);
+    CHECK(again.via->host != relayed.via->host);
+    CHECK(fixture.forwarder.targets().targets().size() == 7);
+    CHECK(!fixture.forwarder.targets().isUnresponsive(relayed.target));
+}
+
+/// Guards against streams that wait for the end of a cut on connections that no longer carry anything.
+TEST_CASE("a stream whose connection was lost with its host's links resumes through another host")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    const auto direct = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(direct));
+    fixture.handle(ForwarderFixture::event(direct, 1));
+    separate(fixture);
+    const auto actions = fixture.advance(1500ms);
+    const auto found = std::ranges::find_if(actions, [&](const ForwarderAction &action) {
+        const auto *dispatch = std::get_if<ForwardToTarget>(&action);
+        return dispatch != nullptr && dispatch->id == direct.id;
+    });
+    REQUIRE(found != actions.end());
+    const auto &moved = std::get<ForwardToTarget>(*found);
+    CHECK(moved.via == relayHost("other"));
+    CHECK(moved.target != direct.target);
+    CHECK(moved.resumeAfter == StreamPosition(1));
+    CHECK(!has<AbortStream>(actions));
+}
+
+/// Guards against a placement that replaces targets which only this host cannot reach.
+TEST_CASE("targets that fail together are not lost while the host doubts its links or is separated")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    std::uint64_t id = 0;
+    while (!fixture.forwarder.reach().isSeparated() && id < 20) {
+        (void)answer(fixture, fixture.handle(ForwarderFixture::request(++id, "/read/x")));
+        if (id > 1) {
+            for (const auto &[target, listed] : fixture.forwarder.targets().targets()) {
+                CHECK(!fixture.forwarder.isLost(target));
+            }
+        }
+        (void)answer(fixture, fixture.advance(20ms));
+    }
+    CHECK(fixture.forwarder.reach().isSeparated());
+}
+
+TEST_CASE("three targets that fail do not separate a host that reaches others")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    const std::set<TargetId> dead{TargetId("desk1"), TargetId("desk2"), TargetId("desk3")};
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        std::vector<ForwarderAction> actions = fixture.handle(ForwarderFixture::request(id, "/read/x"));
+        while (has<ForwardToTarget>(actions)) {
+            actions = fixture.handle(ForwarderFixture::failed(only<ForwardToTarget>(actions), false));
+        }
+        for (const ForwarderAction &action : fixture.advance(60ms)) {
+            if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
+                fixture.handle(TargetProbed{.target = probe->target, .reached = !dead.contains(probe->target)});
+            }
+        }
+    }
+    CHECK(!fixture.forwarder.reach().isSeparated());
+    CHECK(fixture.forwarder.isLost(TargetId("desk1")));
+}
+
+/// Guards against a cut that is read into the silence of a sound target.
+TEST_CASE("one target that is silent for a second neither separates a host nor makes it doubt its links")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.advance(1100ms);
+    fixture.handle(
+        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}});
+    CHECK(!fixture.forwarder.reach().isDoubtful(fixture.now));
+    CHECK(!has<ProbeTarget>(fixture.advance(500ms)));
+}
+
+/// Guards against sound requests that are condemned because a host lost its links.
+TEST_CASE("responses that are lost with a host's links are not taken for crashes")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    std::vector<ForwardToTarget> direct;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        direct.push_back(only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(id, "/post/x"))));
+    }
+    for (const ForwardToTarget &lost : direct) {
+        for (const ForwarderAction &action : fixture.handle(ForwarderFixture::failed(lost, true))) {
+            if (const auto *query = std::get_if<QueryProgress>(&action)) {
+                fixture.handle(ProgressReported{
+                    .id = query->id, .attempt = query->attempt, .answered = false, .blockedAtAddress = {}});
+            }
+        }
+    }
+    separate(fixture);
+    (void)answer(fixture, fixture.advance(2s));
+    CHECK(fixture.forwarder.attribution().crashes() == 0);
+}
+
+TEST_CASE("a host passes on requests of another one to usable targets unless it is separated or drains")
+{
+    ForwarderFixture fixture;
+    const RelayRequested asked{.id = RelayId(1), .target = TargetId("desk1")};
+    CHECK(only<PassOnRequest>(fixture.handle(asked)).address == "desk1:1");
+
+    TargetResponseStarted leaving;
+    leaving.leaving = true;
+    fixture.handle(RelayedResponseStarted{.target = TargetId("desk1"), .head = leaving});
+    CHECK(only<RefuseRelay>(fixture.handle(asked)).reason == RelayFailure::TargetUnavailable);
+    CHECK(only<RefuseRelay>(fixture.handle(RelayRequested{.id = RelayId(2), .target = TargetId("gone")})).reason
+          == RelayFailure::TargetUnavailable);
+
+    const RelayRequested other{.id = RelayId(3), .target = TargetId("desk2")};
+    separate(fixture);
+    CHECK(only<RefuseRelay>(fixture.handle(other)).reason == RelayFailure::HostUnavailable);
+    fixture.handle(TargetProbed{.target = TargetId("desk2"), .reached = true});
+    CHECK(has<PassOnRequest>(fixture.handle(other)));
+    fixture.forwarder.rejectNewRequestsFrom(fixture.now);
+    CHECK(only<RefuseRelay>(fixture.handle(other)).reason == RelayFailure::HostUnavailable);
+}
--- a/src/hostlist/HostListMessages.h
+++ b/src/hostlist/HostListMessages.h
@@ -22,6 +22,8 @@
     std::string peerAddress;
     FailureDomainId failureDomain;
     RegionId region;
+    /// IP address and port at which the host passes on requests to targets; empty if it does not.
+    std::string relayAddress = {};
 
     friend bool operator==(const ListedHost &, const ListedHost &) = default;
 };
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -132,7 +132,7 @@
             boost::asio::post(m_pool->context(), [self = shared_from_this()] { self->fail(); });
             return;
         }
-        restartTimer(m_pool->options().connectTimeout);
+        restartTimer(m_options.connectTimeout.value_or(m_pool->options().connectTimeout));
         m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             if (error || self->m_ended) {
                 self->fail();
@@ -260,6 +260,7 @@
         if (!m_skipping) {
             m_reusable = m_parser->keep_alive();
             m_keepAlive = announcedKeepAlive(head.headers);
+            head.onNewConnection = !m_reused;
             notify(std::move(head));
         }
         return !m_ended;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -39,6 +39,8 @@
 {
     /// Maximum time from the start of sending until the response is complete.
     Duration timeout = 5s;
+    /// Maximum time for opening a connection, if it differs from that of the client.
+    std::optional<Duration> connectTimeout = std::nullopt;
     /// Opens a new connection instead of reusing an idle one. The server may close an idle connection while the request
     /// is sent, which is reported as `HttpNoResponse`; a failure to open a new one is reported as `HttpNotSent`.
     bool freshConnection = false;
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -54,6 +54,8 @@
 {
     unsigned status = 200;
     HttpHeaders headers;
+    /// Whether the connection was opened for this request.
+    bool onNewConnection = false;
 };
 
 /// Bytes of the body without transfer encoding.
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -43,7 +43,8 @@
                            .state = HostListState::Live,
                            .peerAddress = options.peerAddress,
                            .failureDomain = options.failureDomain,
-                           .region = options.region},
+                           .region = options.region,
+                           .relayAddress = options.forwarding->relayAddress},
                   .seed = stableHash("registry", options.seed)})
     , m_watchClient(RelayedWatchClientOptions{})
     , m_watchServer(RelayedWatchServerOptions{})
@@ -341,12 +342,24 @@
         std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), context); },
                               [&](RegisteredHostsChanged &registered) {
                                   m_forwarder.setHosts(registered.hosts.size(), context.now);
+                                  m_forwarder.setRelayHosts(relayHosts(registered.hosts));
                                   m_hostList = HostListRead{.hosts = std::move(registered.hosts), .targets = {}};
                               }},
                    action);
     }
 }
 
+std::vector<RelayHost> ForwardingCoordinator::relayHosts(const std::vector<ListedHost> &hosts) const
+{
+    std::vector<RelayHost> relays;
+    for (const ListedHost &host : hosts) {
+        if (host.host != m_options.host && !host.relayAddress.empty()) {
+            relays.push_back({.host = host.host, .failureDomain = host.failureDomain, .address = host.relayAddress});
+        }
+    }
+    return relays;
+}
+
 void ForwardingCoordinator::forward(const ForwarderEvent &event, NodeContext &context)
 {
     const bool fresh = m_configuration.fresh(context.now);
@@ -363,9 +376,13 @@
                                   context.fleet.send(send.to, PeerChannel::Limits, send.message, context.output);
                               },
                               [&](ForwardToTarget &dispatch) {
-                                  m_metrics.count("dispatches");
+                                  m_metrics.count(dispatch.via ? "relayed_dispatches" : "dispatches");
                                   context.output.add(std::move(dispatch));
                               },
+                              [&](PassOnRequest &request) {
+                                  m_metrics.count("requests_passed_on");
+                                  context.output.add(std::move(request));
+                              },
                               [&](auto &other) { context.output.add(std::move(other)); }},
                    action);
     }
@@ -387,6 +404,7 @@
     gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
     gauge("limited_targets", m_forwarder.limits().limitedTargets());
     gauge("target_limit_refusals_total", m_forwarder.limits().refusals());
+    gauge("separated", m_forwarder.reach().isSeparated() ? 1 : 0);
     gauge("ready", ready(now) ? 1 : 0);
     if (m_storeEra) {
         gauge("store_era", m_storeEra->value());
@@ -431,7 +449,7 @@
     std::vector<PlacementTarget> usable;
     for (const auto &[id, target] : m_directory.targets()) {
         const EngineProfile *engine = engineProfile(m_configuration.configuration(), target.service);
-        if (engine == nullptr || m_forwarder.targets().isLeaving(id) || m_forwarder.targets().isLost(id)
+        if (engine == nullptr || m_forwarder.targets().isLeaving(id) || m_forwarder.isLost(id)
             || scopeOfService(m_options.region, target.service) != scope) {
             continue;
         }
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -73,6 +73,8 @@
     void dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context);
     void dispatchRegistry(const HostRegistryEvent &event, NodeContext &context);
     void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
+    /// The hosts other than this one that pass on requests.
+    [[nodiscard]] std::vector<RelayHost> relayHosts(const std::vector<ListedHost> &hosts) const;
     /// Sends a call for a range to the collector of this failure domain, or to the key-value service.
     void issue(RelayedRange range, KeyValueCall call, NodeContext &context);
     void issueToKeyValueService(RelayedRange range, KeyValueCall call, NodeContext &context);
--- a/src/node/NodeMessages.h
+++ b/src/node/NodeMessages.h
@@ -119,7 +119,11 @@
                                TargetResponseData,
                                TargetResponseCompleted,
                                TargetResponseFailed,
-                               ProgressReported>;
+                               ProgressReported,
+                               TargetProbed,
+                               RelayRequested,
+                               RelayedResponseStarted,
+                               RelayedRequestNotSent>;
 
 /// Action: apply the configuration's limits to what callers may send.
 struct LimitCallers
@@ -208,6 +212,9 @@
                                 ForwardToTarget,
                                 AbandonAttempt,
                                 QueryProgress,
+                                ProbeTarget,
+                                PassOnRequest,
+                                RefuseRelay,
                                 RefuseCaller,
                                 AbortStream,
                                 LimitCallers>;
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -28,6 +28,8 @@
     /// Minimum fraction of an accelerator's memory that placement leaves to the KV cache, even when it assigns layers
     /// to fill a gap in a chain.
     double cacheShare = 0.12;
+    /// IP address and port at which this host passes on requests of other hosts to targets; empty if it does not.
+    std::string relayAddress = {};
 };
 
 /// Options of one node.
--- a/src/peering/PeerFrame.cpp
+++ b/src/peering/PeerFrame.cpp
@@ -1,29 +1,11 @@
 #include "peering/PeerFrame.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include "peering/MessageAuthentication.h"
 
-#include <array>
+#include <openssl/crypto.h>
 
 namespace Carawaymill {
 
-static constexpr std::size_t hmacBytes = 16;
-
-static std::string truncatedHmac(const std::string &body, const std::string &key)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    HMAC(EVP_sha256(),
-         key.data(),
-         static_cast<int>(key.size()),
-         reinterpret_cast<const unsigned char *>(body.data()),
-         body.size(),
-         digest.data(),
-         &length);
-    return {reinterpret_cast<const char *>(digest.data()), hmacBytes};
-}
-
 std::string packFrame(const PeerFrame &frame, const std::string &key)
 {
     const std::string body = packCbor(nlohmann::json::array({frame.from, frame.message}));
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -1,7 +1,9 @@
 #include "platform/TargetClient.h"
 
+#include "peering/RelayCodec.h"
 #include "platform/CallerCodec.h"
 #include "platform/EngineCodec.h"
+#include "platform/RelayResponses.h"
 
 namespace Carawaymill {
 
@@ -9,26 +11,61 @@
 /// no longer tracks.
 static constexpr Duration exchangeTimeout = 60s;
 
-TargetClient::TargetClient(HttpClient &client, std::function<void(const NodeEvent &event)> onEvent)
+TargetClient::TargetClient(HttpClient &client,
+                           std::string relayKey,
+                           std::function<void(const NodeEvent &event)> onEvent)
     : m_client(client)
+    , m_relayKey(std::move(relayKey))
     , m_onEvent(std::move(onEvent))
 {
 }
 
 void TargetClient::forward(const ForwardToTarget &action)
 {
+    HttpRequest request = targetRequest(action);
+    if (action.via) {
+        request = encodeRelayedRequest(
+            {.target = action.target, .freshConnection = action.freshConnection, .request = std::move(request)},
+            m_relayKey);
+    }
+    // The events need neither the request nor the path.
+    ForwardToTarget sent{.id = action.id, .attempt = action.attempt, .target = action.target, .address = {}};
+    sent.via = action.via;
     auto exchange = m_client.open(
-        action.address,
-        targetRequest(action),
+        action.via ? action.via->address : action.address,
+        request,
         {.timeout = exchangeTimeout, .freshConnection = action.freshConnection, .echo = targetEcho(*action.request)},
-        [this, id = action.id, attempt = action.attempt](HttpStreamEvent event) {
-            handleStreamEvent(id, attempt, std::move(event));
-        });
+        [this, sent = std::move(sent)](HttpStreamEvent event) { handleStreamEvent(sent, std::move(event)); });
     m_exchanges.insert_or_assign({action.id, action.attempt}, std::move(exchange));
 }
 
-void TargetClient::handleStreamEvent(RequestId id, AttemptNumber attempt, HttpStreamEvent event)
+bool TargetClient::handleRelayFailure(const ForwardToTarget &action, const HttpStreamEvent &event)
 {
+    if (!action.via) {
+        return false;
+    }
+    std::optional<RelayFailure> failure;
+    if (std::holds_alternative<HttpNotSent>(event)) {
+        failure = RelayFailure::HostUnavailable;
+    } else if (const auto *head = std::get_if<HttpResponseHead>(&event)) {
+        failure = readRelayFailure(head->headers);
+    }
+    if (failure) {
+        const TargetResponseFailed failed{
+            .id = action.id, .attempt = action.attempt, .sent = false, .relayFailure = failure};
+        closeExchange(action.id, action.attempt);
+        m_onEvent(failed);
+    }
+    return failure.has_value();
+}
+
+void TargetClient::handleStreamEvent(const ForwardToTarget &action, HttpStreamEvent event)
+{
+    if (handleRelayFailure(action, event)) {
+        return;
+    }
+    const RequestId id = action.id;
+    const AttemptNumber attempt = action.attempt;
     std::visit(Overloaded{[&](HttpResponseHead &head) { m_onEvent(readResponseHead(id, attempt, std::move(head))); },
                           [&](HttpBodyPart &part) {
                               m_onEvent(
@@ -60,11 +97,32 @@
 }
 
 void TargetClient::queryProgress(const QueryProgress &action)
+{
+    HttpRequest request = reportRequest();
+    if (action.via) {
+        request = encodeRelayedRequest(
+            {.target = action.target, .freshConnection = false, .request = std::move(request)}, m_relayKey);
+    }
+    m_client.send(action.via ? action.via->address : action.address,
+                  request,
+                  {.timeout = action.timeout, .connectTimeout = action.timeout},
+                  [this, action](const HttpResult &result) {
+                      const auto *response = std::get_if<HttpResponse>(&result);
+                      const bool isRefused =
+                          action.via && response != nullptr && readRelayFailure(response->headers).has_value();
+                      m_onEvent(readProgress(action, isRefused ? HttpResult(HttpNoResponse{}) : result));
+                  });
+}
+
+void TargetClient::probe(const ProbeTarget &action)
 {
     m_client.send(action.address,
                   reportRequest(),
-                  {.timeout = action.timeout},
-                  [this, action](const HttpResult &result) { m_onEvent(readProgress(action, result)); });
+                  {.timeout = action.timeout, .connectTimeout = action.timeout, .freshConnection = true},
+                  [this, target = action.target](const HttpResult &result) {
+                      m_onEvent(
+                          TargetProbed{.target = target, .reached = std::holds_alternative<HttpResponse>(result)});
+                  });
 }
 
 void TargetClient::requestReport(const RequestTargetReport &action)
--- a/src/platform/TargetClient.h
+++ b/src/platform/TargetClient.h
@@ -14,21 +14,28 @@
 class TargetClient
 {
 public:
-    /// `client` must outlive this object. `onEvent` is called with each result.
-    TargetClient(HttpClient &client, std::function<void(const NodeEvent &event)> onEvent);
+    /// `client` must outlive this object. `relayKey` authenticates requests that other hosts are to pass on. `onEvent`
+    /// is called with each result.
+    TargetClient(HttpClient &client, std::string relayKey, std::function<void(const NodeEvent &event)> onEvent);
 
     void forward(const ForwardToTarget &action);
     /// Closes the attempt's exchange; no further events of it follow.
     void abandon(const AbandonAttempt &action);
     void queryProgress(const QueryProgress &action);
+    /// Finds out whether a new connection to the target can be opened and is answered.
+    void probe(const ProbeTarget &action);
     void requestReport(const RequestTargetReport &action);
     void sendOrder(const SendOrder &action);
 
 private:
-    void handleStreamEvent(RequestId id, AttemptNumber attempt, HttpStreamEvent event);
+    void handleStreamEvent(const ForwardToTarget &action, HttpStreamEvent event);
+    /// Handles the event if it says that the host which was to pass on the request has not done so. Returns whether it
+    /// does.
+    bool handleRelayFailure(const ForwardToTarget &action, const HttpStreamEvent &event);
     void closeExchange(RequestId id, AttemptNumber attempt);
 
     HttpClient &m_client;
+    std::string m_relayKey;
     std::function<void(const NodeEvent &event)> m_onEvent;
     /// The exchange of each attempt, until the response is complete or has failed.
     std::map<std::pair<RequestId, AttemptNumber>, std::unique_ptr<HttpExchange>> m_exchanges;
