--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -88,6 +88,7 @@
     CHECK(settings.callers.port == 8227);
     CHECK(settings.forwarding->readiness.port == 8220);
     CHECK(settings.forwarding->configurationMaximumAge == 3500ms);
+    CHECK(settings.forwarding->relay.port == 7355);
     CHECK(settings.peerAddress == "tcp://10.1.0.40:7340");
     REQUIRE(settings.peers.size() == 1);
     CHECK(settings.peers.front().peerAddress == "tcp://10.2.0.29:7340");
