Http: Give up responses that never end

Cause: the users' pages say that a target in trouble may send bytes without end, in a head or a body, until its connection is closed. Evidence, on the code before: of ten kinds, endless interim responses, responses to other requests, chunk extensions and trailers were read on until the timeout of 60 s, 0.6 to 1.4 GB in 5 s, an extension into memory. An event without end was kept up to 8 MB and searched anew with each part. Change: HttpClient limits what it receives besides the delivered body to 256 KB, and a target's body to 2 MB; a stream with an event of more than 256 KB counts as lost. EndlessTargetStandIn plays such targets.

--- a/src/daemon/TargetRelay.cpp
+++ b/src/daemon/TargetRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/CallerCodec.h"
 #include "platform/RelayResponses.h"
+#include "platform/TargetClient.h"
 
 namespace Carawaymill {
 
@@ -44,7 +45,8 @@
         return;
     }
     Relayed &relayed = found->second;
-    HttpSendOptions options{.timeout = exchangeTimeout, .freshConnection = relayed.request.freshConnection};
+    HttpSendOptions options{
+        .timeout = exchangeTimeout, .freshConnection = relayed.request.freshConnection, .bodyLimit = targetBodyLimit};
     if (!relayed.attempt.empty()) {
         options.echo = targetEcho({.attempt = relayed.attempt});
     }
--- a/src/daemon/tests/ServingTest.cpp
+++ b/src/daemon/tests/ServingTest.cpp
@@ -306,3 +306,42 @@
     CHECK(lost.arrivals().size() > arrivalsBefore);
     CHECK(registered());
 }
+
+/// Guards against targets in trouble whose endless answers keep callers waiting or fill the memory of the host.
+TEST_CASE("requests are served although a target of their service answers without end")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n";
+    const std::string filler(1024, 'a');
+    for (const EndlessResponse &response : {EndlessResponse{.begin = "", .repeated = filler},
+                                            EndlessResponse{.begin = head, .repeated = "X-Filler: a\r\n"},
+                                            EndlessResponse{.begin = "", .repeated = "HTTP/1.1 100 Continue\r\n\r\n"},
+                                            EndlessResponse{.begin = head + "\r\n", .repeated = filler}}) {
+        PlatformFixture fixture;
+        EndlessTargetStandIn *endless = nullptr;
+        fixture.platform().publish(configuration());
+        fixture.platform().addTarget(plainTarget("p1"));
+        fixture.platform().addTarget(streamTarget("s1"));
+        REQUIRE(fixture.waitUntilServed("/plain/a", startLimit));
+        std::vector<std::shared_ptr<CallerExchange>> calls;
+        const auto callTwentyTimes = [&] {
+            for (int count = 0; count < 20; ++count) {
+                calls.push_back(fixture.call(0, "/plain/b"));
+                fixture.runFor(20ms);
+            }
+            return endless != nullptr && endless->answered() > 0;
+        };
+        // Their ratio pays for the repeats of those that the endless target gets.
+        callTwentyTimes();
+        endless = &fixture.platform().addEndlessTarget(TargetId("p0"), ServiceId("plain"), response);
+        for (int round = 0; round < 5; ++round) {
+            if (callTwentyTimes()) {
+                break;
+            }
+        }
+        REQUIRE(fixture.runUntil(
+            [&] { return std::ranges::all_of(calls, [](const auto &call) { return call->ended(); }); }, responseLimit));
+        CHECK(endless->answered() > 0);
+        CHECK(std::ranges::all_of(calls, [](const auto &call) { return call->body == "served by p1"; }));
+        CHECK(fixture.runUntil([&] { return endless->closed() == endless->answered(); }, 5s));
+    }
+}
--- a/src/forwarding/EventStreamRelay.h
+++ b/src/forwarding/EventStreamRelay.h
@@ -34,7 +34,12 @@
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const { return !m_partial.empty(); }
 
+    /// Whether the incomplete event is longer than any event: its target is in trouble and may never end it.
+    [[nodiscard]] bool isOverlong() const { return m_partial.size() > maximumEventSize; }
+
 private:
+    static constexpr std::size_t maximumEventSize = 256U << 10U;
+
     [[nodiscard]] bool accept(std::string_view event);
 
     std::optional<StreamPosition> m_last;
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -456,6 +456,10 @@
         return;
     }
     std::string events = call->stalled->relay.append(event.bytes);
+    if (call->stalled->relay.isOverlong()) {
+        endStalled(*call, true, context);
+        return;
+    }
     if (events.empty()) {
         return;
     }
@@ -584,6 +588,10 @@
 void Forwarder::relayStream(Call &call, std::string_view bytes, HandlerContext &context)
 {
     std::string events = call.relay.append(bytes);
+    if (call.relay.isOverlong()) {
+        responseLost(call, context);
+        return;
+    }
     if (events.empty()) {
         return;
     }
--- a/src/forwarding/tests/TargetAnswersTest.cpp
+++ b/src/forwarding/tests/TargetAnswersTest.cpp
@@ -123,3 +123,22 @@
     REQUIRE(later.retryAfter);
     CHECK(*later.retryAfter >= 2s);
 }
+
+/// Guards against a stream whose target sends one event without end, which fills the memory of the host.
+TEST_CASE("a stream whose event never ends is given up and resumes at another target")
+{
+    ForwarderFixture fixture;
+    const auto dispatch = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(dispatch));
+    fixture.handle(ForwarderFixture::event(dispatch, 1));
+    const std::string filler(4096, 'a');
+    std::vector<ForwarderAction> actions;
+    for (int part = 0; part < 100 && actions.empty(); ++part) {
+        actions = fixture.handle(
+            TargetResponseData{.id = dispatch.id, .attempt = dispatch.attempt, .bytes = "id: 2\ndata: " + filler});
+    }
+    CHECK(has<AbandonAttempt>(actions));
+    const auto resumed = only<ForwardToTarget>(actions);
+    CHECK(resumed.target != dispatch.target);
+    CHECK(resumed.resumeAfter == StreamPosition(1));
+}
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -19,6 +19,11 @@
 using boost::system::error_code;
 
 static constexpr std::size_t readSize = 4096;
+/// Bytes that may be received of heads, chunk framing and skipped responses. A server in trouble may send them without
+/// end.
+static constexpr std::size_t framingLimit = 256U << 10U;
+/// The framing of a body in small chunks is longer than the body.
+static constexpr std::size_t framingPerBodyByte = 8;
 /// Responses with a lower status are interim responses.
 static constexpr unsigned firstFinalStatus = 200;
 
@@ -166,7 +171,7 @@
 
     void prepareParser()
     {
-        m_parser->body_limit(m_pool->options().bodyLimit.value());
+        m_parser->body_limit(m_options.bodyLimit.value_or(m_pool->options().bodyLimit).value());
         m_parser->skip(m_headOnly);
         m_headHandled = false;
     }
@@ -179,6 +184,7 @@
                                          return;
                                      }
                                      self->m_buffer.commit(received);
+                                     self->m_received += received;
                                      if (!error) {
                                          self->parse();
                                      } else if (error == boost::asio::error::eof) {
@@ -229,6 +235,9 @@
         if (!m_ended) {
             deliverBody();
         }
+        if (!m_ended && m_received - m_delivered > framingLimit + framingPerBodyByte * m_delivered) {
+            fail();
+        }
         if (!m_ended) {
             read();
         }
@@ -273,6 +282,7 @@
         }
         std::string bytes = m_parser->takeBody();
         if (!m_skipping) {
+            m_delivered += bytes.size();
             notify(HttpBodyPart{std::move(bytes)});
         }
     }
@@ -339,6 +349,9 @@
     std::optional<HttpResponseParser> m_parser;
     /// The idle timeout that the server announced.
     std::optional<std::chrono::seconds> m_keepAlive;
+    /// Bytes that were received, and bytes of the body that were delivered.
+    std::size_t m_received = 0;
+    std::size_t m_delivered = 0;
     bool m_reused = false;
     bool m_writeStarted = false;
     bool m_requestWritten = false;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -44,6 +44,8 @@
     /// Opens a new connection instead of reusing an idle one. The server may close an idle connection while the request
     /// is sent, which is reported as `HttpNoResponse`; a failure to open a new one is reported as `HttpNotSent`.
     bool freshConnection = false;
+    /// Maximum size of the response body, if it differs from that of the client.
+    std::optional<ByteCount> bodyLimit = std::nullopt;
     /// A response with another value of this header belongs to an earlier request on the connection and is skipped.
     std::optional<HttpEcho> echo = std::nullopt;
 };
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -34,7 +34,10 @@
     auto exchange = m_client.open(
         action.via ? action.via->address : action.address,
         request,
-        {.timeout = exchangeTimeout, .freshConnection = action.freshConnection, .echo = targetEcho(*action.request)},
+        {.timeout = exchangeTimeout,
+         .freshConnection = action.freshConnection,
+         .bodyLimit = targetBodyLimit,
+         .echo = targetEcho(*action.request)},
         [this, sent = std::move(sent)](HttpStreamEvent event) { handleStreamEvent(sent, std::move(event)); });
     m_exchanges.insert_or_assign({action.id, action.attempt}, std::move(exchange));
 }
--- a/src/platform/TargetClient.h
+++ b/src/platform/TargetClient.h
@@ -10,6 +10,9 @@
 
 namespace Carawaymill {
 
+/// Maximum size of a target's response body; a target in trouble may send one without end.
+inline constexpr ByteCount targetBodyLimit(2U << 20U);
+
 /// HTTP client for the platform's workers: forwards requests, fetches reports and sends orders.
 class TargetClient
 {
--- a/src/platformstandin/PlatformStandIn.cpp
+++ b/src/platformstandin/PlatformStandIn.cpp
@@ -56,6 +56,15 @@
     return target;
 }
 
+EndlessTargetStandIn &
+PlatformStandIn::addEndlessTarget(const TargetId &id, const ServiceId &service, EndlessResponse response)
+{
+    EndlessTargetStandIn &target =
+        *m_endlessTargets.emplace_back(std::make_unique<EndlessTargetStandIn>(m_context, std::move(response)));
+    m_store.write("servers/" + id.value(), target.record(service, FailureDomainId("zone-1")).dump(), readBootClock());
+    return target;
+}
+
 HostLinks &PlatformStandIn::addHostLinks()
 {
     return *m_hostLinks.emplace_back(std::make_unique<HostLinks>(m_context, m_store));
--- a/src/platformstandin/PlatformStandIn.h
+++ b/src/platformstandin/PlatformStandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platformstandin/EndlessTargetStandIn.h"
 #include "platformstandin/HostLinks.h"
 #include "platformstandin/MetadataStoreStandIn.h"
 #include "platformstandin/PublishedConfiguration.h"
@@ -29,6 +30,9 @@
     /// Starts a target and registers it. The reference holds as long as the stand-in.
     TargetStandIn &addTarget(TargetStandInOptions options);
 
+    /// Starts a target whose answers never end, and registers it. The reference holds as long as the stand-in.
+    EndlessTargetStandIn &addEndlessTarget(const TargetId &id, const ServiceId &service, EndlessResponse response);
+
     /// Adds links of their own for one host, which can be lost. The reference holds as long as the stand-in.
     HostLinks &addHostLinks();
 
@@ -45,6 +49,7 @@
     MetadataStoreStandIn m_store;
     std::optional<PublishedConfiguration> m_configuration;
     std::vector<std::unique_ptr<TargetStandIn>> m_targets;
+    std::vector<std::unique_ptr<EndlessTargetStandIn>> m_endlessTargets;
     std::vector<std::unique_ptr<HostLinks>> m_hostLinks;
     std::optional<TimePoint> m_rewriteAt;
 
