Forwarding: Keep what a host knows of its links in a class beside the forwarder

Change: TargetLinks holds TargetReach and RelayHosts and decides these. No change of behaviour but the seed of its random choices.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -55,8 +55,11 @@
     , m_retries(m_options.retries)
     , m_attribution(m_options.attribution)
     , m_limits(m_options.limits)
-    , m_reach(m_options.reach)
-    , m_relays({.ownFailureDomain = m_options.targets.ownFailureDomain})
+    , m_links({.reach = m_options.reach,
+               .relays = {.ownFailureDomain = m_options.targets.ownFailureDomain},
+               .seed = stableHash("links", m_options.targets.seed),
+               .probeTimeout = m_options.progressQueryTimeout,
+               .suspicionPeriod = m_options.suspicionPeriod})
     , m_queue(m_options.queue)
 {
 }
@@ -68,6 +71,9 @@
     m_now = now;
     HandlerContext context{.router = router, .now = now, .fresh = fresh, .actions = {}};
     std::visit([&](const auto &concrete) { on(concrete, context); }, event);
+    for (std::string &line : m_links.takeLog()) {
+        context.actions.emplace_back(ForwardLogLine{std::move(line)});
+    }
     return std::move(context.actions);
 }
 
@@ -229,7 +235,7 @@
     if (refuseCondemned(call, context)) {
         return;
     }
-    if (m_reach.isSeparated() && !m_relays.choose(m_random, context.now)) {
+    if (!m_links.hasWay(context.now)) {
         refuse(call, ForwardFailure::NoTarget, context);
         return;
     }
@@ -257,17 +263,12 @@
                  .latencyObjective = call.route->latencyObjective});
 }
 
-bool Forwarder::mustAwaitReach(TimePoint now) const
-{
-    return m_reach.isDoubtful(now) && !m_reach.isSeparated();
-}
-
 void Forwarder::serveQueue(HandlerContext &context)
 {
     for (const RequestId id : m_queue.takeOverdue(context.now)) {
         refuse(m_calls.at(id), ForwardFailure::Overloaded, context);
     }
-    if (mustAwaitReach(context.now)) {
+    if (m_links.awaitsProbes(context.now)) {
         return;
     }
     std::set<ServiceId> withoutCapacity;
@@ -306,7 +307,7 @@
     call.progressAt = context.now;
     call.progressQueriedAt.reset();
     call.sentAt = context.now;
-    call.via = m_reach.isSeparated() ? m_relays.choose(m_random, context.now) : std::nullopt;
+    call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
     m_queue.started(context.now);
     ForwardToTarget action{.id = call.id,
@@ -358,7 +359,7 @@
         refuse(call, ForwardFailure::NoTarget, context);
         return;
     }
-    if (mustAwaitReach(context.now)) {
+    if (m_links.awaitsProbes(context.now)) {
         enqueue(call, context);
         return;
     }
@@ -505,7 +506,7 @@
         m_targets.recordFailure(target, context.now);
     } else if (event.relayFailure == RelayFailure::HostUnavailable && via) {
         discountRun(*call, target);
-        m_relays.recordUnavailable(via->host, context.now);
+        m_links.recordRelayUnavailable(*via, context.now);
     } else {
         recordUnreachable(*call, target, via, context);
     }
@@ -529,7 +530,7 @@
     }
     recordStatements(call->chosen->target, event, context);
     if (event.head.onNewConnection && !call->via) {
-        m_reach.recordReached(call->sentAt);
+        m_links.recordReached(call->sentAt);
     }
     call->head = event;
     if (beginsStream(*call, event) && !call->streaming) {
@@ -653,8 +654,8 @@
     context.actions.emplace_back(ForwardLogLine{"Forward: event=unreachable request=" + call.request->attempt
                                                 + " target=" + target.value()
                                                 + " via=" + (via ? via->host.value() : "none")});
-    if (!via && !recordOutOfReach(target, context)) {
-        for (const TargetId &unreached : m_reach.unreached()) {
+    if (!via && !m_links.recordOutOfReach(target, m_targets, context.router, context.now)) {
+        for (const TargetId &unreached : m_links.reach().unreached()) {
             if (!call.ranAt.contains(unreached)) {
                 call.tried.erase(unreached);
             }
@@ -663,64 +664,19 @@
     }
     call.tried.insert(target);
     m_targets.recordFailure(target, context.now);
-    m_targets.markUnresponsive(
-        target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
-}
-
-bool Forwarder::recordOutOfReach(const TargetId &target, HandlerContext &context)
-{
-    if (m_reach.recordFailure(target, m_targets.targets().size(), context.now)) {
-        clearBlame(context);
-    }
-    return !m_reach.isSeparated();
-}
-
-void Forwarder::clearBlame(HandlerContext &context)
-{
-    const std::vector<TargetId> unreached = m_reach.unreached();
-    for (const TargetId &blamed : unreached) {
-        m_targets.clearUnresponsive(blamed, context.router);
-    }
-    context.actions.emplace_back(
-        ForwardLogLine{"Forward: event=separated unreached_targets=" + std::to_string(unreached.size())});
-}
-
-void Forwarder::probe(HandlerContext &context)
-{
-    const std::map<TargetId, DirectoryTarget> &targets = m_targets.targets();
-    if (targets.empty() || !m_reach.takeProbeDue(context.now)) {
-        return;
-    }
-    const auto probed = std::next(targets.begin(), static_cast<std::ptrdiff_t>(m_random.below(targets.size())));
-    context.actions.emplace_back(ProbeTarget{
-        .target = probed->first, .address = probed->second.address, .timeout = m_options.progressQueryTimeout});
+    m_links.suspect(target, m_targets, context.router, context.now);
 }
 
 void Forwarder::on(const TargetProbed &event, HandlerContext &context)
 {
-    if (!event.reached) {
-        if (m_reach.recordProbeFailed(event.target, m_targets.targets().size(), context.now)) {
-            clearBlame(context);
-        }
-    } else if (m_reach.recordProbeAnswered()) {
-        context.actions.emplace_back(ForwardLogLine{"Forward: event=rejoined target=" + event.target.value()});
-    }
+    m_links.recordProbe(event, m_targets, context.router, context.now);
 }
 
 void Forwarder::on(const RelayRequested &event, HandlerContext &context)
 {
     const bool isDraining = m_rejectFrom && context.now >= *m_rejectFrom;
-    if (isDraining || m_reach.isSeparated()) {
-        context.actions.emplace_back(RefuseRelay{.id = event.id, .reason = RelayFailure::HostUnavailable});
-        return;
-    }
-    const auto listed = m_targets.targets().find(event.target);
-    if (listed == m_targets.targets().end() || !m_targets.isUsable(event.target)) {
-        context.actions.emplace_back(RefuseRelay{.id = event.id, .reason = RelayFailure::TargetUnavailable});
-        return;
-    }
-    context.actions.emplace_back(
-        PassOnRequest{.id = event.id, .target = event.target, .address = listed->second.address});
+    std::visit([&](const auto &decision) { context.actions.emplace_back(decision); },
+               m_links.decide(event, isDraining, m_targets));
 }
 
 void Forwarder::on(const RelayedResponseStarted &event, HandlerContext &context)
@@ -730,9 +686,8 @@
 
 void Forwarder::on(const RelayedRequestNotSent &event, HandlerContext &context)
 {
-    if (recordOutOfReach(event.target, context)) {
-        m_targets.markUnresponsive(
-            event.target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, context.router, context.now);
+    if (m_links.recordOutOfReach(event.target, m_targets, context.router, context.now)) {
+        m_links.suspect(event.target, m_targets, context.router, context.now);
     }
 }
 
@@ -801,7 +756,7 @@
     if (!event.sent) {
         if (event.relayFailure == RelayFailure::HostUnavailable && call->via) {
             discountRun(*call, target);
-            m_relays.recordUnavailable(call->via->host, context.now);
+            m_links.recordRelayUnavailable(*call->via, context.now);
             // Each host is asked once at most before it is left out for a while.
             call->dispatches -= 1;
         } else {
@@ -843,11 +798,13 @@
 void Forwarder::on(const Tick &, HandlerContext &context)
 {
     m_targets.tick(context.router, context.now);
-    probe(context);
-    if (m_reach.isSeparated()) {
+    if (const auto probe = m_links.nextProbe(m_targets, context.now)) {
+        context.actions.emplace_back(*probe);
+    }
+    if (m_links.reach().isSeparated()) {
         // Responses that were lost with this host's links are no sign of crashes.
         (void)m_crashObserver.takeCrashes(context.now);
-    } else if (!m_reach.isDoubtful(context.now)) {
+    } else if (!m_links.reach().isDoubtful(context.now)) {
         for (const TargetCrashObserved &crash : m_crashObserver.takeCrashes(context.now)) {
             attribute(crash, context);
         }
@@ -887,7 +844,7 @@
         return;
     }
     call.progressQueriedAt = context.now;
-    if (m_reach.isSeparated() && !call.via) {
+    if (m_links.reach().isSeparated() && !call.via) {
         // The connection may have been lost with this host's links.
         if (mayMove(call)) {
             moveStream(call, call.chosen->target, context);
@@ -917,7 +874,7 @@
             return;
         }
         atFault = call->chosen->target;
-        if (!call->via && !recordOutOfReach(*atFault, context)) {
+        if (!call->via && !m_links.recordOutOfReach(*atFault, m_targets, context.router, context.now)) {
             return;
         }
     } else {
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -7,7 +7,7 @@
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
-#include "forwarding/TargetReach.h"
+#include "forwarding/TargetLinks.h"
 #include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
@@ -123,16 +123,16 @@
     void setHosts(std::size_t hosts, TimePoint now) { m_retries.setHosts(hosts, now); }
 
     /// Replaces the other hosts that pass on requests while this one has lost its links to all targets.
-    void setRelayHosts(std::vector<RelayHost> hosts) { m_relays.setHosts(std::move(hosts)); }
+    void setRelayHosts(std::vector<RelayHost> hosts) { m_links.setRelayHosts(std::move(hosts)); }
 
     /// Whether the target is unresponsive for longer than a sound target may be silent, and this host's links to the
     /// targets are not to blame.
     [[nodiscard]] bool isLost(const TargetId &target) const
     {
-        return !m_reach.isDoubtful(m_now) && m_targets.isLost(target);
+        return !m_links.reach().isDoubtful(m_now) && m_targets.isLost(target);
     }
 
-    [[nodiscard]] const TargetReach &reach() const { return m_reach; }
+    [[nodiscard]] const TargetReach &reach() const { return m_links.reach(); }
 
     /// Rejects new requests from `time` on, since the host shuts down.
     void rejectNewRequestsFrom(TimePoint time) { m_rejectFrom = time; }
@@ -271,8 +271,6 @@
     void sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context);
     /// Queues the call until its targets have capacity; refuses it if the queue is too long.
     void enqueue(Call &call, HandlerContext &context);
-    /// Whether probes are about to show if this host reaches targets. Calls that failed for that wait meanwhile.
-    [[nodiscard]] bool mustAwaitReach(TimePoint now) const;
     /// Dispatches queued calls while targets have capacity, and refuses those that have waited too long.
     void serveQueue(HandlerContext &context);
     /// Like dispatch(), within the limits on repeats.
@@ -305,13 +303,6 @@
     /// Records that no byte of the request could be sent to `target`, from this host or from `via`.
     void
     recordUnreachable(Call &call, const TargetId &target, const std::optional<RelayHost> &via, HandlerContext &context);
-    /// Records that this host could not reach the target. Returns whether the target may be at fault; otherwise this
-    /// host has lost its links, and targets that it blamed for that are usable again.
-    bool recordOutOfReach(const TargetId &target, HandlerContext &context);
-    /// Makes targets usable again that were blamed for the links that this host has lost.
-    void clearBlame(HandlerContext &context);
-    /// Probes a target if this host doubts its links and a probe is due.
-    void probe(HandlerContext &context);
     void targetRejected(Call &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(Call &call, HandlerContext &context);
@@ -355,8 +346,7 @@
     FleetRetryBudget m_retries;
     CrashAttribution m_attribution;
     TargetRequestLimits m_limits;
-    TargetReach m_reach;
-    RelayHosts m_relays;
+    TargetLinks m_links;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, Call> m_calls;
--- a/src/forwarding/RelayHosts.h
+++ b/src/forwarding/RelayHosts.h
@@ -46,10 +46,14 @@
         m_unavailableUntil[host] = now + m_options.unavailablePeriod;
     }
 
+    [[nodiscard]] bool hasAvailable(TimePoint now) const;
+
     /// A random host, of the own failure domain if one is available; std::nullopt if none is available.
     [[nodiscard]] std::optional<RelayHost> choose(Random &random, TimePoint now) const;
 
 private:
+    [[nodiscard]] bool isAvailable(const RelayHost &host, TimePoint now) const;
+
     RelayHostsOptions m_options;
     std::vector<RelayHost> m_hosts;
     std::map<HostId, TimePoint> m_unavailableUntil;
