Forwarding: Count the wait in the queue anew only after an attempt that could not be sent

Change: a call waits since its arrival, since its last attempt that could not be sent, or, if its caller has the head of a stream, since it was queued. Result: forwardingTest and nodeTest pass.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -185,6 +185,7 @@
     call.request = std::make_shared<const ForwardRequest>(request);
     call.table = m_table;
     call.receivedAt = receivedAt;
+    call.waitsSince = receivedAt;
     call.deadline = receivedAt + request.timeLeft.value_or(30s);
     call.relay = EventStreamRelay(request.resumeAfter);
     if (const auto failure = admit(request, call, context)) {
@@ -259,7 +260,7 @@
     }
     m_queue.add({.id = call.id,
                  .priority = call.route->priority,
-                 .arrivedAt = call.dispatches > 0 ? context.now : call.receivedAt,
+                 .arrivedAt = call.streaming ? context.now : call.waitsSince,
                  .latencyObjective = call.route->latencyObjective});
 }
 
@@ -355,6 +356,7 @@
 
 void Forwarder::dispatchUnsent(Call &call, HandlerContext &context)
 {
+    call.waitsSince = context.now;
     if (call.dispatches >= m_options.maximumDispatches || context.now >= call.deadline) {
         refuse(call, ForwardFailure::NoTarget, context);
         return;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -173,6 +173,8 @@
         std::vector<RequestTrait> traits;
         ServiceId service;
         TimePoint receivedAt;
+        /// When the call began to wait for targets: on arrival, or when its last attempt could not be sent.
+        TimePoint waitsSince;
         /// Time by which the caller gets a response, or its stream is broken off.
         TimePoint deadline;
         /// std::nullopt if the caller sets no deadline.
