Peering: Drop callers' headers that are named like those of a relayed request

A caller's header of that name came before ours, so that the other host could not verify the request; its 403 would have reached the caller as the target's. It concerned requests of separated hosts only. Change: these headers are removed before ours are added; a request that cannot be verified is answered as not passed on. Result: peeringTest "headers of a caller that are named like those of a relayed request are not passed on" failed before and passes.

--- a/src/daemon/TargetRelay.cpp
+++ b/src/daemon/TargetRelay.cpp
@@ -6,7 +6,6 @@
 
 namespace Carawaymill {
 
-static constexpr unsigned statusForbidden = 403;
 /// The host that asked abandons the request earlier. Ends an exchange whose host no longer exists.
 static constexpr Duration exchangeTimeout = 60s;
 
@@ -19,17 +18,17 @@
 
 void TargetRelay::take(HttpRequest request, std::unique_ptr<HttpResponder> responder)
 {
+    const std::string attempt = headerValue(request.headers, targetEcho({}).name);
     auto decoded = decodeRelayedRequest(std::move(request), m_key);
     auto *relayed = std::get_if<RelayedRequest>(&decoded);
     if (relayed == nullptr) {
-        responder->send({.status = statusForbidden, .headers = {}, .body = {}});
+        responder->send(relayFailureResponse(RelayFailure::HostUnavailable, attempt));
         return;
     }
     m_last = m_last.next();
     const RelayId id = m_last;
     const TargetId target = relayed->target;
     responder->onCallerDisconnected([this, id] { m_relayed.erase(id); });
-    const std::string attempt = headerValue(relayed->request.headers, targetEcho({}).name);
     m_relayed.emplace(id,
                       Relayed{.request = std::move(*relayed),
                               .attempt = attempt,
--- a/src/peering/RelayCodec.cpp
+++ b/src/peering/RelayCodec.cpp
@@ -42,9 +42,18 @@
     return hexadecimal(truncatedHmac(text.append("\n\n").append(relayed.request.body), key));
 }
 
+/// Headers that `HttpClient` adds to a request or that concern the connection between the two hosts.
+static bool isOwnHeader(const std::string &name)
+{
+    static constexpr std::array names{targetHeader, freshConnectionHeader, authenticationHeader, "Content-Length"};
+    return std::ranges::any_of(names, [&](const char *own) { return sameHeaderName(own, name); });
+}
+
 HttpRequest encodeRelayedRequest(const RelayedRequest &relayed, const std::string &key)
 {
     RelayedRequest complete = relayed;
+    // A caller may have sent headers of these names.
+    std::erase_if(complete.request.headers, [](const auto &header) { return isOwnHeader(header.first); });
     if (headerValue(complete.request.headers, "Host").empty()) {
         // Otherwise the HTTP client would add one that the HMAC does not cover.
         complete.request.headers.emplace_back("Host", relayed.target.value());
@@ -58,13 +67,6 @@
     return request;
 }
 
-/// Headers that `HttpClient` adds to a request or that concern the connection between the two hosts.
-static bool isOwnHeader(const std::string &name)
-{
-    static constexpr std::array names{targetHeader, freshConnectionHeader, authenticationHeader, "Content-Length"};
-    return std::ranges::any_of(names, [&](const char *own) { return sameHeaderName(own, name); });
-}
-
 Result<RelayedRequest, RelayAuthenticationFailure> decodeRelayedRequest(HttpRequest request, const std::string &key)
 {
     RelayedRequest relayed{.target = TargetId(headerValue(request.headers, targetHeader)),
--- a/src/peering/tests/RelayCodecTest.cpp
+++ b/src/peering/tests/RelayCodecTest.cpp
@@ -56,3 +56,15 @@
     }
     CHECK(isRejected(changed));
 }
+
+/// Guards against callers whose own headers lead their requests to another target or make them fail.
+TEST_CASE("headers of a caller that are named like those of a relayed request are not passed on")
+{
+    RelayedRequest request = relayed();
+    request.request.headers.emplace_back("Carawaymill-Relay-Target", "i-2");
+    request.request.headers.emplace_back("carawaymill-relay-authentication", "00");
+    const auto decoded = decodeRelayedRequest(encodeRelayedRequest(request, "key"), "key");
+    REQUIRE(std::holds_alternative<RelayedRequest>(decoded));
+    CHECK(std::get<RelayedRequest>(decoded).target == TargetId("i-1"));
+    CHECK(std::get<RelayedRequest>(decoded).request.headers.size() == 2);
+}
