PlatformStandIn: Count what a client reads of endless responses, not what the kernel holds

It left the client's body limit of 8 MB in force and counted what the two sockets buffer, up to 4.6 MB. Change: the test uses the limit of 2 MB that holds for targets, the stand-in's send buffer is 64 KB, and a failure names its case. The bound stays as it was.

--- a/src/platformstandin/EndlessTargetStandIn.cpp
+++ b/src/platformstandin/EndlessTargetStandIn.cpp
@@ -13,6 +13,7 @@
 using boost::system::error_code;
 
 static constexpr std::size_t writeSize = 16384;
+static constexpr int sendBufferSize = 65536;
 
 class EndlessTargetStandIn::Implementation : public std::enable_shared_from_this<Implementation>
 {
@@ -32,6 +33,9 @@
             if (error) {
                 return;
             }
+            // What is written must be close to what the other side has read.
+            error_code ignored;
+            socket.set_option(boost::asio::socket_base::send_buffer_size(sendBufferSize), ignored);
             auto connection = std::make_shared<Connection>(Connection{.socket = std::move(socket)});
             connection->socket.async_read_some(boost::asio::buffer(connection->received),
                                                [self, connection](error_code readError, std::size_t /*size*/) {
--- a/src/platformstandin/tests/EndlessResponseTest.cpp
+++ b/src/platformstandin/tests/EndlessResponseTest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 using namespace Carawaymill;
@@ -13,6 +14,7 @@
 /// A client has to give up a response long before this many bytes; buffers of the operating system are among them.
 static constexpr std::size_t mostBytes = 12U << 20U;
 static constexpr Duration limit = 5s;
+static constexpr ByteCount bodyLimit(2U << 20U);
 
 struct EndlessCase
 {
@@ -41,19 +43,20 @@
 TEST_CASE("a response that never ends is given up and its connection closed")
 {
     for (const EndlessCase &endless : endlessCases()) {
-        CAPTURE(endless.name);
+        CAPTURE(std::string(endless.name));
         boost::asio::io_context context;
         const EndlessTargetStandIn target(context, endless.response);
         HttpClient client(context);
         bool failed = false;
         bool completed = false;
-        const auto exchange = client.open(target.address(),
-                                          {.method = "GET", .target = "/", .headers = {}, .body = {}},
-                                          {.timeout = 60s, .echo = HttpEcho{.name = "X-Attempt-Id", .value = "1"}},
-                                          [&](const HttpStreamEvent &event) {
-                                              failed = failed || std::holds_alternative<HttpNoResponse>(event);
-                                              completed = completed || std::holds_alternative<HttpResponseEnd>(event);
-                                          });
+        const auto exchange = client.open(
+            target.address(),
+            {.method = "GET", .target = "/", .headers = {}, .body = {}},
+            {.timeout = 60s, .bodyLimit = bodyLimit, .echo = HttpEcho{.name = "X-Attempt-Id", .value = "1"}},
+            [&](const HttpStreamEvent &event) {
+                failed = failed || std::holds_alternative<HttpNoResponse>(event);
+                completed = completed || std::holds_alternative<HttpResponseEnd>(event);
+            });
         const TimePoint end = readBootClock() + limit;
         while ((!failed || target.closed() == 0) && readBootClock() < end) {
             context.run_one_for(std::chrono::milliseconds(20));
