--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/DirectoryReplica.h"
 
+#include "support/Seconds.h"
+
 #include <set>
 
 namespace Carawaymill {
@@ -48,6 +50,7 @@
 void DirectoryReplica::applyReply(const KeyValueReply &reply, TimePoint now, Actions &actions)
 {
     const bool hadOutage = m_watch.failures() >= outageFailureThreshold;
+    const auto confirmedBefore = m_watch.confirmedAt();
     const auto update = m_watch.handle(reply, now);
     if (!update) {
         return;
@@ -60,6 +63,15 @@
     }
     const TimePoint unlistAt = hadOutage ? now + m_options.restoreGracePeriod : m_graceUntil.value_or(now);
     apply(*update, source, now, unlistAt, actions);
+    if (unlistAt > now) {
+        const Duration unconfirmed = now - confirmedBefore.value_or(now);
+        for (const auto &[target, at] : m_missing) {
+            if (at == unlistAt) {
+                actions.emplace_back(
+                    TargetMissing{.target = target, .gracePeriod = unlistAt - now, .unconfirmed = unconfirmed});
+            }
+        }
+    }
 }
 
 TargetId DirectoryReplica::targetOf(const std::string &key) const
@@ -194,6 +206,13 @@
     return "Directory: event=unlisted target=" + unlisted.target.value();
 }
 
+std::string describe(const TargetMissing &missing)
+{
+    return "Directory: event=missing target=" + missing.target.value()
+           + " kept_ms=" + std::to_string(wholeMilliseconds(missing.gracePeriod))
+           + " unconfirmed_ms=" + std::to_string(wholeMilliseconds(missing.unconfirmed));
+}
+
 std::string describe(const TargetRecordIgnored &ignored)
 {
     return "Directory: event=ignored key=" + ignored.key + " reason=\"" + ignored.reason + "\"";
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -39,6 +39,15 @@
     TargetId target;
 };
 
+/// Action, for the log: a target's record is missing, and the target stays listed for a grace period.
+struct TargetMissing
+{
+    TargetId target;
+    Duration gracePeriod{};
+    /// Time between the last two confirmations of the directory, in which the service was out of reach.
+    Duration unconfirmed{};
+};
+
 /// Action, for the log: a record was ignored because it is malformed.
 struct TargetRecordIgnored
 {
@@ -46,7 +55,8 @@
     std::string reason;
 };
 
-using DirectoryReplicaAction = std::variant<KeyValueCall, TargetListed, TargetUnlisted, TargetRecordIgnored>;
+using DirectoryReplicaAction =
+    std::variant<KeyValueCall, TargetListed, TargetUnlisted, TargetMissing, TargetRecordIgnored>;
 
 using DirectoryReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged>;
 
@@ -114,6 +124,7 @@
 /// Log lines of the actions.
 [[nodiscard]] std::string describe(const TargetListed &listed);
 [[nodiscard]] std::string describe(const TargetUnlisted &unlisted);
+[[nodiscard]] std::string describe(const TargetMissing &missing);
 [[nodiscard]] std::string describe(const TargetRecordIgnored &ignored);
 
 } // namespace Carawaymill
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -328,7 +328,7 @@
                                   context.output.log(describe(unlisted));
                                   m_forwarder.targetUnlisted(unlisted.target, context.targets.router());
                               },
-                              [&](const TargetRecordIgnored &ignored) { context.output.log(describe(ignored)); }},
+                              [&](const auto &logged) { context.output.log(describe(logged)); }},
                    action);
     }
     if (m_directory.isLoaded()) {
