CrashAttribution: Log what is condemned, and how many others have the same evidence

The logs of the BUDGET incident show that a wrong trait is condemned after each three crashes, but not whether others were as suspect or were left out as proven sound.

--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -137,7 +137,7 @@
         known += m_condemned.contains(trait.fingerprint) ? 1 : 0;
         const Duration remaining =
             std::min<Duration>(std::chrono::milliseconds(trait.remainingMilliseconds), m_options.condemnationPeriod);
-        condemn(trait.fingerprint, now + remaining, 0, actions);
+        condemn(trait.fingerprint, now + remaining, std::nullopt, actions);
     }
     if (known == m_condemned.size()) {
         m_nextAnnounce = now + m_options.announceInterval;
@@ -252,15 +252,33 @@
                 evidence.specificity = std::max(evidence.specificity, specificity);
             }
         }
+        std::erase_if(suspects,
+                      [&](const auto &suspect) { return suspect.second.crashes < m_options.crashesToCondemn; });
+        std::vector<std::size_t> crashesOfProven;
         std::erase_if(suspects, [&](const auto &suspect) {
-            return suspect.second.crashes < m_options.crashesToCondemn || isProven(suspect.first, now);
+            const bool proven = isProven(suspect.first, now);
+            if (proven) {
+                crashesOfProven.push_back(suspect.second.crashes);
+            }
+            return proven;
         });
         const auto cause = std::ranges::max_element(
             suspects, [](const auto &one, const auto &other) { return one.second < other.second; });
         if (cause == suspects.end()) {
             break;
         }
-        condemn(cause->first, now + m_options.condemnationPeriod, cause->second.crashes, actions);
+        const std::size_t crashes = cause->second.crashes;
+        const auto equallySuspect = std::ranges::count_if(
+            suspects, [crashes](const auto &suspect) { return suspect.second.crashes == crashes; });
+        const auto provenSound =
+            std::ranges::count_if(crashesOfProven, [crashes](std::size_t proven) { return proven >= crashes; });
+        condemn(cause->first,
+                now + m_options.condemnationPeriod,
+                CondemnationEvidence{.crashes = crashes,
+                                     .wholeRequest = cause->second.specificity == wholeRequestSpecificity,
+                                     .equallySuspect = static_cast<std::size_t>(equallySuspect - 1),
+                                     .provenSound = static_cast<std::size_t>(provenSound)},
+                actions);
         markExplained();
         condemned = true;
     }
@@ -277,7 +295,10 @@
     }
 }
 
-void CrashAttribution::condemn(const Fingerprint &trait, TimePoint until, std::size_t crashes, Actions &actions)
+void CrashAttribution::condemn(const Fingerprint &trait,
+                               TimePoint until,
+                               const std::optional<CondemnationEvidence> &evidence,
+                               Actions &actions)
 {
     if (const auto found = m_condemned.find(trait); found != m_condemned.end()) {
         found->second = std::max(found->second, until);
@@ -289,7 +310,7 @@
         m_condemned.erase(oldest);
     }
     m_condemned.emplace(trait, until);
-    actions.emplace_back(TraitCondemned{.trait = trait, .crashes = crashes});
+    actions.emplace_back(TraitCondemned{.trait = trait, .evidence = evidence});
 }
 
 void CrashAttribution::announceCondemned(TimePoint now, Actions &actions)
@@ -346,8 +367,15 @@
 
 std::string describe(const TraitCondemned &condemned)
 {
-    return "Quarantine: event=condemned trait=" + condemned.trait.value()
-           + " crashes=" + std::to_string(condemned.crashes);
+    std::string line = "Quarantine: event=condemned trait=" + condemned.trait.value();
+    if (const std::optional<CondemnationEvidence> &evidence = condemned.evidence) {
+        line += " crashes=" + std::to_string(evidence->crashes)
+                + " kind=" + (evidence->wholeRequest ? "request" : "part") + " equally_suspect="
+                + std::to_string(evidence->equallySuspect) + " proven_sound=" + std::to_string(evidence->provenSound);
+    } else {
+        line += " crashes=0";
+    }
+    return line;
 }
 
 std::string describe(const TraitLifted &lifted)
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -53,11 +53,24 @@
     std::size_t traits = 0;
 };
 
-/// Action: log that a trait was condemned. No crashes: another host decided it.
+/// What led this host to condemn a trait.
+struct CondemnationEvidence
+{
+    std::size_t crashes = 0;
+    /// Whether the trait is a whole request rather than a part of prompts.
+    bool wholeRequest = false;
+    /// Number of traits that shared as many of the crashes.
+    std::size_t equallySuspect = 0;
+    /// Number of traits that shared as many of the crashes or more and were left out as proven sound.
+    std::size_t provenSound = 0;
+};
+
+/// Action: log that a trait was condemned.
 struct TraitCondemned
 {
     Fingerprint trait;
-    std::size_t crashes = 0;
+    /// std::nullopt if another host decided it.
+    std::optional<CondemnationEvidence> evidence;
 };
 
 /// Action: log that a condemned trait was proven sound and is no longer refused.
@@ -159,7 +172,10 @@
     /// Condemns the traits that explain most of the unexplained crashes.
     void attribute(TimePoint now, Actions &actions);
     void markExplained();
-    void condemn(const Fingerprint &trait, TimePoint until, std::size_t crashes, Actions &actions);
+    void condemn(const Fingerprint &trait,
+                 TimePoint until,
+                 const std::optional<CondemnationEvidence> &evidence,
+                 Actions &actions);
     void announceCondemned(TimePoint now, Actions &actions);
     void send(AttributionMessage message, unsigned count, TimePoint now, Actions &actions);
     void expire(TimePoint now);
--- a/src/quarantine/CrashAttributionMessages.cpp
+++ b/src/quarantine/CrashAttributionMessages.cpp
@@ -4,7 +4,6 @@
 #include "support/Hash.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace Carawaymill {
 
@@ -17,8 +16,8 @@
                                    const std::string &body,
                                    const std::vector<std::string> &sharedParts)
 {
-    std::vector<RequestTrait> traits{{.fingerprint = fingerprintOf(organisation, EntryId(path), body),
-                                      .specificity = std::numeric_limits<std::uint32_t>::max()}};
+    std::vector<RequestTrait> traits{
+        {.fingerprint = fingerprintOf(organisation, EntryId(path), body), .specificity = wholeRequestSpecificity}};
     std::uint32_t position = 0;
     for (const std::string &part : sharedParts) {
         if (position == maximumParts) {
--- a/src/quarantine/CrashAttributionMessages.h
+++ b/src/quarantine/CrashAttributionMessages.h
@@ -3,6 +3,7 @@
 #include "quarantine/QuarantineMessages.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -10,11 +11,14 @@
 /// Messages between hosts about what crashed targets have in common.
 namespace Carawaymill {
 
+/// A whole request is more specific than any part of a prompt.
+inline constexpr std::uint32_t wholeRequestSpecificity = std::numeric_limits<std::uint32_t>::max();
+
 /// Something that several requests can share and that may crash targets: a whole request, or one part of a prompt.
 struct RequestTrait
 {
     Fingerprint fingerprint;
-    /// The position of the part in the prompt; a whole request is more specific than any part.
+    /// The position of the part in the prompt, or `wholeRequestSpecificity`.
     std::uint32_t specificity = 0;
 
     friend bool operator==(const RequestTrait &, const RequestTrait &) = default;
