Forwarding: Add a failing test on a request that crashes targets in company

Cause: the fleets of these tests had so many targets that no sound request was at three crashes of one request.

--- a/src/forwarding/tests/CrashingRequestTest.cpp
+++ b/src/forwarding/tests/CrashingRequestTest.cpp
@@ -21,10 +21,22 @@
 public:
     static constexpr std::size_t hostCount = 4;
 
-    explicit CrashingTargets(std::function<bool(const ForwardRequest &)> isPoison)
-        : m_isPoison(std::move(isPoison))
+    struct Options
     {
-        for (int number = 3; number <= 16; ++number) {
+        std::function<bool(const ForwardRequest &)> isPoison;
+        /// Number of targets of the model in failure domain a; two more are in failure domain b.
+        int engines = 16;
+        /// Whether a caller sends a failed request once more, to any host.
+        bool callersRepeat = false;
+        std::uint64_t seed = 11;
+    };
+
+    explicit CrashingTargets(Options options)
+        : random(options.seed)
+        , m_isPoison(std::move(options.isPoison))
+        , m_callersRepeat(options.callersRepeat)
+    {
+        for (int number = 3; number <= options.engines; ++number) {
             list(ForwarderFixture::engine("a" + std::to_string(number), layersOf(number)));
         }
         for (int number = 4; number <= 12; ++number) {
@@ -71,7 +83,7 @@
             std::ranges::count_if(m_poisonSent, [&](TimePoint sent) { return sent > from; }));
     }
 
-    Random random{11};
+    Random random;
 
 private:
     struct Running
@@ -116,6 +128,10 @@
                 });
             } else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action)) {
                 m_running.erase({host, abandoned->id, abandoned->attempt});
+            } else if (const auto *refusal = std::get_if<RefuseCaller>(&action)) {
+                repeat(refusal->id, refusal->retryAfter.value_or(tick));
+            } else if (const auto *broken = std::get_if<AbortStream>(&action)) {
+                repeat(broken->id, tick);
             } else if (const auto *broadcast = std::get_if<BroadcastAttributionMessage>(&action)) {
                 for (std::size_t to = 0; to < hostCount; ++to) {
                     if (to != host && random.below(5) != 0) {
@@ -128,6 +144,17 @@
         }
     }
 
+    void repeat(RequestId id, Duration delay)
+    {
+        static constexpr std::uint64_t firstRepeatedId = 1'000'000;
+        if (!m_callersRepeat || id.value() >= firstRepeatedId || delay > 1s) {
+            return;
+        }
+        schedule(delay, [this, repeated = m_requests.at(id), number = id.value() + firstRepeatedId] {
+            request(random.below(hostCount), {.id = RequestId(number), .request = repeated});
+        });
+    }
+
     void run(std::size_t host, const ForwardToTarget &dispatch)
     {
         const bool poison = m_isPoison(*dispatch.request);
@@ -211,6 +238,7 @@
     }
 
     std::function<bool(const ForwardRequest &)> m_isPoison;
+    bool m_callersRepeat = false;
     std::array<ForwarderFixture, hostCount> m_hosts{ForwarderFixture(options(0)),
                                                     ForwarderFixture(options(1)),
                                                     ForwarderFixture(options(2)),
@@ -262,9 +290,9 @@
     "a prompt part that crashes each target reaches at most three more after its fifth crash and others are served")
 {
     static const std::string badPart = "bad";
-    CrashingTargets fleet([](const ForwardRequest &request) {
+    CrashingTargets fleet({.isPoison = [](const ForwardRequest &request) {
         return std::ranges::find(request.sharedParts, badPart) != request.sharedParts.end();
-    });
+    }});
     std::uint64_t lastId = 0;
     std::vector<RequestId> sameFirstPart;
     std::vector<RequestId> others;
@@ -308,7 +336,7 @@
 
 TEST_CASE("a request that crashes each target is sent in at most three more retries after its third crash")
 {
-    CrashingTargets fleet([](const ForwardRequest &request) { return request.http.body == "poison"; });
+    CrashingTargets fleet({.isPoison = [](const ForwardRequest &request) { return request.http.body == "poison"; }});
     std::uint64_t lastId = 0;
     std::vector<RequestId> sound;
     const TimePoint start = fleet.now();
@@ -335,6 +363,45 @@
     CHECK(servedShare(fleet, sound) > 0.9);
 }
 
+TEST_CASE("a stream that crashes its targets beside others that move along is sent in at most three more retries")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        CrashingTargets fleet({.isPoison = [](const ForwardRequest &request) { return request.http.body == "poison"; },
+                               .engines = 6,
+                               .callersRepeat = true,
+                               .seed = seed});
+        std::uint64_t lastId = 0;
+        std::vector<RequestId> sound;
+        const TimePoint start = fleet.now();
+        while (fleet.now() < start + 30s) {
+            fleet.advance();
+            const std::uint64_t step = static_cast<std::uint64_t>((fleet.now() - start) / tick);
+            if (step % 2 == 0) {
+                ForwardRequested request = ForwarderFixture::request(++lastId, "/stream/x");
+                request.request.http.body = "sound" + std::to_string(lastId);
+                request.request.sharedParts = {"first"};
+                if (fleet.now() > start + 20s && fleet.now() < start + 28s) {
+                    sound.push_back(request.id);
+                }
+                fleet.request(fleet.random.below(CrashingTargets::hostCount), request);
+            }
+            if (step % 40 == 0) {
+                ForwardRequested poison = ForwarderFixture::request(++lastId, "/stream/x");
+                poison.request.http.body = "poison";
+                poison.request.sharedParts = {"first"};
+                fleet.request(fleet.random.below(CrashingTargets::hostCount), poison);
+            }
+        }
+        MESSAGE("crashes: " << fleet.crashes().size()
+                            << " late: " << fleet.poisonSentAfter(fleet.crashes().at(2) + connectivityPeriod)
+                            << " sound served: " << servedShare(fleet, sound));
+        REQUIRE(fleet.crashes().size() >= 3);
+        CHECK(fleet.poisonSentAfter(fleet.crashes()[2] + connectivityPeriod) <= 3);
+        CHECK(servedShare(fleet, sound) > 0.9);
+    }
+}
+
 TEST_CASE("a condemned request that still runs is no longer refused once its target has answered with a failure")
 {
     ForwarderFixture fixture;
