DirectoryReplica: Keep missing targets only after an outage that another host cannot rule out

Callers saw: a host that had been cut off from the store sent requests to a target that had left, 12 s after the store had acknowledged it. Cause: two failed calls of a host counted as an outage of the store, in which records of sound targets expire, and so targets that were missing afterwards stayed listed for 1.9 s from the host's own first reading on. Only the host had been cut off. Change: the replica is told when the service is known to have answered any host (the confirmations of the configuration, which other hosts send to a host that is cut off). Only a gap in that of 2.2 s or more begins the grace period.

--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -2,13 +2,11 @@
 
 #include "support/Seconds.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Carawaymill {
 
-/// Number of consecutive failed calls from which the service is considered to have had an outage.
-static constexpr std::uint32_t outageFailureThreshold = 2;
-
 DirectoryReplica::DirectoryReplica(DirectoryReplicaOptions options)
     : m_options(std::move(options))
     , m_watch({.prefix = m_options.format.directoryPrefix,
@@ -27,6 +25,8 @@
         m_graceUntil.reset();
     } else if (const auto *reply = std::get_if<KeyValueReply>(&event)) {
         applyReply(*reply, now, actions);
+    } else if (const auto *responded = std::get_if<ServiceResponded>(&event)) {
+        recordAvailable(responded->at, now);
     }
     if (m_graceUntil && now >= *m_graceUntil) {
         m_graceUntil.reset();
@@ -49,19 +49,19 @@
 
 void DirectoryReplica::applyReply(const KeyValueReply &reply, TimePoint now, Actions &actions)
 {
-    const bool hadOutage = m_watch.failures() >= outageFailureThreshold;
     const auto confirmedBefore = m_watch.confirmedAt();
     const auto update = m_watch.handle(reply, now);
     if (!update) {
         return;
     }
+    recordAvailable(*m_watch.confirmedAt(), now);
     Source source = Source::Current;
     if (m_restored && update->complete) {
         m_restored = false;
         m_graceUntil = now + m_options.restoreGracePeriod;
         source = Source::OlderCopy;
     }
-    const TimePoint unlistAt = hadOutage ? now + m_options.restoreGracePeriod : m_graceUntil.value_or(now);
+    const TimePoint unlistAt = std::max({now, m_outageGraceUntil, m_graceUntil.value_or(now)});
     apply(*update, source, now, unlistAt, actions);
     if (unlistAt > now) {
         const Duration unconfirmed = now - confirmedBefore.value_or(now);
@@ -74,6 +74,15 @@
     }
 }
 
+void DirectoryReplica::recordAvailable(TimePoint at, TimePoint now)
+{
+    // Failed calls of this host alone say nothing of an outage: it may be cut off from the service.
+    if (m_availableAt && at - *m_availableAt >= m_options.shortestOutage) {
+        m_outageGraceUntil = now + m_options.restoreGracePeriod;
+    }
+    m_availableAt = std::max(m_availableAt.value_or(at), at);
+}
+
 TargetId DirectoryReplica::targetOf(const std::string &key) const
 {
     return TargetId(key.substr(m_options.format.directoryPrefix.size()));
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -23,10 +23,19 @@
     /// Targets whose records expired during an outage of the service register again within this time; a target whose
     /// record is still missing afterwards is unlisted.
     Duration restoreGracePeriod = 1900ms;
+    /// Shorter outages end no record of a sound target: a record is written every 1.2 s and expires after three missed
+    /// writes.
+    Duration shortestOutage = 2200ms;
     /// Removed targets are remembered for this time, well above the age of the copy that the service may return from.
     Duration removedRetention = 60s;
 };
 
+/// Event: the service has answered a call of this host or of another one that was sent at `at` or later.
+struct ServiceResponded
+{
+    TimePoint at;
+};
+
 /// Action: a target was added, or its record has changed.
 struct TargetListed
 {
@@ -58,7 +67,7 @@
 using DirectoryReplicaAction =
     std::variant<KeyValueCall, TargetListed, TargetUnlisted, TargetMissing, TargetRecordIgnored>;
 
-using DirectoryReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged>;
+using DirectoryReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged, ServiceResponded>;
 
 /// Replicates the directory in which targets register themselves.
 class DirectoryReplica
@@ -92,6 +101,8 @@
     };
 
     void applyReply(const KeyValueReply &reply, TimePoint now, Actions &actions);
+    /// Records that the service was available at `at`, and begins a grace period if that ends an outage.
+    void recordAvailable(TimePoint at, TimePoint now);
     /// Targets whose records are missing are unlisted at `unlistAt`.
     void apply(const RangeUpdate &update, Source source, TimePoint now, TimePoint unlistAt, Actions &actions);
     /// Lists the target of the record, or unlists it if the record is malformed or superseded.
@@ -116,6 +127,10 @@
     std::map<TargetId, RemovedTarget> m_removed;
     /// The service returned from an older copy, and the directory has not been read since.
     bool m_restored = false;
+    /// The service is known to have been available to any host at this time.
+    std::optional<TimePoint> m_availableAt;
+    /// End of the grace period after the last outage.
+    TimePoint m_outageGraceUntil{};
     /// End of the grace period after that read. The directory is then read again and taken as it is.
     std::optional<TimePoint> m_graceUntil;
     bool m_loaded = false;
--- a/src/forwarding/tests/ReplicasTest.cpp
+++ b/src/forwarding/tests/ReplicasTest.cpp
@@ -205,6 +205,28 @@
     CHECK(find<TargetUnlisted>(later) != nullptr);
 }
 
+TEST_CASE("a missing target is unlisted at once if another host reached the service while this one could not")
+{
+    DirectoryReplica replica({.format = testFormat()});
+    const auto first = find<KeyValueCall>(replica.handle(Tick{}, start))->id;
+    (void)replica.handle(
+        KeyValueReply{.id = first, .result = read({record("servers/a", "a:1"), record("servers/b", "b:1")})}, start);
+    std::optional<CallId> call;
+    const TimePoint returned = start + 12s;
+    for (TimePoint now = start; now < returned; now += 100ms) {
+        if (const auto actions = replica.handle(Tick{}, now); const auto *next = find<KeyValueCall>(actions)) {
+            call = next->id;
+        }
+        (void)replica.handle(ServiceResponded{now - 800ms}, now);
+    }
+    REQUIRE(call);
+    CHECK(replica.targets().size() == 2);
+    const auto actions =
+        replica.handle(KeyValueReply{.id = *call, .result = read({record("servers/a", "a:1")})}, returned);
+    CHECK(find<TargetUnlisted>(actions) != nullptr);
+    CHECK(find<TargetMissing>(actions) == nullptr);
+}
+
 TEST_CASE("an unreadable target record is ignored and the other records are listed")
 {
     DirectoryReplica replica({.format = testFormat()});
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -306,6 +306,9 @@
                        }},
             action);
     }
+    if (const auto age = m_configuration.age(context.now)) {
+        dispatchDirectory(ServiceResponded{context.now - *age}, context);
+    }
 }
 
 void ForwardingCoordinator::configurationChanged(const ConfigurationChanged &changed, NodeContext &context)
