RangeWatch: Find out soon that the service is back and read a compacted range without the delay of earlier failures

Cause: a watch that was sent in a cut hung for its wait and its timeout, 2 s; the answer that its history is gone then counted as one more failure, whose delay had grown to 0.8 s. Change: a watch that follows a failure waits 0.1 s, and a compacted history resets the delay.

--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -27,7 +27,8 @@
     KeyValueCall call{.id = m_lastCall, .request = ReadRange{m_options.prefix}, .timeout = m_options.callTimeout};
     Duration wait{};
     if (m_watchAfter) {
-        wait = m_options.wait;
+        // After a failure the service may be out of reach, and a long wait would hide its return.
+        wait = m_failures == 0 ? m_options.wait : m_options.waitAfterFailure;
         call.request = WatchRange{.prefix = m_options.prefix, .after = *m_watchAfter, .wait = wait};
     }
     m_inFlight =
@@ -51,6 +52,8 @@
     } else {
         if (std::holds_alternative<WatchCompacted>(reply.result)) {
             m_watchAfter.reset();
+            // The service is available again, so that earlier failures do not delay the read.
+            m_backoff.reset();
         }
         recordFailure(now);
         return std::nullopt;
--- a/src/forwarding/RangeWatch.h
+++ b/src/forwarding/RangeWatch.h
@@ -18,6 +18,8 @@
     /// The service answers a watch after this time even without a change. Bounds how long an unresponsive connection to
     /// the service goes unnoticed, and the age of the last confirmation.
     Duration wait = 1s;
+    /// The same for a watch that follows a failed call.
+    Duration waitAfterFailure = 100ms;
     /// Minimum time between two calls, so that changes in quick succession are received together.
     Duration minimumInterval{};
     /// Timeout in addition to the wait; well above the response time of a slow service.
