CrashAttribution: Condemn every whole request with the same evidence and let a better explanation win

Callers saw: a request that crashed three targets was sent on and crashed six more, and other requests were refused in its place. Cause: the streams of a crashed target are repeated at the same next target and crash with it again, so that several whole requests have been at all three crashes. One of them was condemned, the first by its fingerprint; its crashes then counted as explained, and the evidence against the others was gone. Change: whole requests with the same evidence are condemned together; one that is refused for nothing costs its caller's repeats only. A trait that is in all crashes of a condemned one and in a further one counts these crashes too. Both new cases of CrashAttributionTest fail before.

--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -230,32 +230,67 @@
     return changed;
 }
 
-void CrashAttribution::attribute(TimePoint now, Actions &actions)
+std::map<Fingerprint, CrashAttribution::Evidence> CrashAttribution::unexplainedEvidence() const
 {
-    struct Evidence
-    {
-        std::size_t crashes = 0;
-        std::uint32_t specificity = 0;
-        auto operator<=>(const Evidence &) const = default;
-    };
+    std::map<Fingerprint, Evidence> suspects;
+    for (const Crash &crash : m_crashes) {
+        if (crash.explained || !crash.counted) {
+            continue;
+        }
+        for (const auto &[trait, specificity] : crash.traits) {
+            Evidence &evidence = suspects[trait];
+            evidence.crashes += 1;
+            evidence.specificity = std::max(evidence.specificity, specificity);
+        }
+    }
+    return suspects;
+}
 
-    bool condemned = false;
-    while (true) {
-        std::map<Fingerprint, Evidence> suspects;
+std::vector<std::vector<const CrashAttribution::Crash *>> CrashAttribution::explainedCrashes() const
+{
+    std::vector<std::vector<const Crash *>> explained;
+    for (const auto &[trait, until] : m_condemned) {
+        std::vector<const Crash *> crashes;
         for (const Crash &crash : m_crashes) {
-            if (crash.explained || !crash.counted) {
-                continue;
+            if (crash.counted && crash.traits.contains(trait)) {
+                crashes.push_back(&crash);
             }
-            for (const auto &[trait, specificity] : crash.traits) {
-                Evidence &evidence = suspects[trait];
-                evidence.crashes += 1;
-                evidence.specificity = std::max(evidence.specificity, specificity);
+        }
+        if (!crashes.empty()) {
+            explained.push_back(std::move(crashes));
+        }
+    }
+    return explained;
+}
+
+std::map<Fingerprint, CrashAttribution::Evidence> CrashAttribution::suspects() const
+{
+    std::map<Fingerprint, Evidence> suspects = unexplainedEvidence();
+    if (suspects.empty()) {
+        return suspects;
+    }
+    const auto explained = explainedCrashes();
+    for (auto &[suspect, evidence] : suspects) {
+        std::set<const Crash *> better;
+        for (const std::vector<const Crash *> &crashes : explained) {
+            if (std::ranges::all_of(crashes, [&](const Crash *crash) { return crash->traits.contains(suspect); })) {
+                better.insert(crashes.begin(), crashes.end());
             }
         }
-        std::erase_if(suspects,
+        evidence.crashes += better.size();
+    }
+    return suspects;
+}
+
+void CrashAttribution::attribute(TimePoint now, Actions &actions)
+{
+    bool condemned = false;
+    while (true) {
+        std::map<Fingerprint, Evidence> suspected = suspects();
+        std::erase_if(suspected,
                       [&](const auto &suspect) { return suspect.second.crashes < m_options.crashesToCondemn; });
         std::vector<std::size_t> crashesOfProven;
-        std::erase_if(suspects, [&](const auto &suspect) {
+        std::erase_if(suspected, [&](const auto &suspect) {
             const bool proven = isProven(suspect.first, now);
             if (proven) {
                 crashesOfProven.push_back(suspect.second.crashes);
@@ -263,22 +298,26 @@
             return proven;
         });
         const auto cause = std::ranges::max_element(
-            suspects, [](const auto &one, const auto &other) { return one.second < other.second; });
-        if (cause == suspects.end()) {
+            suspected, [](const auto &one, const auto &other) { return one.second < other.second; });
+        if (cause == suspected.end()) {
             break;
         }
-        const std::size_t crashes = cause->second.crashes;
+        const Evidence most = cause->second;
         const auto equallySuspect = std::ranges::count_if(
-            suspects, [crashes](const auto &suspect) { return suspect.second.crashes == crashes; });
+            suspected, [&](const auto &suspect) { return suspect.second.crashes == most.crashes; });
         const auto provenSound =
-            std::ranges::count_if(crashesOfProven, [crashes](std::size_t proven) { return proven >= crashes; });
-        condemn(cause->first,
-                now + m_options.condemnationPeriod,
-                CondemnationEvidence{.crashes = crashes,
-                                     .wholeRequest = cause->second.specificity == wholeRequestSpecificity,
-                                     .equallySuspect = static_cast<std::size_t>(equallySuspect - 1),
-                                     .provenSound = static_cast<std::size_t>(provenSound)},
-                actions);
+            std::ranges::count_if(crashesOfProven, [&](std::size_t proven) { return proven >= most.crashes; });
+        const CondemnationEvidence evidence{.crashes = most.crashes,
+                                            .wholeRequest = most.specificity == wholeRequestSpecificity,
+                                            .equallySuspect = static_cast<std::size_t>(equallySuspect - 1),
+                                            .provenSound = static_cast<std::size_t>(provenSound)};
+        // Requests that were repeated beside the cause have the same evidence. A whole request that is refused for
+        // nothing costs its caller's repeats only; a part would cost many callers.
+        for (const auto &[trait, one] : suspected) {
+            if (trait == cause->first || (evidence.wholeRequest && one == most)) {
+                condemn(trait, now + m_options.condemnationPeriod, evidence, actions);
+            }
+        }
         markExplained();
         condemned = true;
     }
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -109,7 +109,7 @@
     Duration exonerationInterval = 2s;
     std::size_t maximumProofs = 8192;
     std::size_t maximumCrashes = 256;
-    std::size_t maximumCondemned = 64;
+    std::size_t maximumCondemned = 256;
 };
 
 /// Finds what crashed targets have in common: a whole request or a part of prompts that crashes each target that begins
@@ -146,6 +146,15 @@
         bool counted = false;
     };
 
+    /// How strongly a trait is suspected.
+    struct Evidence
+    {
+        std::size_t crashes = 0;
+        std::uint32_t specificity = 0;
+
+        auto operator<=>(const Evidence &) const = default;
+    };
+
     struct QueuedMessage
     {
         AttributionMessage message;
@@ -169,6 +178,13 @@
     [[nodiscard]] bool isProven(const Fingerprint &trait, TimePoint now) const;
     /// Counts the crashes whose reports have been collected. Returns whether there were any.
     [[nodiscard]] bool countSettledCrashes(TimePoint now);
+    /// The traits of the unexplained crashes, and how many of these each one has.
+    [[nodiscard]] std::map<Fingerprint, Evidence> unexplainedEvidence() const;
+    /// For each condemned trait, the crashes that it explains.
+    [[nodiscard]] std::vector<std::vector<const Crash *>> explainedCrashes() const;
+    /// Like unexplainedEvidence(), and counts for a trait that also explains all crashes of a condemned one these too:
+    /// the condemned one may only have come along.
+    [[nodiscard]] std::map<Fingerprint, Evidence> suspects() const;
     /// Condemns the traits that explain most of the unexplained crashes.
     void attribute(TimePoint now, Actions &actions);
     void markExplained();
--- a/src/quarantine/tests/CrashAttributionTest.cpp
+++ b/src/quarantine/tests/CrashAttributionTest.cpp
@@ -181,6 +181,42 @@
     CHECK(fleet.refusing(traits("another", {"first", "second"})) == 0);
 }
 
+TEST_CASE("requests that were at all crashes of another one are refused with it")
+{
+    AttributionFleet fleet(4);
+    const auto poison = traits("poison", {"first"});
+    const auto companion = traits("companion", {"first"});
+    for (int crash = 0; crash < 3; ++crash) {
+        fleet.handle(crash,
+                     TargetCrashObserved{.target = target(crash),
+                                         .traits = together({companion, traits(std::to_string(crash), {"first"})})});
+        fleet.handle(3, TargetCrashObserved{.target = target(crash), .traits = poison});
+        fleet.advance(1s);
+    }
+    CHECK(fleet.refusing(poison) == 4);
+    CHECK(fleet.refusing(companion) == 4);
+    CHECK(fleet.refusing(traits("sound", {"first"})) == 0);
+}
+
+TEST_CASE("a request that crashes a fourth target after another one was condemned in its place is refused")
+{
+    AttributionFleet fleet(4);
+    const auto poison = traits("poison", {"first"});
+    const auto companion = traits("companion", {"first"});
+    // A host of an earlier release condemns one of two traits that have the same evidence.
+    fleet.handle(0,
+                 AttributionMessageReceived{TraitsCondemned{
+                     {{.fingerprint = companion.front().fingerprint, .remainingMilliseconds = 600'000}}}});
+    for (int crash = 0; crash < 3; ++crash) {
+        fleet.handle(0, TargetCrashObserved{.target = target(crash), .traits = together({poison, companion})});
+        fleet.advance(1s);
+    }
+    fleet.handle(1, TargetCrashObserved{.target = target(3), .traits = poison});
+    fleet.advance(1s);
+    CHECK(fleet.refusing(poison) == 4);
+    CHECK(fleet.refusing(traits("sound", {"first"})) == 0);
+}
+
 TEST_CASE("a part that another host has proven sound is not condemned")
 {
     AttributionFleet fleet(3, 0.3);
