HttpSession: Never wait for bytes while looking for a caller that has left

A debugger showed the thread in HttpSession::watchForDisconnect, in a blocking receive. The hosts' own listeners use the same code. Cause: a socket that was reported as readable had nothing to read any more, and the peek waited for the next bytes of that caller. Change: the socket doesn't block; if there is nothing to read, the session watches on.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -83,6 +83,9 @@
     : m_stream(std::move(socket))
     , m_server(std::move(server))
 {
+    // The socket may be reported as readable although nothing can be read; watchForDisconnect() must not wait then.
+    boost::system::error_code ignored;
+    m_stream.socket().non_blocking(true, ignored);
     m_server->sessions.insert(this);
 }
 
@@ -199,7 +202,9 @@
             if (char byte = 0; self->m_stream.socket().available(error) == 0 || error) {
                 const auto received = self->m_stream.socket().receive(
                     boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, error);
-                if (received == 0 || error) {
+                if (error == boost::asio::error::would_block) {
+                    self->watchForDisconnect();
+                } else if (received == 0 || error) {
                     self->fail();
                 }
             }
