--- a/src/daemon/tests/PlatformFixture.cpp
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -30,7 +30,7 @@
 
 PlatformFixture::PlatformFixture(std::size_t hosts, bool ownLinks)
     : m_platform(std::make_unique<PlatformStandIn>(m_context))
-    , m_client(m_context)
+    , m_callers(m_context)
 {
     // Each request writes some log lines.
     if (std::getenv("GLOG_minloglevel") == nullptr) {
@@ -70,30 +70,7 @@
 
 std::shared_ptr<CallerExchange> PlatformFixture::call(std::size_t host, const std::string &path)
 {
-    auto call = std::make_shared<CallerExchange>();
-    call->attempt = "attempt-" + std::to_string(++m_lastAttempt);
-    call->sentAt = readBootClock();
-    const HttpRequest request{.method = "POST",
-                              .target = path,
-                              .headers = {{"Host", publishedHost},
-                                          {"X-Attempt-Id", call->attempt},
-                                          {"X-Deadline-Ms", "10000"},
-                                          {"X-Model", "standin-model"},
-                                          {"X-Token-Counts", "100,20"}},
-                              .body = "{}"};
-    call->exchange =
-        m_client.open("127.0.0.1:" + std::to_string(m_daemons.at(host)->callerPort()),
-                      request,
-                      {.timeout = 15s, .freshConnection = true},
-                      [record = call.get()](const HttpStreamEvent &event) {
-                          std::visit(Overloaded{[&](const HttpResponseHead &head) { record->status = head.status; },
-                                                [&](const HttpBodyPart &part) { record->body += part.bytes; },
-                                                [&](HttpResponseEnd) { record->complete = true; },
-                                                [&](HttpNotSent) { record->failed = true; },
-                                                [&](HttpNoResponse) { record->failed = true; }},
-                                     event);
-                      });
-    return call;
+    return m_callers.call("127.0.0.1:" + std::to_string(m_daemons.at(host)->callerPort()), path);
 }
 
 bool PlatformFixture::runUntil(const std::function<bool()> &condition, Duration limit)
@@ -131,14 +108,4 @@
     return true;
 }
 
-std::string streamEvents(EventCount count)
-{
-    std::string events;
-    for (EventCount id = 1; id <= count; ++id) {
-        const std::string text = std::to_string(id);
-        events.append("id: ").append(text).append("\ndata: token ").append(text).append("\n\n");
-    }
-    return events;
-}
-
 } // namespace Carawaymill
--- a/src/daemon/tests/PlatformFixture.h
+++ b/src/daemon/tests/PlatformFixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/Daemon.h"
-#include "http/HttpClient.h"
+#include "platformstandin/CallerStandIn.h"
 #include "platformstandin/PlatformStandIn.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,22 +14,6 @@
 
 namespace Carawaymill {
 
-/// A caller's request and what it got.
-struct CallerExchange
-{
-    std::string attempt;
-    TimePoint sentAt;
-    unsigned status = 0;
-    std::string body;
-    /// The response arrived completely.
-    bool complete = false;
-    /// The connection failed before the response was complete.
-    bool failed = false;
-    std::unique_ptr<HttpExchange> exchange;
-
-    [[nodiscard]] bool ended() const { return complete || failed; }
-};
-
 /// Hosts that run real daemons on the stand-in of the platform, and their callers, all in one `io_context`.
 class PlatformFixture
 {
@@ -57,11 +41,7 @@
     std::unique_ptr<PlatformStandIn> m_platform;
     std::vector<HostLinks *> m_links;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
-    HttpClient m_client;
-    std::uint64_t m_lastAttempt = 0;
+    CallerStandIn m_callers;
 };
 
-/// The events of a stream with the ids from 1 to `count`, as target stand-ins write them.
-[[nodiscard]] std::string streamEvents(EventCount count);
-
 } // namespace Carawaymill
--- a/src/platformstandin/PlatformStandIn.cpp
+++ b/src/platformstandin/PlatformStandIn.cpp
@@ -56,6 +56,11 @@
     return target;
 }
 
+void PlatformStandIn::removeRecord(const TargetId &target)
+{
+    m_store.remove("servers/" + target.value(), readBootClock());
+}
+
 EndlessTargetStandIn &
 PlatformStandIn::addEndlessTarget(const TargetId &id, const ServiceId &service, EndlessResponse response)
 {
--- a/src/platformstandin/PlatformStandIn.h
+++ b/src/platformstandin/PlatformStandIn.h
@@ -30,6 +30,9 @@
     /// Starts a target and registers it. The reference holds as long as the stand-in.
     TargetStandIn &addTarget(TargetStandInOptions options);
 
+    /// Removes a target's record, as one that leaves does; the target serves on.
+    void removeRecord(const TargetId &target);
+
     /// Starts a target whose answers never end, and registers it. The reference holds as long as the stand-in.
     EndlessTargetStandIn &addEndlessTarget(const TargetId &id, const ServiceId &service, EndlessResponse response);
 
--- a/src/platformstandin/TargetStandIn.cpp
+++ b/src/platformstandin/TargetStandIn.cpp
@@ -25,15 +25,18 @@
               .count()))
     , m_held(m_options.engine ? m_options.engine->layers : LayerRange())
     , m_server(std::get<std::unique_ptr<HttpServer>>(
-          HttpServer::create(context, {}, [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
-              take(std::move(request), std::move(responder));
-          })))
+          HttpServer::create(context,
+                             {},
+                             [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+                                 take(std::move(request), std::move(responder));
+                             })))
+    , m_address("127.0.0.1:" + std::to_string(m_server->port()))
 {
 }
 
 std::string TargetStandIn::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_server->port());
+    return m_address;
 }
 
 nlohmann::json TargetStandIn::record() const
@@ -59,14 +62,29 @@
     if (now < m_silentUntil) {
         return;
     }
+    if (std::ranges::any_of(m_runs, [&](const Run &run) { return run.crashes && now >= run.nextAt; })) {
+        crash();
+        return;
+    }
     for (PendingRequest &pending : std::exchange(m_pending, {})) {
         handle(pending, now);
     }
     std::erase_if(m_runs, [&](Run &run) { return advance(run, now); });
 }
 
+void TargetStandIn::crash()
+{
+    // Responders that are dropped close their connections.
+    m_pending.clear();
+    m_runs.clear();
+    m_server.reset();
+}
+
 void TargetStandIn::take(HttpRequest request, std::unique_ptr<HttpResponder> responder)
 {
+    if (hasCrashed()) {
+        return;
+    }
     const TimePoint now = readBootClock();
     PendingRequest pending{.request = std::move(request), .responder = std::move(responder)};
     if (now < m_silentUntil) {
@@ -119,6 +137,7 @@
     m_runs.push_back({.responder = std::move(pending.responder),
                       .attempt = attempt,
                       .nextAt = now + m_options.pace,
+                      .crashes = !m_options.crashingPath.empty() && pending.request.target == m_options.crashingPath,
                       .next = last + 1});
     if (m_options.streams) {
         HttpResponse head = responseHead(statusOk, attempt);
--- a/src/platformstandin/TargetStandIn.h
+++ b/src/platformstandin/TargetStandIn.h
@@ -39,6 +39,8 @@
     /// Time from a request to its response, and between two events of a stream.
     Duration pace = 50ms;
     std::optional<EngineStandInProfile> engine = std::nullopt;
+    /// Requests to this path crash the target as soon as it would answer them; empty if none does.
+    std::string crashingPath = {};
 };
 
 /// A request that a target stand-in received, whether it ran it or not.
@@ -74,6 +76,9 @@
     /// Answers what is due.
     void tick(TimePoint now);
 
+    /// Whether the target has crashed: its connections are closed and it accepts no more.
+    [[nodiscard]] bool hasCrashed() const { return m_server == nullptr; }
+
     /// Sends nothing on any connection until `time`; connections stay open and requests wait.
     void beSilentUntil(TimePoint time) { m_silentUntil = time; }
 
@@ -99,6 +104,7 @@
         std::unique_ptr<HttpResponder> responder;
         std::string attempt;
         TimePoint nextAt;
+        bool crashes = false;
         /// Id of the next event.
         EventCount next = 0;
     };
@@ -109,6 +115,7 @@
     void handleOrder(PendingRequest &pending);
     /// Writes what is due of a run; true once the run has ended.
     [[nodiscard]] bool advance(Run &run, TimePoint now) const;
+    void crash();
     [[nodiscard]] HttpResponse responseHead(unsigned status, const std::string &attempt) const;
     [[nodiscard]] HttpResponse notRun(unsigned status, const std::string &attempt) const;
     [[nodiscard]] nlohmann::json report() const;
@@ -129,7 +136,9 @@
     std::vector<TargetArrival> m_arrivals;
     std::vector<PendingRequest> m_pending;
     std::vector<Run> m_runs;
+    /// Null once the target has crashed.
     std::unique_ptr<HttpServer> m_server;
+    std::string m_address;
 };
 
 } // namespace Carawaymill
