--- a/src/platformstandin/MixedFleet.cpp
+++ b/src/platformstandin/MixedFleet.cpp
@@ -139,8 +139,8 @@
 void MixedFleet::replace(std::size_t number, const DaemonBuild &build)
 {
     Host &host = m_hosts.at(number);
-    std::cout << "host " << number + 1 << " goes to the " << (&build == &m_options.newBuild ? "new" : "old")
-              << " build" << std::endl;
+    std::cout << "host " << number + 1 << " goes to the " << (&build == &m_options.newBuild ? "new" : "old") << " build"
+              << std::endl;
     host.daemon->terminate();
     load(balancerDelay);
     host.inRotation = false;
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -271,9 +271,10 @@
     }
     const auto explained = explainedCrashes();
     for (auto &[suspect, evidence] : suspects) {
+        const auto hasSuspect = [&trait = suspect](const Crash *crash) { return crash->traits.contains(trait); };
         std::set<const Crash *> better;
         for (const std::vector<const Crash *> &crashes : explained) {
-            if (std::ranges::all_of(crashes, [&](const Crash *crash) { return crash->traits.contains(suspect); })) {
+            if (std::ranges::all_of(crashes, hasSuspect)) {
                 better.insert(crashes.begin(), crashes.end());
             }
         }
