CrashAttribution, DirectoryReplica: Bound the rounds of a decision and log a missing target once

Found while reading the change: condemnations that give way to new ones leave their crashes unexplained again, and the loop had no bound (a case with 600 equal suspects in three groups ends with and without it, so that an endless loop is only suspected); and each reading in a grace period logged the same missing targets again.

--- a/src/forwarding/DirectoryReplica.cpp
+++ b/src/forwarding/DirectoryReplica.cpp
@@ -62,11 +62,12 @@
         source = Source::OlderCopy;
     }
     const TimePoint unlistAt = std::max({now, m_outageGraceUntil, m_graceUntil.value_or(now)});
+    const std::map<TargetId, TimePoint> missingBefore = m_missing;
     apply(*update, source, now, unlistAt, actions);
     if (unlistAt > now) {
         const Duration unconfirmed = now - confirmedBefore.value_or(now);
         for (const auto &[target, at] : m_missing) {
-            if (at == unlistAt) {
+            if (!missingBefore.contains(target)) {
                 actions.emplace_back(
                     TargetMissing{.target = target, .gracePeriod = unlistAt - now, .unconfirmed = unconfirmed});
             }
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -7,6 +7,8 @@
 
 /// A proof that is repeated within this time changes nothing.
 static constexpr Duration proofResolution = 1s;
+/// Bounds the decisions on one crash: condemnations that give way to new ones leave their crashes unexplained again.
+static constexpr std::size_t maximumRounds = 16;
 
 CrashAttribution::CrashAttribution(CrashAttributionOptions options)
     : m_options(std::move(options))
@@ -286,7 +288,7 @@
 void CrashAttribution::attribute(TimePoint now, Actions &actions)
 {
     bool condemned = false;
-    while (true) {
+    for (std::size_t round = 0; round < maximumRounds; ++round) {
         std::map<Fingerprint, Evidence> suspected = suspects();
         std::erase_if(suspected,
                       [&](const auto &suspect) { return suspect.second.crashes < m_options.crashesToCondemn; });
--- a/src/quarantine/tests/CrashAttributionTest.cpp
+++ b/src/quarantine/tests/CrashAttributionTest.cpp
@@ -217,6 +217,23 @@
     CHECK(fleet.refusing(traits("sound", {"first"})) == 0);
 }
 
+TEST_CASE("more suspects with the same evidence than can be condemned are decided in bounded time")
+{
+    AttributionFleet fleet(1);
+    std::size_t crash = 0;
+    for (int group = 0; group < 3; ++group) {
+        std::vector<std::vector<RequestTrait>> requests;
+        for (int request = 0; request < 200; ++request) {
+            requests.push_back(traits(std::to_string(group) + "-" + std::to_string(request), {}));
+        }
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            fleet.handle(0, TargetCrashObserved{.target = target(crash++), .traits = together(requests)});
+        }
+    }
+    fleet.advance(1s);
+    CHECK(fleet.condemned() == CrashAttributionOptions().maximumCondemned);
+}
+
 TEST_CASE("a part that another host has proven sound is not condemned")
 {
     AttributionFleet fleet(3, 0.3);
