--- a/src/quarantine/tests/CrashAttributionTest.cpp
+++ b/src/quarantine/tests/CrashAttributionTest.cpp
@@ -222,9 +222,9 @@
     AttributionFleet fleet(1);
     std::size_t crash = 0;
     for (int group = 0; group < 3; ++group) {
-        std::vector<std::vector<RequestTrait>> requests;
-        for (int request = 0; request < 200; ++request) {
-            requests.push_back(traits(std::to_string(group) + "-" + std::to_string(request), {}));
+        std::vector<std::vector<RequestTrait>> requests(200);
+        for (std::size_t request = 0; request < requests.size(); ++request) {
+            requests[request] = traits(std::to_string(group) + "-" + std::to_string(request), {});
         }
         for (int repeat = 0; repeat < 3; ++repeat) {
             fleet.handle(0, TargetCrashObserved{.target = target(crash++), .traits = together(requests)});
