HttpSession: Notice that a caller left although it has sent bytes ahead

Cause: while a request is in progress, the session waited for its connection to become readable and gave up watching once bytes were there. A caller that had sent anything behind its request (an empty line, a further request) and then closed its connection was noticed only when the next event was written to it. On a stream without events its target worked on.

Change: the session reads ahead, up to 64 KiB, so that it comes to the end of the connection. A request that was read ahead is served after the one in progress. The socket needs no non-blocking mode of its own any more.

Test: "the disconnect callback runs when a caller closes its connection after it has sent bytes ahead" failed before and passes now. The second new case passed before as well.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -15,6 +15,9 @@
 using boost::system::error_code;
 
 static constexpr std::size_t firstReadSize = 4096;
+/// Bytes of further requests that are read while a request is in progress. A caller that has sent more is only found to
+/// have left when its response is written.
+static constexpr std::size_t readAheadLimit = 64U << 10U;
 
 /// Passes the handler's response to the session. May outlive the connection.
 class SessionResponder final : public HttpResponder
@@ -83,9 +86,6 @@
     : m_stream(std::move(socket))
     , m_server(std::move(server))
 {
-    // The socket may be reported as readable although nothing can be read; watchForDisconnect() must not wait then.
-    boost::system::error_code ignored;
-    m_stream.socket().non_blocking(true, ignored);
     m_server->sessions.insert(this);
 }
 
@@ -188,27 +188,32 @@
 
 void HttpSession::watchForDisconnect()
 {
-    if (m_watchingForDisconnect || m_buffer.size() > 0) {
+    if (m_readingAhead || m_buffer.size() >= readAheadLimit) {
         return;
     }
-    m_watchingForDisconnect = true;
-    m_stream.socket().async_wait(
-        boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-            self->m_watchingForDisconnect = false;
-            if (error || !self->m_requestInProgress) {
-                return;
-            }
-            // A readable socket without available bytes means that the caller has closed the connection.
-            if (char byte = 0; self->m_stream.socket().available(error) == 0 || error) {
-                const auto received = self->m_stream.socket().receive(
-                    boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, error);
-                if (error == boost::asio::error::would_block) {
-                    self->watchForDisconnect();
-                } else if (received == 0 || error) {
-                    self->fail();
-                }
-            }
-        });
+    m_readingAhead = true;
+    // The end of the connection comes behind any bytes that the caller has sent ahead, so that these must be read.
+    m_stream.socket().async_read_some(m_buffer.prepare(firstReadSize),
+                                      [self = shared_from_this()](error_code error, std::size_t received) {
+                                          self->m_readingAhead = false;
+                                          self->m_buffer.commit(received);
+                                          self->readAhead(error);
+                                      });
+}
+
+void HttpSession::readAhead(error_code error)
+{
+    if (m_requestInProgress) {
+        if (error) {
+            fail();
+        } else {
+            watchForDisconnect();
+        }
+    } else if (m_closed || (error && error != boost::asio::error::operation_aborted)) {
+        close();
+    } else {
+        readRequest();
+    }
 }
 
 void HttpSession::onCallerDisconnected(std::function<void()> callback)
@@ -308,9 +313,13 @@
     --m_server->requestsInProgress;
     if (!m_keepAlive || m_server->draining) {
         close();
-        return;
+    } else if (m_readingAhead) {
+        // readAhead() goes on with the next request.
+        error_code ignored;
+        m_stream.socket().cancel(ignored);
+    } else {
+        readRequest();
     }
-    readRequest();
 }
 
 void HttpSession::fail()
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -58,7 +58,10 @@
     void readMessage();
     void dispatchRequest();
     void rejectRequest(unsigned status, const std::string &type, const std::string &detail);
+    /// Reads ahead while a request is in progress, to notice when the caller closes its connection.
     void watchForDisconnect();
+    /// Continues after a read of watchForDisconnect().
+    void readAhead(boost::system::error_code error);
     void enqueue(const std::string &bytes);
     void writeNext();
     void finishRequest();
@@ -84,7 +87,7 @@
     bool m_responseComplete = false;
     /// The connection stays open after the response.
     bool m_keepAlive = true;
-    bool m_watchingForDisconnect = false;
+    bool m_readingAhead = false;
     bool m_closed = false;
 };
 
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -148,6 +148,55 @@
     CHECK(fixture.server().requestsInProgress() == 0);
 }
 
+TEST_CASE("the disconnect callback runs when a caller closes its connection after it has sent bytes ahead")
+{
+    bool disconnected = false;
+    std::unique_ptr<HttpResponder> held;
+    HttpFixture fixture([&](const HttpRequest &, std::unique_ptr<HttpResponder> responder) {
+        responder->onCallerDisconnected([&] { disconnected = true; });
+        held = std::move(responder);
+    });
+    boost::asio::ip::tcp::socket caller(fixture.context());
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.runUntil([&] { return held != nullptr; });
+    boost::asio::write(caller, boost::asio::buffer(std::string("\r\n")));
+    fixture.context().run_for(std::chrono::milliseconds(50));
+    caller.close();
+    fixture.context().restart();
+    fixture.context().run_for(std::chrono::seconds(2));
+    CHECK(disconnected);
+}
+
+TEST_CASE("a request that was sent ahead is answered after the one before it")
+{
+    std::vector<std::unique_ptr<HttpResponder>> held;
+    HttpFixture fixture(
+        [&](const HttpRequest &, std::unique_ptr<HttpResponder> responder) { held.push_back(std::move(responder)); });
+    boost::asio::ip::tcp::socket caller(fixture.context());
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    fixture.runUntil([&] { return held.size() == 1; });
+    boost::asio::write(caller, boost::asio::buffer(request));
+    fixture.context().run_for(std::chrono::milliseconds(50));
+    fixture.context().restart();
+    CHECK(held.size() == 1);
+    held.front()->send({.status = 200, .headers = {}, .body = "first"});
+    fixture.runUntil([&] { return held.size() == 2; });
+    held.back()->send({.status = 200, .headers = {}, .body = "second"});
+    std::string received;
+    const auto receive = [&] {
+        std::array<char, 4096> bytes{};
+        received.append(bytes.data(), caller.read_some(boost::asio::buffer(bytes)));
+    };
+    fixture.context().run_for(std::chrono::milliseconds(50));
+    while (received.find("second") == std::string::npos) {
+        receive();
+    }
+    CHECK(received.find("first") < received.find("second"));
+}
+
 TEST_CASE("the disconnect callback does not run when the handler destroys its responder")
 {
     bool disconnected = false;
