--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "daemon/LogLimiter.h"
+#include "daemon/LoopMonitor.h"
 #include "daemon/TargetRelay.h"
 #include "hostlist/HostListHttpClient.h"
 #include "http/HttpClient.h"
@@ -49,6 +50,8 @@
                       .addresses = {m_settings.keyValueService}})
         , m_targets(m_client, m_settings.peerKey, [this](const NodeEvent &event) { feed(event); })
         , m_relay(m_client, m_settings.peerKey, [this](const NodeEvent &event) { feed(event); })
+        , m_tickInterval(m_settings.forwarding ? forwardingTickInterval : tickInterval)
+        , m_loop({.tickInterval = m_tickInterval})
         , m_tick(context)
     {
     }
@@ -200,11 +203,18 @@
 
     void tick()
     {
+        if (const auto late = m_loop.recordTick(readBootClock(), readThreadProcessorTime())) {
+            using std::chrono::duration_cast;
+            using std::chrono::milliseconds;
+            LOG(WARNING) << "Daemon: event=loop-delayed ms=" << duration_cast<milliseconds>(late->delay).count()
+                         << " processor_ms=" << duration_cast<milliseconds>(late->processorTime).count()
+                         << " in_progress=" << m_responders.size();
+        }
         feed(Tick{});
         if (m_drainUntil) {
             finishDrain();
         }
-        m_tick.expires_after(m_settings.forwarding ? forwardingTickInterval : tickInterval);
+        m_tick.expires_after(m_tickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 tick();
@@ -395,6 +405,8 @@
     TargetClient m_targets;
     TargetRelay m_relay;
     LogLimiter m_log{LogLimiterOptions{}};
+    std::chrono::milliseconds m_tickInterval;
+    LoopMonitor m_loop;
     boost::asio::steady_timer m_tick;
     std::unique_ptr<PeerLink> m_peers;
     std::unique_ptr<HostListHttpClient> m_hostList;
--- a/src/support/BootClock.cpp
+++ b/src/support/BootClock.cpp
@@ -5,13 +5,23 @@
 
 namespace Carawaymill {
 
-TimePoint readBootClock()
+static Duration readClock(clockid_t clock)
 {
     timespec time{};
-    [[maybe_unused]] const int failed = clock_gettime(CLOCK_BOOTTIME, &time);
+    [[maybe_unused]] const int failed = clock_gettime(clock, &time);
     assert(failed == 0);
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
-                                                          + std::chrono::nanoseconds(time.tv_nsec)));
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+TimePoint readBootClock()
+{
+    return TimePoint(readClock(CLOCK_BOOTTIME));
+}
+
+Duration readThreadProcessorTime()
+{
+    return readClock(CLOCK_THREAD_CPUTIME_ID);
 }
 
 } // namespace Carawaymill
--- a/src/support/BootClock.h
+++ b/src/support/BootClock.h
@@ -8,4 +8,7 @@
 /// past its lease knows it. `std::chrono::steady_clock` stands still meanwhile on Linux.
 [[nodiscard]] TimePoint readBootClock();
 
+/// Processor time that the calling thread has used since its start.
+[[nodiscard]] Duration readThreadProcessorTime();
+
 } // namespace Carawaymill
