PlacementController: Rely on counted orders where targets ignore fencing numbers

Cause: placement took every target of the platform for one that checks fencing numbers, whatever the deployment says.

Change: an engine that counts its orders refuses one that was made for an earlier state, whoever sent it. Such an engine gets orders at once, like one that checks fencing numbers, and the platform's targets count as ignoring fencing numbers.

Test: "engines that count their orders get the orders of a new holder at once although they ignore fencing numbers" failed before (no order for 3 s). Two more cases play a former holder's order that comes after its successor's (refused, layers stay) and before it (repaired); they passed before as well.

--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -468,7 +468,8 @@
              .layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
              .linkBytesPerSecond = engine->linkBytesPerSecond,
              .failureDomain = target.failureDomain,
-             .checksFencingNumber = true});
+             // Not all of these targets check it. They count their orders instead, see `EngineOrder::ordersAccepted`.
+             .checksFencingNumber = false});
     }
     return usable;
 }
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -222,9 +222,10 @@
     std::vector<ScheduledEngine> engines;
     for (const PlacementTarget &target : m_targets.listed()) {
         if (const auto state = m_engines.state(target.id)) {
+            // An engine that counts its orders refuses one that was made for an earlier state, whoever sent it.
+            const bool refusesFormerHolder = target.checksFencingNumber || state->ordersAccepted;
             const TimePoint readAfter =
-                m_lease->acquiredAt
-                + (target.checksFencingNumber ? Duration::zero() : m_options.formerHolderGracePeriod);
+                m_lease->acquiredAt + (refusesFormerHolder ? Duration::zero() : m_options.formerHolderGracePeriod);
             engines.push_back({.target = target,
                                .state = *state,
                                .canReceiveOrder = m_engines.canReceiveOrder(target.id, readAfter, now)});
--- a/src/placement/PlacementOptions.h
+++ b/src/placement/PlacementOptions.h
@@ -22,8 +22,8 @@
     /// Minimum time between the end of an order's validity and the end of the lease. Covers clock drift and a write
     /// that is delayed in the network.
     Duration leaseMargin = std::chrono::milliseconds(500);
-    /// Time after acquiring the lease in which no orders are sent to engines that ignore fencing numbers. By its end
-    /// the former lease holder's last order has either arrived or expired.
+    /// Time after acquiring the lease in which no orders are sent to engines that neither check fencing numbers nor
+    /// count their orders. By its end the former lease holder's last order has either arrived or expired.
     Duration formerHolderGracePeriod = std::chrono::seconds(3);
     /// Time between two reads of an engine's state; a tenth of it while the engine is loading.
     Duration stateReadInterval = std::chrono::seconds(10);
--- a/src/placement/tests/PlacementControllerTest.cpp
+++ b/src/placement/tests/PlacementControllerTest.cpp
@@ -73,6 +73,54 @@
     CHECK_FALSE(fleet.orders.empty());
 }
 
+TEST_CASE("engines that count their orders get the orders of a new holder at once although they ignore fencing numbers")
+{
+    SimulatedFleet fleet(9);
+    fleet.countOrders();
+    fleet.acquireLease();
+    fleet.run(1s);
+    CHECK_FALSE(fleet.orders.empty());
+}
+
+TEST_CASE("a delayed order of a former holder does not undo a later one of its successor on engines that count orders")
+{
+    SimulatedFleet former(9);
+    former.countOrders();
+    former.respondToOrders = false;
+    former.acquireLease(1);
+    former.run(1s);
+    REQUIRE_FALSE(former.orders.empty());
+    const EngineOrder delayed = former.orders.front().order;
+
+    SimulatedFleet fleet(9);
+    fleet.countOrders();
+    fleet.acquireLease(2);
+    fleet.run(60s);
+    const std::vector<int> holders = fleet.holders();
+    CHECK(fleet.deliverOrder(delayed).outcome == EngineOrderOutcome::StateDiffers);
+    fleet.run(60s);
+    CHECK(fleet.holders() == holders);
+}
+
+TEST_CASE("an order of a former holder that comes first is repaired by its successor on engines that count orders")
+{
+    SimulatedFleet fleet(9);
+    fleet.countOrders();
+    fleet.weightStoreUp = false;
+    fleet.acquireLease(2);
+    fleet.run(1s);
+    REQUIRE_FALSE(fleet.orders.empty());
+    // The former holder unloads everything from an engine that its successor has not ordered yet.
+    const TargetId last = fleet.targets.back().id;
+    EngineOrder late{.target = last, .scope = SimulatedFleet::scope(), .fencingNumber = FencingNumber(1)};
+    late.ordersAccepted = 0;
+    CHECK(fleet.deliverOrder(late).outcome == EngineOrderOutcome::Accepted);
+    fleet.weightStoreUp = true;
+    fleet.run(60s);
+    CHECK_FALSE(fleet.engines.at(last).held.empty());
+    CHECK(fewestHolders(fleet) >= 2);
+}
+
 TEST_CASE("the effect of a late order of a former holder is detected by reading the state and repaired")
 {
     SimulatedFleet fleet(9);
--- a/src/placement/tests/SimulatedFleet.h
+++ b/src/placement/tests/SimulatedFleet.h
@@ -53,6 +53,38 @@
 
     void dispatch(const PlacementEvent &event) { perform(controller.handle(event, now)); }
 
+    /// Delivers an order to its engine, whoever sent it.
+    EngineOrderReply deliverOrder(const EngineOrder &order)
+    {
+        EngineOrderReply reply{.number = order.number, .highestFencingNumber = fencingNumberSeenByEngines};
+        EngineState &engine = engines.at(order.target);
+        if (fencingNumberSeenByEngines > order.fencingNumber) {
+            reply.outcome = EngineOrderOutcome::OldFencingNumber;
+            return reply;
+        }
+        if (engine.ordersAccepted && order.ordersAccepted && *engine.ordersAccepted != *order.ordersAccepted) {
+            reply.outcome = EngineOrderOutcome::StateDiffers;
+            return reply;
+        }
+        if (engine.ordersAccepted) {
+            *engine.ordersAccepted += 1;
+        }
+        for (const ModelLayers &unload : order.unloads) {
+            std::erase(engine.held, unload);
+        }
+        engine.loading.insert(engine.loading.end(), order.loads.begin(), order.loads.end());
+        return reply;
+    }
+
+    /// Makes the engines count their orders and ignore fencing numbers.
+    void countOrders()
+    {
+        for (PlacementTarget &target : targets) {
+            target.checksFencingNumber = false;
+            engines.at(target.id).ordersAccepted = 0;
+        }
+    }
+
     void run(Duration duration)
     {
         for (const TimePoint end = now + duration; now < end; now += step) {
@@ -120,20 +152,9 @@
     void performOrder(const SendEngineOrder &send)
     {
         orders.push_back(send);
-        if (!respondToOrders) {
-            return;
-        }
-        EngineOrderReply reply{.number = send.order.number, .highestFencingNumber = fencingNumberSeenByEngines};
-        if (fencingNumberSeenByEngines > send.order.fencingNumber) {
-            reply.outcome = EngineOrderOutcome::OldFencingNumber;
-        } else {
-            EngineState &engine = engines.at(send.order.target);
-            for (const ModelLayers &unload : send.order.unloads) {
-                std::erase(engine.held, unload);
-            }
-            engine.loading.insert(engine.loading.end(), send.order.loads.begin(), send.order.loads.end());
+        if (respondToOrders) {
+            m_responses.push_back(EngineOrderAnswered{.target = send.order.target, .reply = deliverOrder(send.order)});
         }
-        m_responses.push_back(EngineOrderAnswered{.target = send.order.target, .reply = reply});
     }
 
     void loadNext()
