ChainPlanner: Leave KV cache for three quarters of the requests that a target runs at once

Cause: ranges took three quarters of a target's memory whatever a request keeps in the KV cache.

Change: a range leaves KV cache for three quarters of the requests that a target runs at once, by the mean request that the configuration states; three quarters of the memory stay the upper bound.

--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -428,6 +428,20 @@
     return LeaseScopeId(placementScope(region).value() + "/" + service.value());
 }
 
+static PlacementDemand placementDemand(const EngineProfile &engine)
+{
+    const TokenCount tokens = averageCachedTokens(engine.meanPromptTokens, engine.meanCompletionTokens);
+    const std::uint64_t cacheBytes = engine.cacheBytesPerToken.value() * tokens.value();
+    return {.model = {},
+            .version = engine.version,
+            .adapter = {},
+            .layers = engine.layers,
+            .bytesPerLayer = engine.bytesPerLayer,
+            .activationBytes = engine.activationBytes,
+            .cacheBytesPerLayer = ByteCount(engine.layers > 0 ? cacheBytes / engine.layers : 0),
+            .concurrency = engine.concurrency};
+}
+
 PlacementScopes ForwardingCoordinator::placementScopes() const
 {
     PlacementScopes scopes;
@@ -436,12 +450,7 @@
     }
     for (const auto &[id, service] : m_configuration.configuration()->services) {
         if (service.engine) {
-            scopes[scopeOfService(m_options.region, id)] = {{.model = {},
-                                                             .version = service.engine->version,
-                                                             .adapter = {},
-                                                             .layers = service.engine->layers,
-                                                             .bytesPerLayer = service.engine->bytesPerLayer,
-                                                             .activationBytes = service.engine->activationBytes}};
+            scopes[scopeOfService(m_options.region, id)] = {placementDemand(*service.engine)};
         }
     }
     return scopes;
--- a/src/placement/ChainPlanner.cpp
+++ b/src/placement/ChainPlanner.cpp
@@ -18,8 +18,7 @@
 struct Slot
 {
     const PlacementTarget *target = nullptr;
-    /// Number of layers that the target is assigned at first: `ChainPlannerOptions::weightMemoryFraction` of its
-    /// memory.
+    /// Number of layers that the target is assigned at first, which leaves memory as `ChainPlannerOptions` say.
     std::uint32_t preferredLayers = 0;
     /// Number of layers that fit into the target.
     std::uint32_t maximumLayers = 0;
@@ -66,6 +65,18 @@
     std::vector<Slot> m_slots;
 };
 
+/// Number of layers that leave room for the KV cache of some requests, and for layers of a neighbour that fails.
+static std::uint32_t
+preferredLayers(const PlacementTarget &target, const PlacementDemand &demand, const ChainPlannerOptions &options)
+{
+    const auto memory = static_cast<double>(target.memory.value());
+    const auto layer = static_cast<double>(demand.bytesPerLayer.value());
+    const double requests = demand.concurrency * options.cachedConcurrencyFraction;
+    const double cache = requests * static_cast<double>(demand.cacheBytesPerLayer.value());
+    return static_cast<std::uint32_t>(
+        std::min(memory * options.weightMemoryFraction / layer, memory / (layer + cache)));
+}
+
 GroupPlan::GroupPlan(const Targets &targets,
                      const PlacementDemand &demand,
                      const PlacementPlan &current,
@@ -75,9 +86,8 @@
     for (const PlacementTarget &target : targets) {
         Slot slot{
             .target = &target, .preferredLayers = 0, .maximumLayers = layersThatFit(target, demand), .layers = {}};
-        const double usualBytes = static_cast<double>(target.memory.value()) * options.weightMemoryFraction;
-        const auto usual = static_cast<std::uint32_t>(usualBytes / static_cast<double>(demand.bytesPerLayer.value()));
-        slot.preferredLayers = std::clamp(usual, std::min(1U, slot.maximumLayers), slot.maximumLayers);
+        slot.preferredLayers =
+            std::clamp(preferredLayers(target, demand, options), std::min(1U, slot.maximumLayers), slot.maximumLayers);
         const auto held = current.find(target.id);
         const bool keeps =
             held != current.end() && matches(demand, held->second) && held->second.layers.end.value() <= demand.layers;
--- a/src/placement/ChainPlanner.h
+++ b/src/placement/ChainPlanner.h
@@ -9,9 +9,13 @@
 
 struct ChainPlannerOptions
 {
-    /// Fraction of a target's memory that is used for layers when it is assigned a range. The rest is reserved for the
-    /// KV cache and for layers of a neighbour that fails.
+    /// Largest fraction of a target's memory that is used for layers when it is assigned a range. The rest is reserved
+    /// for the KV cache and for layers of a neighbour that fails.
     double weightMemoryFraction = 0.75;
+    /// Fraction of the requests that a target runs at once for which its assigned range leaves KV cache. Some targets
+    /// are the only holders of their layers in a failure domain, so that all requests there need their memory. More
+    /// KV cache would leave fewer copies of the layers, which slows streams down and makes losses worse.
+    double cachedConcurrencyFraction = 0.75;
 };
 
 /// Plans which layers each target holds, for deployments in which failures must be repaired within seconds.
--- a/src/placement/PlacementMessages.h
+++ b/src/placement/PlacementMessages.h
@@ -37,6 +37,10 @@
     std::uint32_t layers = 0;
     ByteCount bytesPerLayer;
     ByteCount activationBytes;
+    /// KV cache of one request of mean length for one layer, on average while it runs; 0 if it is not known.
+    ByteCount cacheBytesPerLayer = {};
+    /// Number of requests that a target runs at once.
+    std::uint32_t concurrency = 0;
     /// Expected load. Must be positive; only its ratio to that of other models matters.
     double tokensPerSecond = 1;
 
