Forwarding: Add a failing test on loads that expire in a fleet of 120 hosts

A collector sends the sum of its domain's loads to every host of the other domains, at 40 KB/s at most. With 216 targets and 96 such hosts one sum takes 10 s, while digests expire after 3 s, so that hosts take targets for empty that other domains have filled.

The fleet of the existing case moved into a class; its check compares every target's load now, where it looked at the number of targets and the first one's load before.

--- a/src/forwarding/tests/LoadExchangeTest.cpp
+++ b/src/forwarding/tests/LoadExchangeTest.cpp
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
+#include <algorithm>
+#include <map>
 #include <string>
+#include <vector>
 
 using namespace Carawaymill;
 
@@ -67,47 +69,97 @@
     CHECK(asCollector.front().digest.at(target).openLayers == 4);
 }
 
-/// 24 hosts in three failure domains, each of which has streams on all 98 targets.
-TEST_CASE("each of 24 hosts has received the load of all others within a second")
+/// Hosts of several failure domains whose digests arrive at once.
+class ExchangingFleet
 {
-    const std::vector<std::string> domains = {"a", "b", "c"};
-    std::vector<LoadExchangePeer> hosts;
-    for (const std::string &domain : domains) {
-        for (int host = 1; host <= 8; ++host) {
-            hosts.push_back(peer(domain, std::to_string(host)));
+public:
+    /// Each host has streams on `usedTargets` targets, which differ from host to host.
+    ExchangingFleet(std::size_t domains, std::size_t hostsPerDomain, std::size_t targets, std::size_t usedTargets)
+    {
+        for (std::size_t domain = 0; domain < domains; ++domain) {
+            for (std::size_t number = 1; number <= hostsPerDomain; ++number) {
+                const LoadExchangePeer host =
+                    peer(std::string(1, static_cast<char>('a' + domain)), std::to_string(number));
+                LoadDigest own;
+                for (std::size_t used = 0; used < usedTargets; ++used) {
+                    const std::size_t position = (m_hosts.size() * usedTargets + used) % targets;
+                    own[TargetId("target-" + std::to_string(position))] = {.openLayers = 10, .cacheLayerTokens = 9000};
+                }
+                m_hosts.push_back(host);
+                m_own.emplace(host.host, std::move(own));
+                m_exchanges.emplace(host.host, exchange(host));
+            }
         }
     }
-    LoadDigest own;
-    for (int number = 0; number < 98; ++number) {
-        own[TargetId("target-" + std::to_string(number))] = {.openLayers = 10, .cacheLayerTokens = 9000};
-    }
-    std::map<HostId, LoadExchange> exchanges;
-    for (const LoadExchangePeer &host : hosts) {
-        exchanges.emplace(host.host, exchange(host));
-    }
-    const auto tick = [&](TimePoint now) {
-        for (const LoadExchangePeer &host : hosts) {
-            std::vector<LoadExchangePeer> peers = hosts;
+
+    void tick(TimePoint now)
+    {
+        for (const LoadExchangePeer &host : m_hosts) {
+            std::vector<LoadExchangePeer> peers = m_hosts;
             std::erase_if(peers, [&](const LoadExchangePeer &other) { return other.host == host.host; });
             const HostId collector(host.failureDomain.value() + "1");
-            for (const SendLoadDigest &send : exchanges.at(host.host).digestsDue(own, peers, collector, now)) {
+            for (const SendLoadDigest &send :
+                 m_exchanges.at(host.host).digestsDue(m_own.at(host.host), peers, collector, now)) {
                 for (const HostId &to : send.to) {
-                    exchanges.at(to).recordDigest(host, send.digest, now);
+                    m_exchanges.at(to).recordDigest(host, send.digest, now);
                 }
             }
         }
-    };
+    }
+
+    /// Number of hosts that do not know the load of all others exactly.
+    [[nodiscard]] std::size_t hostsWithoutAllLoads(TimePoint now)
+    {
+        LoadDigest total;
+        for (const auto &[host, own] : m_own) {
+            add(own, 1, total);
+        }
+        return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&](const LoadExchangePeer &host) {
+            LoadDigest unknown = total;
+            add(m_own.at(host.host), -1, unknown);
+            add(m_exchanges.at(host.host).sums(now), -1, unknown);
+            return std::ranges::any_of(unknown, [](const auto &entry) { return entry.second.openLayers != 0; });
+        }));
+    }
+
+private:
+    static void add(const LoadDigest &digest, double factor, LoadDigest &sum)
+    {
+        for (const auto &[id, load] : digest) {
+            sum[id].openLayers += factor * load.openLayers;
+        }
+    }
+
+    std::vector<LoadExchangePeer> m_hosts;
+    std::map<HostId, LoadDigest> m_own;
+    std::map<HostId, LoadExchange> m_exchanges;
+};
+
+TEST_CASE("each of 24 hosts has received the load of all others within a second")
+{
+    ExchangingFleet fleet(3, 8, 98, 98);
     TimePoint now = start;
     for (; now < start + 1s; now += 100ms) {
-        tick(now);
+        fleet.tick(now);
     }
     // Loads that are sent repeatedly do not expire.
     for (; now < start + 20s; now += 100ms) {
-        tick(now);
-        for (const LoadExchangePeer &host : hosts) {
-            const LoadDigest sums = exchanges.at(host.host).sums(now);
-            CHECK(sums.size() == own.size());
-            CHECK(sums.begin()->second.openLayers == 230);
-        }
+        fleet.tick(now);
+        CHECK(fleet.hostsWithoutAllLoads(now) == 0);
+    }
+}
+
+TEST_CASE("each of 120 hosts knows the load of all others at all times")
+{
+    ExchangingFleet fleet(5, 24, 216, 40);
+    TimePoint now = start;
+    for (; now < start + 5s; now += 100ms) {
+        fleet.tick(now);
+    }
+    std::size_t without = 0;
+    for (; now < start + 20s; now += 100ms) {
+        fleet.tick(now);
+        without = std::max(without, fleet.hostsWithoutAllLoads(now));
     }
+    CHECK(without == 0);
 }
