HttpSession: Close a connection that becomes idle just after the drain began

After a response the session cancels its read ahead, and starts to wait for the next request only when that read has returned. If connections were closed in between, closeIfIdle() found the session neither awaiting a request nor serving one, and the session then waited for the idle timeout (15 s) in spite of the drain. Callers could go on using such a connection of a host that shuts down.

Change: a session whose read ahead returns without bytes closes its connection while the server drains.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -211,6 +211,9 @@
         }
     } else if (m_closed || (error && error != boost::asio::error::operation_aborted)) {
         close();
+    } else if (m_server->draining && m_buffer.size() == 0) {
+        // closeIfIdle() may have come before the read for the next request was started.
+        close();
     } else {
         readRequest();
     }
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -396,3 +398,29 @@
         CHECK(handlerCalled == received.starts_with("HTTP/1.1 200"));
     }
 }
+
+TEST_CASE("a connection between two requests is closed at once however far its session has come")
+{
+    for (int steps = 0; steps < 12; ++steps) {
+        HttpFixture fixture(echo, {.limits = {.idleTimeout = 1h}});
+        tcp::socket socket(fixture.context());
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        for (int step = 0; step < steps; ++step) {
+            fixture.context().poll_one();
+        }
+        fixture.server().closeConnections();
+        bool closed = false;
+        std::string received;
+        boost::asio::async_read(socket,
+                                boost::asio::dynamic_buffer(received),
+                                [&](const boost::system::error_code &, std::size_t) { closed = true; });
+        fixture.context().restart();
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+        while (!closed && std::chrono::steady_clock::now() < end) {
+            fixture.context().run_one_for(std::chrono::milliseconds(20));
+        }
+        CAPTURE(steps);
+        CHECK(closed);
+    }
+}
