--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -209,10 +209,12 @@
         } else {
             watchForDisconnect();
         }
-    } else if (m_closed || (error && error != boost::asio::error::operation_aborted)) {
-        close();
-    } else if (m_server->draining && m_buffer.size() == 0) {
-        // closeIfIdle() may have come before the read for the next request was started.
+        return;
+    }
+    const bool hasFailed = m_closed || (error && error != boost::asio::error::operation_aborted);
+    // closeIfIdle() may have come before the read for the next request was started.
+    const bool isIdleInDrain = m_server->draining && m_buffer.size() == 0;
+    if (hasFailed || isIdleInDrain) {
         close();
     } else {
         readRequest();
