--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
-case=3
+case=4
 program=target/review/case-$case
 for file in "$program" target/build/carawaymilld; do
     [ -x "$file" ] || { echo "$file is missing: run the build of deploy/system.toml and review/build.sh"; exit 2; }
