ConfigurationReplica: Query a few hosts for versions and request one transfer at a time

Cause: a host whose configuration was not confirmed for 1.9 s asked all others every 300 ms, and each of them responded with the whole configuration if it held a newer one. With 24 hosts and 2,000 routes that is more than the host's link carries. All responses arrived after the next question and were then thrown away, the newer configuration in them too, and the watch at the store timed out behind them, so the host went on asking for good.

Change: a class of its own chooses the hosts that are asked. A round asks six hosts, in turn, for version and age only; hosts pass confirmations on, so that they reach all in a logarithm of rounds. The configuration itself is requested from one host that has announced a newer one, and from another one only after a time that doubles with each failure. A newer configuration is adopted however late it arrives, and a late response confirms as of the sending of its own question. Numbers of questions start at random, so that responses to an earlier process confirm nothing.

Between builds: the question has a fourth, optional element. Hosts without it send the configuration at once, which is adopted; questions without it are answered as before.

--- a/src/forwarding/ConfigurationReplica.cpp
+++ b/src/forwarding/ConfigurationReplica.cpp
@@ -4,46 +4,10 @@
 
 namespace Carawaymill {
 
-static constexpr const char *requestKind = "asked";
-static constexpr const char *confirmationKind = "vouched";
-
-void to_json(nlohmann::json &json, const ConfigurationMessage &message)
-{
-    std::visit(
-        Overloaded{
-            [&](const ConfigurationRequest &request) {
-                json = {requestKind, request.number, request.version.value()};
-            },
-            [&](const ConfigurationConfirmation &confirmation) {
-                json = {confirmationKind, confirmation.number, confirmation.version.value(), confirmation.age.count()};
-                if (confirmation.value) {
-                    json.push_back(*confirmation.value);
-                }
-            }},
-        message);
-}
-
-void from_json(const nlohmann::json &json, ConfigurationMessage &message)
-{
-    if (json.at(0) == requestKind) {
-        message = ConfigurationRequest{.number = json.at(1).get<std::uint64_t>(),
-                                       .version = ConfigurationVersion(json.at(2).get<std::uint64_t>())};
-        return;
-    }
-    ConfigurationConfirmation confirmation{.number = json.at(1).get<std::uint64_t>(),
-                                           .version = ConfigurationVersion(json.at(2).get<std::uint64_t>()),
-                                           .age = Duration(json.at(3).get<Duration::rep>()),
-                                           .value = {}};
-    static constexpr std::size_t valuePosition = 4;
-    if (json.size() > valuePosition) {
-        confirmation.value = json.at(valuePosition).get<std::string>();
-    }
-    message = std::move(confirmation);
-}
-
 ConfigurationReplica::ConfigurationReplica(ConfigurationReplicaOptions options)
     : m_options(std::move(options))
     , m_watch({.prefix = m_options.format.configurationKey, .seed = m_options.seed, .wait = m_options.watchWait})
+    , m_queries({.seed = m_options.seed, .responseRetention = m_options.maximumAge})
 {
 }
 
@@ -80,12 +44,8 @@
         actions.emplace_back(std::move(*call));
     }
     const bool overdue = !m_confirmedAt || now - *m_confirmedAt >= m_options.queryPeersAfter || now < m_queryPeersUntil;
-    if (overdue && now - m_requestedAt >= m_options.peerQueryInterval) {
-        m_requestedAt = now;
-        ++m_requestNumber;
-        const ConfigurationVersion version = m_configuration ? m_configuration->version : ConfigurationVersion();
-        actions.emplace_back(SendConfigurationMessage{
-            .to = {}, .message = ConfigurationRequest{.number = m_requestNumber, .version = version}});
+    if (overdue) {
+        std::ranges::move(m_queries.nextRound(version(), now), std::back_inserter(actions));
     }
 }
 
@@ -120,11 +80,21 @@
 {
     std::visit(Overloaded{[&](const ConfigurationRequest &request) { respond(event.from, request, now, actions); },
                           [&](const ConfigurationConfirmation &confirmation) {
-                              applyConfirmation(event.from, confirmation, actions);
+                              applyConfirmation(event.from, confirmation, now, actions);
                           }},
                event.message);
 }
 
+void ConfigurationReplica::on(const OtherHostsChanged &event, TimePoint /*now*/, Actions & /*actions*/)
+{
+    m_queries.setHosts(event.hosts);
+}
+
+ConfigurationVersion ConfigurationReplica::version() const
+{
+    return m_configuration ? m_configuration->version : ConfigurationVersion();
+}
+
 void ConfigurationReplica::respond(const HostId &to,
                                    const ConfigurationRequest &request,
                                    TimePoint now,
@@ -135,7 +105,7 @@
     }
     ConfigurationConfirmation confirmation{
         .number = request.number, .version = m_configuration->version, .age = *age(now), .value = {}};
-    if (m_configuration->version > request.version) {
+    if (request.withValue && m_configuration->version > request.version) {
         confirmation.value = m_value;
     }
     actions.emplace_back(SendConfigurationMessage{.to = to, .message = std::move(confirmation)});
@@ -143,15 +113,27 @@
 
 void ConfigurationReplica::applyConfirmation(const HostId &from,
                                              const ConfigurationConfirmation &confirmation,
+                                             TimePoint now,
                                              Actions &actions)
 {
-    if (confirmation.number != m_requestNumber || (confirmation.value && !adopt(*confirmation.value, from, actions))) {
+    if (confirmation.value && confirmation.version > version()) {
+        // Adopted however late it is: it is newer than the configuration in force.
+        if (!adopt(*confirmation.value, from, actions)) {
+            return;
+        }
+        m_queries.transferEnded();
+    }
+    if (confirmation.version > version()) {
+        if (auto request = m_queries.requestTransfer(from, version(), now)) {
+            actions.emplace_back(std::move(*request));
+        }
         return;
     }
-    if (m_configuration && m_configuration->version == confirmation.version) {
+    const auto sentAt = m_queries.sentAt(confirmation.number, now);
+    if (m_configuration && sentAt && confirmation.version == version()) {
         // The age is counted back from when the request was sent, so that network delay never makes the confirmation
         // look more recent than it is.
-        m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), m_requestedAt - confirmation.age);
+        m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint()), *sentAt - confirmation.age);
     }
 }
 
--- a/src/forwarding/ConfigurationReplica.h
+++ b/src/forwarding/ConfigurationReplica.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "forwarding/ConfigurationQueries.h"
 #include "forwarding/PublicationFormat.h"
 #include "forwarding/RangeWatch.h"
-#include "support/Codec.h"
 
 #include <optional>
 #include <string>
@@ -27,41 +27,22 @@
     Duration queryPeersAfterRestore = 2s;
     /// The same after the first confirmation, since a starting host does not know when the service was restored.
     Duration queryPeersAfterStart = 1s;
-    /// Time between two queries to the other hosts.
-    Duration peerQueryInterval = 300ms;
 };
 
-/// Requests another host's configuration version and the age of its last confirmation.
-struct ConfigurationRequest
-{
-    /// Chosen by the requesting host and repeated in the confirmation.
-    std::uint64_t number = 0;
-    ConfigurationVersion version;
-};
-
-/// Response to `ConfigurationRequest`.
-struct ConfigurationConfirmation
-{
-    std::uint64_t number = 0;
-    ConfigurationVersion version;
-    /// Upper bound of the time since the service confirmed the version to the responding host.
-    Duration age{};
-    /// The configuration record of the service, if it is newer than the requesting host's.
-    std::optional<std::string> value;
-};
-
-using ConfigurationMessage = std::variant<ConfigurationRequest, ConfigurationConfirmation>;
-
-void to_json(nlohmann::json &json, const ConfigurationMessage &message);
-void from_json(const nlohmann::json &json, ConfigurationMessage &message);
-
 struct ConfigurationMessageReceived
 {
     HostId from;
     ConfigurationMessage message;
 };
 
-using ConfigurationReplicaEvent = std::variant<Tick, KeyValueReply, StoreEraChanged, ConfigurationMessageReceived>;
+/// Event: the other hosts that can be queried.
+struct OtherHostsChanged
+{
+    std::vector<HostId> hosts;
+};
+
+using ConfigurationReplicaEvent =
+    std::variant<Tick, KeyValueReply, StoreEraChanged, ConfigurationMessageReceived, OtherHostsChanged>;
 
 /// Action: a newer version is in force on this host.
 struct ConfigurationChanged
@@ -85,13 +66,6 @@
     std::optional<Duration> age;
 };
 
-/// Action: send the message to the host `to`, or to every other host if `to` is empty.
-struct SendConfigurationMessage
-{
-    std::optional<HostId> to;
-    ConfigurationMessage message;
-};
-
 using ConfigurationReplicaAction = std::variant<KeyValueCall,
                                                 ConfigurationChanged,
                                                 ConfigurationIgnored,
@@ -125,8 +99,14 @@
     void on(const KeyValueReply &event, TimePoint now, Actions &actions);
     void on(const StoreEraChanged &event, TimePoint now, Actions &actions);
     void on(const ConfigurationMessageReceived &event, TimePoint now, Actions &actions);
+    void on(const OtherHostsChanged &event, TimePoint now, Actions &actions);
     void respond(const HostId &to, const ConfigurationRequest &request, TimePoint now, Actions &actions) const;
-    void applyConfirmation(const HostId &from, const ConfigurationConfirmation &confirmation, Actions &actions);
+    void applyConfirmation(const HostId &from,
+                           const ConfigurationConfirmation &confirmation,
+                           TimePoint now,
+                           Actions &actions);
+    /// The version in force; the lowest one before the first successful read.
+    [[nodiscard]] ConfigurationVersion version() const;
     /// Returns false if the value is malformed or older than the configuration in force.
     bool adopt(const std::string &value, std::optional<HostId> source, Actions &actions);
     void updateFreshness(TimePoint now, Actions &actions);
@@ -138,9 +118,7 @@
     std::string m_value;
     std::optional<TimePoint> m_confirmedAt;
     bool m_wasFresh = false;
-    std::uint64_t m_requestNumber = 0;
-    /// When the request with the number `m_requestNumber` was sent.
-    TimePoint m_requestedAt{};
+    ConfigurationQueries m_queries;
     /// Until then the other hosts are queried although the service confirms the configuration.
     TimePoint m_queryPeersUntil{};
 };
--- a/src/forwarding/tests/StoreEraTest.cpp
+++ b/src/forwarding/tests/StoreEraTest.cpp
@@ -179,6 +179,7 @@
 TEST_CASE("a host that starts or sees a restore asks the others for a newer configuration although it is confirmed")
 {
     ConfigurationReplica replica({.format = testFormat()});
+    (void)replica.handle(OtherHostsChanged{{HostId("b")}}, start);
     std::optional<KeyValueCall> pending;
     const auto asks = [&](TimePoint now) {
         const auto actions = replica.handle(Tick{}, now);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -151,6 +151,13 @@
     forward(FleetChanged{.knownHosts = context.fleet.members().size(),
                          .aliveHosts = context.fleet.membership().aliveHosts()},
             context);
+    OtherHostsChanged others;
+    for (const Member &member : context.fleet.members()) {
+        if (member.host != m_options.host) {
+            others.hosts.push_back(member.host);
+        }
+    }
+    dispatchConfiguration(others, context);
 }
 
 void ForwardingCoordinator::startDraining(TimePoint now)
@@ -297,12 +304,7 @@
                        [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
                        [&](const ConfigurationFreshnessChanged &changed) { context.output.log(describe(changed)); },
                        [&](const SendConfigurationMessage &send) {
-                           for (const Member &member : context.fleet.members()) {
-                               if (member.host != m_options.host && (!send.to || *send.to == member.host)) {
-                                   context.fleet.send(
-                                       member.host, PeerChannel::Configuration, send.message, context.output);
-                               }
-                           }
+                           context.fleet.send(send.to, PeerChannel::Configuration, send.message, context.output);
                        }},
             action);
     }
