RelayedWatch: Ask the service before a relayed view is older than the bounds allow

Cause: the hosts of a failure domain watch the directory through one of them. Cut off from the store, that one answered "no change" until its last confirmation was 2.8 s old, and a host that waits for its response noticed its silence up to 1.2 s after the last one, whatever the age of its own view. 2.8 s came from the wait of a watch, not from the time that a leaving target serves on.

Change: the longest age of a relayed range follows from the bounds of the deployment (drain period and apply period, two new settings that the template fills in), less half a second in which to ask the service and act. Both sides keep to it: the relaying host turns requests down from then on, and the requesting host asks the service at once if a response could come too late, and waits no longer than its own view lasts. Waits of the own watches are short enough that a host in order is never turned down for its age.

Related paths: the configuration is relayed the same way with a bound of 2 s and an age of 2 s; it has the same rule now. No bound rests on the register of hosts.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -443,7 +443,8 @@
     if (settings.forwarding) {
         forwarding = ForwardingOptions{.publications = platformPublicationFormat(),
                                        .retries = settings.forwarding->retries,
-                                       .configurationMaximumAge = settings.forwarding->configurationMaximumAge};
+                                       .configurationMaximumAge = settings.forwarding->configurationMaximumAge,
+                                       .propagation = settings.forwarding->propagation};
         if (const ListenSettings &relay = settings.forwarding->relay; relay.port != 0) {
             forwarding->relayAddress = relay.address + ":" + std::to_string(relay.port);
         }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -228,6 +228,9 @@
     if (forwarding.configurationMaximumAge <= Duration::zero()) {
         reader.note("revocationMilliseconds", "More than 1500 are needed.");
     }
+    forwarding.propagation.drainPeriod = reader.milliseconds("drainMilliseconds", forwarding.propagation.drainPeriod);
+    forwarding.propagation.configurationApplyPeriod =
+        reader.milliseconds("configurationApplyMilliseconds", forwarding.propagation.configurationApplyPeriod);
     settings.drainTimeout =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(reader.fraction("graceSeconds", 8)))
         - stopMargin;
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/FleetRetryBudget.h"
+#include "forwarding/RelayedRangeAges.h"
 #include "hostlist/HostListMessages.h"
 #include "support/Codec.h"
 #include "support/Identifiers.h"
@@ -34,6 +35,7 @@
     FleetRetryBudgetOptions retries;
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration configurationMaximumAge = 3500ms;
+    PropagationBounds propagation = {};
 };
 
 /// Everything that a daemon is told at its start, from one JSON file.
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -77,6 +77,8 @@
               {"retryBurst", 196},
               {"retryWindowSeconds", 10},
               {"revocationMilliseconds", 5000},
+              {"drainMilliseconds", 3000},
+              {"configurationApplyMilliseconds", 2500},
               {"graceSeconds", 8}}}};
 }
 
@@ -88,6 +90,8 @@
     CHECK(settings.callers.port == 8227);
     CHECK(settings.forwarding->readiness.port == 8220);
     CHECK(settings.forwarding->configurationMaximumAge == 3500ms);
+    CHECK(settings.forwarding->propagation.drainPeriod == 3s);
+    CHECK(settings.forwarding->propagation.configurationApplyPeriod == 2500ms);
     CHECK(settings.forwarding->relay.port == 7355);
     CHECK(settings.peerAddress == "tcp://10.1.0.40:7340");
     REQUIRE(settings.peers.size() == 1);
--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -29,28 +29,43 @@
                                                                TimePoint now)
 {
     const auto *watch = std::get_if<WatchRange>(&call.request);
+    const auto confirmedAt = m_confirmedAt.find(range);
     std::erase_if(m_retryAt, [&](const auto &entry) { return now >= entry.second; });
-    if (watch == nullptr || !host || m_retryAt.contains({*host, range})) {
+    if (watch == nullptr || !host || m_retryAt.contains({*host, range}) || confirmedAt == m_confirmedAt.end()) {
         return std::nullopt;
     }
     const Duration longest = range == RelayedRange::Configuration ? m_options.configurationWait : m_options.defaultWait;
-    const Duration wait = std::min(watch->wait, longest);
+    // If the host stops responding, the request times out before the confirmation is too old.
+    const Duration remaining = confirmedAt->second + m_options.maximumAges.of(range) - m_options.responseTimeout - now;
+    const Duration wait = std::min({watch->wait, longest, remaining});
+    if (wait < m_options.minimumWait) {
+        return std::nullopt;
+    }
     ++m_last;
-    m_pending.emplace(
-        m_last,
-        PendingRequest{
-            .host = *host, .range = range, .call = call, .deadline = now + wait + m_options.responseTimeout});
+    m_pending.emplace(m_last,
+                      PendingRequest{.host = *host,
+                                     .range = range,
+                                     .call = call,
+                                     .sentAt = now,
+                                     .deadline = now + wait + m_options.responseTimeout});
     return SendRangeWatchMessage{
         .to = *host,
         .message =
             RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait, .era = m_era}};
 }
 
+void RelayedWatchClient::recordConfirmed(RelayedRange range, TimePoint at)
+{
+    const auto known = m_confirmedAt.try_emplace(range, at).first;
+    known->second = std::max(known->second, at);
+}
+
 void RelayedWatchClient::storeEraChanged(const StoreEraChanged &change)
 {
     m_era = change.era;
     if (change.restored) {
         m_pending.clear();
+        m_confirmedAt.clear();
     }
 }
 
@@ -69,6 +84,7 @@
                                                                    .storeRevision = response.revision},
                                             .age = response.age,
                                             .era = response.era}};
+    recordConfirmed(response.range, pending->second.sentAt - response.age);
     m_pending.erase(pending);
     return answered;
 }
--- a/src/forwarding/RelayedWatchClient.h
+++ b/src/forwarding/RelayedWatchClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/RelayedWatchMessages.h"
+#include "forwarding/RelayedRangeAges.h"
 #include "support/Time.h"
 
 #include <map>
@@ -17,10 +17,14 @@
     /// age that this host reports in its own confirmations.
     Duration configurationWait = 250ms;
     Duration defaultWait = 1s;
+    /// Shorter waits are not requested; the service is asked instead.
+    Duration minimumWait = 50ms;
     /// Response timeout in addition to the wait: some round trips between hosts of one failure domain.
     Duration responseTimeout = 200ms;
     /// Delay until a host that did not respond, or could not serve a range, gets requests for that range again.
     Duration retryDelay = 2s;
+    /// A range must be confirmed again before its last confirmation is older, by the other host or by the service.
+    RelayedRangeAges maximumAges;
 };
 
 /// Reply to a watch of this host that another host has answered.
@@ -53,6 +57,9 @@
     {
     }
 
+    /// Records that the service's reply to a call of this host confirmed the range at `at`.
+    void recordConfirmed(RelayedRange range, TimePoint at);
+
     /// The request to send to `host` instead of the call; std::nullopt if the call has to be sent to the service.
     [[nodiscard]] std::optional<SendRangeWatchMessage>
     relay(RelayedRange range, const KeyValueCall &call, const std::optional<HostId> &host, TimePoint now);
@@ -73,12 +80,15 @@
         HostId host;
         RelayedRange range = RelayedRange::Configuration;
         KeyValueCall call;
+        TimePoint sentAt;
         TimePoint deadline;
     };
 
     RelayedWatchClientOptions m_options;
     /// By the number of the request.
     std::map<std::uint64_t, PendingRequest> m_pending;
+    /// When the service last confirmed each range, as far as this host knows.
+    std::map<RelayedRange, TimePoint> m_confirmedAt;
     /// End of the retry delay of a host that failed to serve a range.
     std::map<std::pair<HostId, RelayedRange>, TimePoint> m_retryAt;
     /// Number of the last request.
--- a/src/forwarding/RelayedWatchMessages.h
+++ b/src/forwarding/RelayedWatchMessages.h
@@ -2,6 +2,7 @@
 
 #include "keyvalue/KeyValueMessages.h"
 #include "support/Codec.h"
+#include "support/Time.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -4,19 +4,6 @@
 
 namespace Carawaymill {
 
-Duration RelayedWatchServer::maximumAge(RelayedRange range) const
-{
-    switch (range) {
-    case RelayedRange::Configuration:
-        return m_options.maximumConfigurationAge;
-    case RelayedRange::Directory:
-        return m_options.maximumDirectoryAge;
-    case RelayedRange::Hosts:
-        break;
-    }
-    return m_options.maximumHostsAge;
-}
-
 std::vector<SendRangeWatchMessage>
 RelayedWatchServer::recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now)
 {
@@ -89,7 +76,8 @@
 {
     const RangeWatchRequest &request = pending.request;
     const auto found = m_ranges.find(request.range);
-    if (request.era != m_era || found == m_ranges.end() || now - found->second.confirmedAt > maximumAge(request.range)
+    if (request.era != m_era || found == m_ranges.end()
+        || now - found->second.confirmedAt > m_options.maximumAges.of(request.range)
         || request.after < found->second.begin) {
         return RangeWatchUnavailable{.number = request.number};
     }
--- a/src/forwarding/RelayedWatchServer.h
+++ b/src/forwarding/RelayedWatchServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/RelayedWatchMessages.h"
+#include "forwarding/RelayedRangeAges.h"
 #include "support/Time.h"
 
 #include <deque>
@@ -13,10 +13,8 @@
 struct RelayedWatchServerOptions
 {
     /// Ranges whose last confirmation is older are not served, since the requesting host may reach the service although
-    /// this one does not. Twice the wait of the range's watch plus the response time of a slow service.
-    Duration maximumConfigurationAge = 2s;
-    Duration maximumDirectoryAge = 2800ms;
-    Duration maximumHostsAge = 6500ms;
+    /// this one does not.
+    RelayedRangeAges maximumAges;
     /// Changes are kept for this time, for hosts that have not received them yet.
     Duration changeRetention = 20s;
     /// Larger responses would congest this host's link when many hosts request them at once; each host reads such
@@ -83,7 +81,6 @@
         TimePoint arrivedAt;
     };
 
-    [[nodiscard]] Duration maximumAge(RelayedRange range) const;
     void apply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
     [[nodiscard]] std::vector<SendRangeWatchMessage> respondDue(TimePoint now);
     /// Returns std::nullopt while the request has to wait for a change.
--- a/src/forwarding/tests/RelayedWatchTest.cpp
+++ b/src/forwarding/tests/RelayedWatchTest.cpp
@@ -143,6 +143,7 @@
     // The first read of the range always goes to the service.
     CHECK(!client.relay(range, *read, collector, start));
     (void)watch.handle({.id = read->id, .result = RangeRead{.records = {}, .storeRevision = Revision(11)}}, start);
+    client.recordConfirmed(range, start);
     const auto next = watch.nextCall(start + 200ms);
     REQUIRE(next);
     const auto sentRequest = client.relay(range, *next, collector, start + 200ms);
@@ -164,6 +165,8 @@
 {
     RelayedWatchClient client({});
     const KeyValueCall watch{.id = CallId(4), .request = WatchRange{.prefix = "p/", .after = Revision(3), .wait = 1s}};
+    client.recordConfirmed(range, start);
+    client.recordConfirmed(RelayedRange::Hosts, start);
     REQUIRE(client.relay(range, watch, collector, start));
     CHECK(client.takeTimedOut(start + 1100ms).empty());
     const auto overdue = client.takeTimedOut(start + 1200ms);
@@ -172,10 +175,55 @@
     CHECK(!client.relay(range, watch, collector, start + 2s));
     // The retry delay applies to that range only.
     CHECK(client.relay(RelayedRange::Hosts, watch, collector, start + 2s));
+    client.recordConfirmed(range, start + 4s);
     const auto again = client.relay(range, watch, collector, start + 4s);
     REQUIRE(again);
     const RangeWatchUnavailable unavailable{.number = std::get<RangeWatchRequest>(again->message).number};
     CHECK(client.handleUnavailable(collector, unavailable, start + 4s));
+    client.recordConfirmed(range, start + 5s);
     CHECK(!client.relay(range, watch, collector, start + 5s));
+    client.recordConfirmed(range, start + 9s);
     CHECK(!client.relay(range, watch, std::nullopt, start + 9s));
 }
+
+TEST_CASE("a relayed watch times out before the last confirmation of its range is too old")
+{
+    RelayedWatchClient client(
+        {.responseTimeout = 200ms, .maximumAges = {.configuration = 1500ms, .directory = 1500ms, .hosts = 6s}});
+    const KeyValueCall watch{.id = CallId(4), .request = WatchRange{.prefix = "p/", .after = Revision(3), .wait = 1s}};
+    // Without a confirmation the service is asked.
+    CHECK(!client.relay(range, watch, collector, start));
+    client.recordConfirmed(range, start);
+    const auto request = client.relay(range, watch, collector, start + 1s);
+    REQUIRE(request);
+    CHECK(std::get<RangeWatchRequest>(request->message).wait == 300ms);
+    CHECK(client.takeTimedOut(start + 1480ms).empty());
+    CHECK(client.takeTimedOut(start + 1500ms).size() == 1);
+    // Another host could respond too late only.
+    CHECK(!client.relay(range, watch, HostId("other"), start + 1300ms));
+    // A response counts as confirmed by the age that it states.
+    client.recordConfirmed(range, start + 4s);
+    const auto next = client.relay(range, watch, collector, start + 4s);
+    REQUIRE(next);
+    CHECK(client.handleResponse(collector,
+                                RangeWatchResponse{.number = std::get<RangeWatchRequest>(next->message).number,
+                                                   .range = range,
+                                                   .written = {},
+                                                   .deletedKeys = {},
+                                                   .revision = Revision(3),
+                                                   .age = -600ms}));
+    const auto last = client.relay(range, watch, collector, start + 5s);
+    REQUIRE(last);
+    CHECK(std::get<RangeWatchRequest>(last->message).wait == 900ms);
+}
+
+TEST_CASE("a host in order confirms each range again before other hosts stop relying on it")
+{
+    for (const Duration bound : {1s, 2s, 3s, 4s, 10s}) {
+        const RelayedRangeAges ages = relayedRangeAges({.drainPeriod = bound, .configurationApplyPeriod = bound});
+        for (const Duration age : {ages.directory, ages.configuration}) {
+            CHECK(age < bound);
+            CHECK(2 * relayedWatchWait(age, 1200ms) < age);
+        }
+    }
+}
--- a/src/forwarding/tests/StoreEraTest.cpp
+++ b/src/forwarding/tests/StoreEraTest.cpp
@@ -140,6 +140,7 @@
     RelayedWatchClient client({});
     client.storeEraChanged(firstEra);
     const KeyValueCall watch{.id = CallId(4), .request = WatchRange{.prefix = "p/", .after = Revision(3), .wait = 1s}};
+    client.recordConfirmed(range, start);
     const auto sent = client.relay(range, watch, collector, start);
     REQUIRE(sent);
     const auto &request = std::get<RangeWatchRequest>(sent->message);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -14,6 +14,16 @@
 /// than the minimum interval between two digests, and long enough that the summing costs little.
 static constexpr Duration loadExchangeInterval = 100ms;
 
+/// Longest waits of this host's own watches. A connection to the service that stopped responding goes unnoticed for
+/// about as long.
+static constexpr Duration longestConfigurationWait = 800ms;
+static constexpr Duration longestDirectoryWait = 1200ms;
+
+static RelayedRangeAges agesOf(const NodeOptions &options)
+{
+    return relayedRangeAges(options.forwarding->propagation);
+}
+
 static KeyValueCaller callerOf(RelayedRange range)
 {
     switch (range) {
@@ -37,8 +47,11 @@
     : m_options(options)
     , m_configuration({.format = options.forwarding->publications,
                        .seed = stableHash("configuration", options.seed),
+                       .watchWait = relayedWatchWait(agesOf(options).configuration, longestConfigurationWait),
                        .maximumAge = options.forwarding->configurationMaximumAge})
-    , m_directory({.format = options.forwarding->publications, .seed = stableHash("directory", options.seed)})
+    , m_directory({.format = options.forwarding->publications,
+                   .seed = stableHash("directory", options.seed),
+                   .watchWait = relayedWatchWait(agesOf(options).directory, longestDirectoryWait)})
     , m_registry({.self = {.host = options.host,
                            .state = HostListState::Live,
                            .peerAddress = options.peerAddress,
@@ -46,8 +59,8 @@
                            .region = options.region,
                            .relayAddress = options.forwarding->relayAddress},
                   .seed = stableHash("registry", options.seed)})
-    , m_watchClient(RelayedWatchClientOptions{})
-    , m_watchServer(RelayedWatchServerOptions{})
+    , m_watchClient({.maximumAges = agesOf(options)})
+    , m_watchServer({.maximumAges = agesOf(options)})
     , m_loads({.self = options.host, .failureDomain = options.failureDomain})
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
@@ -199,6 +212,9 @@
 void ForwardingCoordinator::recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
 {
     if (const auto sent = m_latestCalls.find(range); sent != m_latestCalls.end() && sent->second.id == reply.id) {
+        if (std::holds_alternative<RangeRead>(reply.result) || std::holds_alternative<RangeChanged>(reply.result)) {
+            m_watchClient.recordConfirmed(range, sent->second.sentAt);
+        }
         send(m_watchServer.recordServiceReply(sent->second, reply.result, context.now), context);
     }
 }
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/FleetRetryBudget.h"
 #include "forwarding/PublicationFormat.h"
+#include "forwarding/RelayedRangeAges.h"
 #include "membership/MembershipOptions.h"
 #include "node/CompletionApi.h"
 #include "support/Identifiers.h"
@@ -22,6 +23,7 @@
     /// Requests that need a caller's key are refused when the configuration was last confirmed longer ago than this:
     /// the key may have been revoked since.
     Duration configurationMaximumAge = 3500ms;
+    PropagationBounds propagation = {};
     /// Time for which a draining host still accepts requests. Long enough for the balancer to stop sending them, and
     /// short enough that the streams accepted last end before the process is killed.
     Duration drainAcceptPeriod = 2800ms;
