--- a/src/daemon/CarawaymilldMain.cpp
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -8,6 +8,7 @@
 #include <popt.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -34,6 +35,9 @@
 {
     std::string settingsFile;
     bool checkOnly = false;
+    /// Bounds of the deployment, in place of those of the settings file; 0 leaves these.
+    std::chrono::milliseconds drainPeriod{};
+    std::chrono::milliseconds configurationApplyPeriod{};
 };
 
 /// Reads the command line; exits when it is wrong.
@@ -41,26 +45,45 @@
 {
     char *settings = nullptr;
     int checkOnly = 0;
+    int drainMilliseconds = 0;
+    int applyMilliseconds = 0;
     const char *const fromEnvironment = std::getenv(settingsVariable);
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settings, 0, "JSON file with the daemon's settings", "FILE"},
         {"check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr},
+        {"drain-milliseconds",
+         0,
+         POPT_ARG_INT,
+         &drainMilliseconds,
+         0,
+         "time for which a leaving target runs requests",
+         "N"},
+        {"configuration-apply-milliseconds",
+         0,
+         POPT_ARG_INT,
+         &applyMilliseconds,
+         0,
+         "time within which a configuration is in force",
+         "N"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(nullptr, argc, argv, static_cast<const poptOption *>(options), 0);
     if (poptGetNextOpt(context) < -1 || (settings == nullptr && fromEnvironment == nullptr)) {
         poptPrintUsage(context, stderr, 0);
         std::exit(ExitWrongCommandLine);
     }
-    CommandLine line{.settingsFile = settings != nullptr ? settings : fromEnvironment, .checkOnly = checkOnly != 0};
+    CommandLine line{.settingsFile = settings != nullptr ? settings : fromEnvironment,
+                     .checkOnly = checkOnly != 0,
+                     .drainPeriod = std::chrono::milliseconds(drainMilliseconds),
+                     .configurationApplyPeriod = std::chrono::milliseconds(applyMilliseconds)};
     std::free(settings);
     poptFreeContext(context);
     return line;
 }
 
-/// Reads the settings file; exits when it is wrong.
-DaemonSettings readSettings(const std::string &file)
+/// Reads the settings file; exits when it is wrong. Bounds on the command line replace those of the file.
+DaemonSettings readSettings(const CommandLine &line)
 {
-    std::ifstream stream(file);
+    std::ifstream stream(line.settingsFile);
     if (!stream) {
         LOG(ERROR) << "Daemon: cannot read the settings file.";
         std::exit(ExitWrongSettings);
@@ -73,7 +96,14 @@
         }
         std::exit(ExitWrongSettings);
     }
-    return std::get<DaemonSettings>(std::move(settings));
+    auto valid = std::get<DaemonSettings>(std::move(settings));
+    if (valid.forwarding && line.drainPeriod > Duration::zero()) {
+        valid.forwarding->propagation.drainPeriod = line.drainPeriod;
+    }
+    if (valid.forwarding && line.configurationApplyPeriod > Duration::zero()) {
+        valid.forwarding->propagation.configurationApplyPeriod = line.configurationApplyPeriod;
+    }
+    return valid;
 }
 
 } // namespace
@@ -88,7 +118,7 @@
     // A reader of the log that falls behind loses lines rather than holding up requests.
     (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     const CommandLine line = readCommandLine(argc, argv);
-    DaemonSettings settings = readSettings(line.settingsFile);
+    DaemonSettings settings = readSettings(line);
     if (line.checkOnly) {
         LOG(INFO) << "Daemon: the settings are good.";
         return ExitSuccess;
