HostRegistry: Ignore an entry whose fields are of another type

What callers would see: hosts that read the register end at once, and again after each restart, as long as an entry under hosts/ has a field of another type.

Cause: readRecord() read text fields with value(), which throws if the field is of another type; nothing caught it.

Evidence: "an odd entry in the register of hosts names no host and the others hold" ends with json.exception.type_error.302 on the code before; passes now.

--- a/src/forwarding/HostRegistry.cpp
+++ b/src/forwarding/HostRegistry.cpp
@@ -25,12 +25,16 @@
     if (json == nullptr || !json->is_object()) {
         return std::nullopt;
     }
-    return ListedHost{.host = HostId(record.key.substr(std::string_view(registryPrefix).size())),
-                      .state = HostListState::Live,
-                      .peerAddress = json->value("peerAddress", ""),
-                      .failureDomain = FailureDomainId(json->value("failureDomain", "")),
-                      .region = RegionId(json->value("region", "")),
-                      .relayAddress = json->value("relayAddress", "")};
+    try {
+        return ListedHost{.host = HostId(record.key.substr(std::string_view(registryPrefix).size())),
+                          .state = HostListState::Live,
+                          .peerAddress = json->value("peerAddress", ""),
+                          .failureDomain = FailureDomainId(json->value("failureDomain", "")),
+                          .region = RegionId(json->value("region", "")),
+                          .relayAddress = json->value("relayAddress", "")};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
 }
 
 HostRegistry::HostRegistry(HostRegistryOptions options)
--- a/src/forwarding/tests/ReplicasTest.cpp
+++ b/src/forwarding/tests/ReplicasTest.cpp
@@ -496,3 +496,30 @@
         CHECK(count(from, true) <= ratio * requests + burst);
     }
 }
+
+/// Guards against hosts that ended because of one entry that is no host's.
+TEST_CASE("an odd entry in the register of hosts names no host and the others hold")
+{
+    for (const std::string odd : {"",
+                                  "null",
+                                  "17",
+                                  R"({"peerAddress":17})",
+                                  R"({"peerAddress":"tcp://h2:1","region":["x"]})",
+                                  R"({"peerAddress":null})"}) {
+        CAPTURE(odd);
+        HostRegistry registry({.self = {.host = HostId("h1")}});
+        std::optional<KeyValueCall> readCall;
+        for (const HostRegistryAction &action : registry.handle(Tick{}, start)) {
+            if (const auto *call = std::get_if<KeyValueCall>(&action);
+                call != nullptr && std::holds_alternative<ReadRange>(call->request)) {
+                readCall = *call;
+            }
+        }
+        REQUIRE(readCall);
+        const KeyValueRecord sound = record("hosts/h3", R"({"peerAddress":"tcp://h3:1","failureDomain":"a"})");
+        (void)registry.handle(KeyValueReply{.id = readCall->id, .result = read({record("hosts/h2", odd), sound})},
+                              start);
+        CHECK(registry.contains(HostId("h3")));
+        CHECK(!registry.contains(HostId("h2")));
+    }
+}
