Publications: Read a worker's fields within their ranges, and no deep nesting

Here, on the code before, the hosts went on following the list, but listed targets that no request can reach (port 0 or 65536, no IP address), with layers up to 4,294,967,295 or a number cast out of range (undefined), sent bytes of an id or address as headers to other workers, and took over an address of a sound worker. A document of 1 MB of brackets took about 100 MB to read. A report of a worker whose list of blocked requests holds a number in place of a text ended the process: the exception was caught nowhere.

--- a/src/platform/EngineCodec.cpp
+++ b/src/platform/EngineCodec.cpp
@@ -1,7 +1,7 @@
 #include "platform/EngineCodec.h"
 
 #include "http/JsonRequest.h"
-#include "platform/Publications.h"
+#include "platform/WorkerFields.h"
 #include "support/Codec.h"
 
 #include <algorithm>
@@ -14,6 +14,8 @@
 static constexpr unsigned statusConflict = 409;
 static constexpr unsigned statusPreconditionFailed = 412;
 static constexpr unsigned statusMisdirected = 421;
+/// Higher counts in a report are not believed.
+static constexpr std::uint64_t highestCount = 1'000'000'000;
 
 HttpRequest reportRequest()
 {
@@ -37,20 +39,33 @@
     if (!json) {
         return std::nullopt;
     }
-    try {
-        EngineReport report;
-        report.state = {.target = target,
-                        .incarnation = readIncarnation(*json),
-                        .held = readHeldLayers(*json),
-                        .loading = {},
-                        .busy = json->value("Busy", false),
-                        .ordersAccepted = json->value("Sequence", std::uint64_t(0))};
-        report.load.queuedSteps = json->value("Queued", 0U);
-        report.load.runningSteps = json->value("Active", 0U);
-        return report;
-    } catch (const nlohmann::json::exception &) {
+    const auto incarnation = readIncarnation(*json);
+    auto held = readHeldLayers(*json);
+    const auto ordersAccepted = readCount(*json, "Sequence", highestCount, 0);
+    const auto queued = readCount(*json, "Queued", highestCount, 0);
+    const auto running = readCount(*json, "Active", highestCount, 0);
+    const auto busy = json->find("Busy");
+    const bool isBusyMalformed = busy != json->end() && !busy->is_boolean();
+    if (!incarnation || !held || !ordersAccepted || !queued || !running || isBusyMalformed) {
         return std::nullopt;
     }
+    EngineReport report;
+    report.state = {.target = target,
+                    .incarnation = *incarnation,
+                    .held = std::move(*held),
+                    .loading = {},
+                    .busy = busy != json->end() && busy->get<bool>(),
+                    .ordersAccepted = *ordersAccepted};
+    report.load.queuedSteps = static_cast<std::uint32_t>(*queued);
+    report.load.runningSteps = static_cast<std::uint32_t>(*running);
+    return report;
+}
+
+/// The text of a field; empty if it is missing or no text.
+static std::string readText(const nlohmann::json &object, const char *name)
+{
+    const auto field = object.find(name);
+    return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
 }
 
 ProgressReported readProgress(const QueryProgress &query, const HttpResult &result)
@@ -67,8 +82,8 @@
         return progress;
     }
     for (const nlohmann::json &entry : *blockedRequests) {
-        if (entry.is_object() && entry.value("Id", "") == query.callerAttempt) {
-            progress.blockedAtAddress = entry.value("Address", "");
+        if (entry.is_object() && readText(entry, "Id") == query.callerAttempt) {
+            progress.blockedAtAddress = readText(entry, "Address");
         }
     }
     return progress;
--- a/src/platform/Publications.cpp
+++ b/src/platform/Publications.cpp
@@ -1,5 +1,7 @@
 #include "platform/Publications.h"
 
+#include "platform/WorkerFields.h"
+
 #include <algorithm>
 
 namespace Carawaymill {
@@ -9,6 +11,8 @@
 static constexpr double bytesPerSecondPerMegabit = 1e6 / 8;
 static constexpr double secondsPerMillisecond = 1e-3;
 static constexpr double tokensPerThousand = 1000;
+/// No worker runs more requests at once.
+static constexpr std::uint64_t highestConcurrency = 1'000'000;
 
 /// Reads a field that is given in milliseconds; `defaultValue` if it is missing.
 static Duration milliseconds(const nlohmann::json &object, const char *name, std::int64_t defaultValue)
@@ -173,40 +177,6 @@
     }
 }
 
-static std::string readModelVersion(const nlohmann::json &layers)
-{
-    const auto version = layers.find("Version");
-    return version != layers.end() && version->is_number() ? std::to_string(version->get<std::uint64_t>()) : "1";
-}
-
-std::vector<ModelLayers> readHeldLayers(const nlohmann::json &worker)
-{
-    std::vector<ModelLayers> held;
-    const auto ranges = worker.find("LayerCount");
-    if (ranges == worker.end()) {
-        return held;
-    }
-    const auto add = [&held](const nlohmann::json &range) {
-        // `Source` is the first layer, `Target` is one past the last layer.
-        const LayerRange layers{LayerIndex(range.at("Source").get<std::uint32_t>()),
-                                LayerIndex(range.at("Target").get<std::uint32_t>())};
-        if (!layers.empty()) {
-            held.push_back({.model = {}, .version = readModelVersion(range), .adapter = {}, .layers = layers});
-        }
-    };
-    if (ranges->is_array()) {
-        std::for_each(ranges->begin(), ranges->end(), add);
-    } else if (ranges->is_object()) {
-        add(*ranges);
-    }
-    return held;
-}
-
-IncarnationNumber readIncarnation(const nlohmann::json &worker)
-{
-    return IncarnationNumber(worker.value("born", std::uint64_t(0)));
-}
-
 static Result<DirectoryTarget, DecodeFailure> readTarget(const TargetId &id, const std::string &value)
 {
     auto parsed = parseJson(value);
@@ -224,14 +194,27 @@
                                .address = json.at("Address").get<std::string>(),
                                .failureDomain = FailureDomainId(json.at("Zone").get<std::string>()),
                                .leaving = state == "draining",
-                               .concurrency = json.at("Capacity").get<std::uint32_t>(),
                                // In a worker's record this is the accelerator kind, unlike `RouteType` of a route.
-                               .acceleratorKind = json.value("RouteType", ""),
-                               .incarnation = readIncarnation(json),
-                               .held = readHeldLayers(json)};
-        if (target.address.empty() || target.service.value().empty()) {
+                               .acceleratorKind = json.value("RouteType", "")};
+        if (!isWorkerId(id.value())) {
+            return DecodeFailure{.field = "id"};
+        }
+        if (!isWorkerAddress(target.address) || target.service.value().empty()) {
             return DecodeFailure{.field = "Address"};
         }
+        const auto concurrency =
+            json.contains("Capacity") ? readCount(json, "Capacity", highestConcurrency, 0) : std::nullopt;
+        if (!concurrency) {
+            return DecodeFailure{.field = "Capacity"};
+        }
+        target.concurrency = static_cast<std::uint32_t>(*concurrency);
+        const auto incarnation = readIncarnation(json);
+        auto held = readHeldLayers(json);
+        if (!incarnation || !held) {
+            return DecodeFailure{.field = incarnation ? "LayerCount" : "born"};
+        }
+        target.incarnation = *incarnation;
+        target.held = std::move(*held);
         return target;
     } catch (const nlohmann::json::exception &exception) {
         return DecodeFailure{.field = exception.what()};
--- a/src/support/Codec.h
+++ b/src/support/Codec.h
@@ -54,7 +54,7 @@
     }
 }
 
-/// Parses JSON text; the failure names the place.
+/// Parses JSON text; the failure names the place. Text that is nested more than 100 levels deep is not parsed.
 [[nodiscard]] Result<nlohmann::json, DecodeFailure> parseJson(const std::string &text);
 
 /// Packs a document as CBOR, for messages between our own processes.
--- a/src/support/tests/CodecTest.cpp
+++ b/src/support/tests/CodecTest.cpp
@@ -24,6 +24,19 @@
     CHECK(std::holds_alternative<DecodeFailure>(unpackCbor("\xff\xff")));
 }
 
+TEST_CASE("text that is nested too deep is not parsed, and brackets in strings do not count")
+{
+    const auto isRead = [](const std::string &text) { return std::holds_alternative<nlohmann::json>(parseJson(text)); };
+    CHECK(isRead(std::string(100, '[') + std::string(100, ']')));
+    CHECK(!isRead(std::string(101, '[') + std::string(101, ']')));
+    CHECK(isRead("[\"" + std::string(200, '[') + "\\\"" + std::string(200, '{') + "\"]"));
+    std::string flat = "[0";
+    for (int element = 0; element < 200; ++element) {
+        flat += ",[]";
+    }
+    CHECK(isRead(flat + "]"));
+}
+
 TEST_CASE("SHA-256 matches the published vector for the empty string")
 {
     CHECK(sha256Hex("") == "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
