Forwarder: Repeat a rejected request at its target on a new connection only

Here requests that may run at most once always use a new connection, and a refusal of another attempt is skipped by its id. One way was left: where another target of the path was at fault, a resumable stream is sent to the same first target again, with the same id, on the kept connection, so that the earlier refusal written again would count for the attempt that runs.

Change: a request remembers which first targets rejected it, and uses a new connection there.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -320,7 +320,7 @@
                            .timeLeft = {},
                            .resumeAfter = call.relay.last(),
                            .request = call.request,
-                           .freshConnection = call.route->repeat == RepeatPolicy::AtMostOnce,
+                           .freshConnection = call.needsFreshConnection(chosen.target),
                            .via = call.via};
     if (call.callerDeadline) {
         action.timeLeft = *call.callerDeadline - context.now;
@@ -634,10 +634,8 @@
                                 const TargetResponseStarted &head,
                                 HandlerContext &context)
 {
-    TargetId atFault = target;
-    if (head.addressAtFault) {
-        atFault = m_targets.targetAt(*head.addressAtFault).value_or(target);
-    }
+    const TargetId atFault = head.addressAtFault ? m_targets.targetAt(*head.addressAtFault).value_or(target) : target;
+    call.rejectedBy.insert(target);
     call.tried.insert(atFault);
     m_targets.recordFailure(atFault, context.now);
     const RejectionKind kind = head.misdirected ? RejectionKind::Outdated : RejectionKind::Busy;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -189,6 +189,8 @@
         TimePoint sentAt;
         std::optional<StalledAttempt> stalled;
         std::set<TargetId> tried;
+        /// The first targets of the attempts that were rejected.
+        std::set<TargetId> rejectedBy;
         std::uint32_t dispatches = 0;
         /// Whether a target's request limit has left no room for the call.
         bool wasLimited = false;
@@ -214,6 +216,13 @@
         /// Time of the last event of the stream, or of the dispatch.
         TimePoint progressAt;
         std::optional<TimePoint> progressQueriedAt;
+
+        /// Whether the next attempt at this target must not reuse a connection. On a kept one the target may have
+        /// closed it or may write an earlier rejection again, which names the same attempt of the caller.
+        [[nodiscard]] bool needsFreshConnection(const TargetId &target) const
+        {
+            return route->repeat == RepeatPolicy::AtMostOnce || rejectedBy.contains(target);
+        }
     };
 
     /// A request that arrived before the configuration and the directory were read.
--- a/src/forwarding/tests/TargetAnswersTest.cpp
+++ b/src/forwarding/tests/TargetAnswersTest.cpp
@@ -142,3 +142,110 @@
     CHECK(resumed.target != dispatch.target);
     CHECK(resumed.resumeAfter == StreamPosition(1));
 }
+
+/// Guards against a target that writes an earlier refusal once more on a kept connection: it names the same attempt as
+/// the request that runs there now, so that the caller would be told that this one did not run.
+TEST_CASE("a request that a target has rejected is sent there again on a new connection only")
+{
+    ForwarderFixture fixture;
+    for (const std::string id : {"a3", "a4"}) {
+        fixture.forwarder.targetListed(ForwarderFixture::engine(id, {LayerIndex(4), LayerIndex(8)}), fixture.router);
+    }
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    CHECK(!first.freshConnection);
+    // The second target of the path is at fault, so that the first one is chosen again.
+    fixture.handle(ForwarderFixture::rejected(first, first.path.at(1).address));
+    auto actions = fixture.handle(ForwarderFixture::ended(first));
+    std::set<TargetId> rejecting{first.target};
+    std::size_t sentAgain = 0;
+    while (has<ForwardToTarget>(actions)) {
+        const auto dispatch = only<ForwardToTarget>(actions);
+        const bool isAgain = !rejecting.insert(dispatch.target).second;
+        sentAgain += isAgain ? 1 : 0;
+        CHECK(dispatch.freshConnection == isAgain);
+        fixture.handle(ForwarderFixture::rejected(dispatch, dispatch.path.at(1).address));
+        actions = fixture.handle(ForwarderFixture::ended(dispatch));
+    }
+    CHECK(sentAgain > 0);
+}
+
+/// Guards against the text or head of an error in the middle of a caller's stream, and against a stream that ends as
+/// if it were complete: it broke off, and the next target answered with something else than its rest.
+TEST_CASE("an error of the next target is not part of a stream that broke off")
+{
+    const std::string errorText = "id: 2\ndata: error\n\n";
+
+    struct Answer
+    {
+        unsigned status;
+        bool sealed;
+        bool notRun;
+    };
+
+    for (const Answer answer : {Answer{500, true, false},
+                                Answer{500, false, false},
+                                Answer{404, true, false},
+                                Answer{503, false, true},
+                                Answer{421, false, true},
+                                Answer{204, true, false},
+                                Answer{206, true, false},
+                                Answer{302, true, false},
+                                Answer{200, false, false}}) {
+        for (const bool isLost : {false, true}) {
+            for (const std::size_t eventsBefore : {0U, 1U}) {
+                CAPTURE(answer.status);
+                CAPTURE(answer.sealed);
+                CAPTURE(isLost);
+                CAPTURE(eventsBefore);
+                ForwarderFixture fixture;
+                const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+                CHECK(has<BeginStream>(fixture.handle(ForwarderFixture::started(first))));
+                if (eventsBefore > 0) {
+                    fixture.handle(ForwarderFixture::event(first, 1));
+                }
+                fixture.handle(
+                    TargetResponseData{.id = first.id, .attempt = first.attempt, .bytes = "id: 2\ndata: ha"});
+                auto actions = fixture.handle(ForwarderFixture::failed(first));
+                bool aborted = false;
+                while (has<ForwardToTarget>(actions)) {
+                    const auto next = only<ForwardToTarget>(actions);
+                    TargetResponseStarted head = ForwarderFixture::started(next, answer.status);
+                    head.sealed = answer.sealed;
+                    head.notRun = answer.notRun;
+                    auto seen = fixture.handle(head);
+                    const auto data =
+                        fixture.handle(TargetResponseData{.id = next.id, .attempt = next.attempt, .bytes = errorText});
+                    seen.insert(seen.end(), data.begin(), data.end());
+                    actions = fixture.handle(isLost ? ForwarderEvent(ForwarderFixture::failed(next))
+                                                    : ForwarderEvent(ForwarderFixture::ended(next)));
+                    seen.insert(seen.end(), actions.begin(), actions.end());
+                    CHECK(!has<BeginStream>(seen));
+                    CHECK(!has<WriteStream>(seen));
+                    CHECK(!has<EndStream>(seen));
+                    CHECK(!has<Respond>(seen));
+                    CHECK(!has<RefuseCaller>(seen));
+                    aborted = has<AbortStream>(seen);
+                }
+                CHECK(aborted);
+            }
+        }
+    }
+}
+
+TEST_CASE("a stream that broke off goes on at a third target after an error of the second one")
+{
+    ForwarderFixture fixture;
+    const auto first = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(first));
+    fixture.handle(ForwarderFixture::event(first, 1));
+    const auto second = only<ForwardToTarget>(fixture.handle(ForwarderFixture::failed(first)));
+    fixture.handle(ForwarderFixture::rejected(second, second.path.at(1).address));
+    fixture.handle(TargetResponseData{.id = second.id, .attempt = second.attempt, .bytes = "busy\n\n"});
+    const auto actions = fixture.handle(ForwarderFixture::ended(second));
+    REQUIRE(has<ForwardToTarget>(actions));
+    const auto third = only<ForwardToTarget>(actions);
+    CHECK(third.resumeAfter == StreamPosition(1));
+    fixture.handle(ForwarderFixture::started(third));
+    CHECK(only<WriteStream>(fixture.handle(ForwarderFixture::event(third, 2))).chunk == "id: 2\ndata: x\n\n");
+    CHECK(has<EndStream>(fixture.handle(ForwarderFixture::ended(third))));
+}
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -356,6 +356,24 @@
     CHECK(observed.complete);
 }
 
+/// A repeated refusal of the same attempt is not told from its answer; the forwarder sends such a request on a new
+/// connection.
+TEST_CASE("a refusal that is written once more on a kept connection is not the response to the next request")
+{
+    const auto refusal = [](const std::string &id) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id
+               + "\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    };
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nran";
+    const ObservedResponse observed = observeResponse({refusal("0"), refusal("0") + answer}, 2);
+    CHECK(observed.status == 200);
+    CHECK(observed.body == "ran");
+    // Without the answer, nothing states that the request did not run.
+    const ObservedResponse lost = observeResponse({refusal("0"), refusal("0")}, 2);
+    CHECK(lost.failed);
+    CHECK(lost.status == 0);
+}
+
 TEST_CASE("a response without the echo header fails the request on a reused connection")
 {
     const std::string first = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 1\r\n\r\na";
