--- a/src/forwarding/tests/ConfigurationSpreadTest.cpp
+++ b/src/forwarding/tests/ConfigurationSpreadTest.cpp
@@ -83,6 +83,16 @@
         }
     }
 
+    /// The service returns from an older copy.
+    void restore(std::uint64_t version)
+    {
+        m_version = version;
+        for (Host &host : m_hosts) {
+            host.watch.reset();
+            handle(host, StoreEraChanged{.era = StoreEra(2), .restored = true});
+        }
+    }
+
     /// The service turns away the first hosts.
     void turnAway(std::size_t hosts) { m_turnedAway = hosts; }
 
@@ -270,3 +280,33 @@
         }
     }
 }
+
+/// One host alone has received a configuration when the service loses it. Returns how many hosts hold it 2 s later.
+static std::size_t holdingLostConfiguration(std::size_t size)
+{
+    ConfiguredFleet fleet(size);
+    fleet.runUntil(start + 5s);
+    fleet.turnAway(size - 1);
+    fleet.publish(2);
+    fleet.runUntil(start + 5200ms);
+    REQUIRE(fleet.holding(2) == 1);
+    fleet.turnAway(0);
+    fleet.restore(1);
+    fleet.runUntil(start + 7200ms);
+    CHECK(fleet.fresh() == size);
+    return fleet.holding(2);
+}
+
+/// Guards against a revoked key that runs on because the service has lost the configuration which revoked it.
+TEST_CASE("a configuration that the service has lost reaches all hosts from the single host that holds it")
+{
+    for (const std::size_t size : {4, 24, 118}) {
+        CAPTURE(size);
+        CHECK(holdingLostConfiguration(size) == size);
+    }
+}
+
+TEST_CASE("a configuration that the service has lost reaches all of 369 hosts from the single host that holds it")
+{
+    CHECK(holdingLostConfiguration(369) == 369);
+}
