--- a/src/platformstandin/MixedFleet.cpp
+++ b/src/platformstandin/MixedFleet.cpp
@@ -1,5 +1,6 @@
 #include "platformstandin/MixedFleet.h"
 
+#include "platformstandin/EntryHostSettings.h"
 #include "support/BootClock.h"
 
 #include <algorithm>
@@ -10,11 +11,6 @@
 
 namespace Carawaymill {
 
-static constexpr std::uint16_t callerPort = 18227;
-static constexpr std::uint16_t readyPort = 18220;
-static constexpr std::uint16_t metricsPort = 19464;
-static constexpr std::uint16_t peerPort = 17340;
-static constexpr std::uint16_t relayPort = 17355;
 static constexpr std::size_t hostCount = 4;
 static constexpr std::size_t plainTargetCount = 3;
 
@@ -99,37 +95,18 @@
     return !m_broken;
 }
 
-std::string MixedFleet::callerAddress(const Host &host) const
-{
-    return host.address + ":" + std::to_string(callerPort);
-}
-
 bool MixedFleet::startDaemon(Host &host, const DaemonBuild &build)
 {
     host.build = &build;
     host.starts += 1;
-    const auto at = [&](std::uint16_t port) { return host.address + ":" + std::to_string(port); };
     const auto index = &host - m_hosts.data();
-    nlohmann::json forwarding{{"readiness", at(readyPort)},
-                              {"metricsPort", metricsPort},
-                              {"peerPort", peerPort},
-                              {"seedHosts", {m_hosts.front().address + ":1", m_hosts.back().address + ":1"}},
-                              {"retryRatio", 0.2},
-                              {"retryBurst", 200},
-                              {"retryWindowSeconds", 10},
-                              {"revocationMilliseconds", 5000},
-                              {"graceSeconds", std::chrono::duration_cast<std::chrono::seconds>(graceTime).count()}};
-    if (build.relays) {
-        forwarding["relayPort"] = relayPort;
-    }
-    const nlohmann::json settings{{"host", host.address},
-                                  {"failureDomain", index < 2 ? "zone-1" : "zone-2"},
-                                  {"region", "region-1"},
-                                  {"callers", callerAddress(host)},
-                                  {"peerKey", "carawaymill-entry-hosts"},
-                                  {"keyValueService", m_platform.store().address()},
-                                  {"connectionLimit", 1000},
-                                  {"forwarding", std::move(forwarding)}};
+    const nlohmann::json settings =
+        entryHostSettings({.address = host.address,
+                           .failureDomain = FailureDomainId(index < 2 ? "zone-1" : "zone-2"),
+                           .storeAddress = m_platform.store().address(),
+                           .seedHosts = {m_hosts.front().address, m_hosts.back().address},
+                           .graceTime = graceTime,
+                           .relays = build.relays});
     const std::string name = m_options.workFolder + "/host-" + std::to_string(index + 1);
     std::ofstream(name + ".json") << settings.dump();
     host.daemon = DaemonProcess::start({.program = build.program, .settings = name + ".json", .log = name + ".log"});
@@ -194,7 +171,7 @@
     std::vector<std::pair<TimePoint, TargetStandIn *>> restarts;
     for (const TimePoint end = readBootClock() + 20s; readBootClock() < end;) {
         for (const Host &host : m_hosts) {
-            crashing.push_back(m_callers.call(callerAddress(host), crashingPath));
+            crashing.push_back(m_callers.call(callerAddressOf(host.address), crashingPath));
             load(250ms);
         }
         std::erase_if(m_plainTargets, [&](TargetStandIn *target) {
@@ -257,7 +234,7 @@
             }
             for (const char *path : {"/plain/a", "/once/a", "/stream/a", "/engine/a"}) {
                 m_calls.push_back(
-                    {.exchange = m_callers.call(callerAddress(m_hosts.at(host)), path), .path = path, .host = host});
+                    {.exchange = m_callers.call(callerAddressOf(m_hosts.at(host).address), path), .path = path, .host = host});
             }
         }
         if (runUntil(condition, callInterval)) {
@@ -282,7 +259,7 @@
 {
     const bool waits = !host.inRotation;
     for (const TimePoint end = readBootClock() + (waits ? startLimit : Duration::zero());;) {
-        const auto exchange = m_callers.call(callerAddress(host), path);
+        const auto exchange = m_callers.call(callerAddressOf(host.address), path);
         (void)runUntil([&] { return exchange->ended(); }, responseLimit);
         if (exchange->complete && exchange->status == status) {
             return true;
--- a/src/platformstandin/MixedFleet.h
+++ b/src/platformstandin/MixedFleet.h
@@ -59,7 +59,6 @@
         std::size_t host = 0;
     };
 
-    [[nodiscard]] std::string callerAddress(const Host &host) const;
     [[nodiscard]] bool startDaemon(Host &host, const DaemonBuild &build);
     /// Stops the host's daemon as the platform does, under load, and starts one of the build in its place.
     void replace(std::size_t host, const DaemonBuild &build);
--- a/src/platformstandin/PublishedConfiguration.cpp
+++ b/src/platformstandin/PublishedConfiguration.cpp
@@ -74,7 +74,10 @@
         {"Routes", routes},
         {"Services", services},
         {"Limits",
-         {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 1048576}, {"HeaderTimeoutMs", 3000}, {"IdleTimeoutMs", 15000}}}}
+         {{"MaxHeaderBytes", 16384},
+          {"MaxBodyBytes", 1048576},
+          {"HeaderTimeoutMs", 3000},
+          {"IdleTimeoutMs", milliseconds(configuration.idleTimeout)}}}}
         .dump();
 }
 
--- a/src/platformstandin/PublishedConfiguration.h
+++ b/src/platformstandin/PublishedConfiguration.h
@@ -45,6 +45,8 @@
     std::uint64_t version = 1;
     std::vector<PublishedRoute> routes;
     std::vector<PublishedService> services;
+    /// Connections of callers are closed after this time without a request.
+    Duration idleTimeout = 15s;
 };
 
 /// Host name of all published routes.
--- a/src/platformstandin/TargetStandIn.cpp
+++ b/src/platformstandin/TargetStandIn.cpp
@@ -18,6 +18,14 @@
 static constexpr unsigned statusMisdirected = 421;
 static constexpr unsigned statusUnavailable = 503;
 
+static std::optional<Duration> timeLeft(const HttpHeaders &headers)
+{
+    const std::string value = headerValue(headers, "X-Deadline-Ms");
+    std::int64_t milliseconds = 0;
+    const auto [end, failure] = std::from_chars(value.data(), value.data() + value.size(), milliseconds);
+    return failure == std::errc() ? std::optional<Duration>(std::chrono::milliseconds(milliseconds)) : std::nullopt;
+}
+
 TargetStandIn::TargetStandIn(boost::asio::io_context &context, TargetStandInOptions options)
     : m_options(std::move(options))
     , m_born(static_cast<std::uint64_t>(
@@ -113,7 +121,8 @@
 void TargetStandIn::handleCall(PendingRequest &pending, TimePoint now)
 {
     const std::string attempt = headerValue(pending.request.headers, "X-Attempt-Id");
-    TargetArrival &arrival = m_arrivals.emplace_back(TargetArrival{.attempt = attempt, .at = now});
+    TargetArrival &arrival = m_arrivals.emplace_back(
+        TargetArrival{.attempt = attempt, .at = now, .timeLeft = timeLeft(pending.request.headers)});
     if (now < m_restUntil) {
         HttpResponse response = notRun(statusUnavailable, attempt);
         response.headers.emplace_back("Retry-After",
--- a/src/platformstandin/TargetStandIn.h
+++ b/src/platformstandin/TargetStandIn.h
@@ -50,6 +50,8 @@
     std::string attempt;
     TimePoint at;
     bool ran = false;
+    /// Time that the request leaves for its response, if it states one.
+    std::optional<Duration> timeLeft = std::nullopt;
 };
 
 /// Stand-in for a target of the platform, on a free port of 127.0.0.1: a plain service, or an engine that serves
