--- a/src/platformstandin/MixedFleet.cpp
+++ b/src/platformstandin/MixedFleet.cpp
@@ -233,8 +233,9 @@
                 continue;
             }
             for (const char *path : {"/plain/a", "/once/a", "/stream/a", "/engine/a"}) {
-                m_calls.push_back(
-                    {.exchange = m_callers.call(callerAddressOf(m_hosts.at(host).address), path), .path = path, .host = host});
+                m_calls.push_back({.exchange = m_callers.call(callerAddressOf(m_hosts.at(host).address), path),
+                                   .path = path,
+                                   .host = host});
             }
         }
         if (runUntil(condition, callInterval)) {
--- a/src/platformstandin/PublishedConfiguration.cpp
+++ b/src/platformstandin/PublishedConfiguration.cpp
@@ -69,15 +69,14 @@
         }
         services.push_back(std::move(json));
     }
-    return nlohmann::json{
-        {"Version", configuration.version},
-        {"Routes", routes},
-        {"Services", services},
-        {"Limits",
-         {{"MaxHeaderBytes", 16384},
-          {"MaxBodyBytes", 1048576},
-          {"HeaderTimeoutMs", 3000},
-          {"IdleTimeoutMs", milliseconds(configuration.idleTimeout)}}}}
+    return nlohmann::json{{"Version", configuration.version},
+                          {"Routes", routes},
+                          {"Services", services},
+                          {"Limits",
+                           {{"MaxHeaderBytes", 16384},
+                            {"MaxBodyBytes", 1048576},
+                            {"HeaderTimeoutMs", 3000},
+                            {"IdleTimeoutMs", milliseconds(configuration.idleTimeout)}}}}
         .dump();
 }
 
--- a/src/platformstandin/SilentFleet.cpp
+++ b/src/platformstandin/SilentFleet.cpp
@@ -36,18 +36,17 @@
     , m_random(m_options.seed)
     , m_platform(m_context)
     , m_callers(m_context)
-    , m_configuration{.version = 1,
-                      .routes = {{.prefix = "/plain/", .service = ServiceId("plain")},
-                                 {.prefix = "/once/",
-                                  .service = ServiceId("plain"),
-                                  .kind = PublishedRouteKind::AtMostOnce},
-                                 {.prefix = "/engine/",
-                                  .service = ServiceId("engine"),
-                                  .kind = PublishedRouteKind::ResumableStream,
-                                  .timeout = 20s,
-                                  .latencyObjective = 500ms},
-                                 {.prefix = "/changing-1/", .service = ServiceId("plain")}},
-                      .services = {{.id = ServiceId("plain")}, {.id = ServiceId("engine"), .layers = 4}}}
+    , m_configuration{
+          .version = 1,
+          .routes = {{.prefix = "/plain/", .service = ServiceId("plain")},
+                     {.prefix = "/once/", .service = ServiceId("plain"), .kind = PublishedRouteKind::AtMostOnce},
+                     {.prefix = "/engine/",
+                      .service = ServiceId("engine"),
+                      .kind = PublishedRouteKind::ResumableStream,
+                      .timeout = 20s,
+                      .latencyObjective = 500ms},
+                     {.prefix = "/changing-1/", .service = ServiceId("plain")}},
+          .services = {{.id = ServiceId("plain")}, {.id = ServiceId("engine"), .layers = 4}}}
 {
 }
 
@@ -250,16 +249,16 @@
     std::ranges::sort(repeats);
     const auto requestsIn = [&](TimePoint begin) {
         return std::ranges::count_if(m_calls, [&](const Call &call) {
-            return call.path.starts_with("/engine") == (service == ServiceId("engine")) && call.exchange->sentAt >= begin
-                   && call.exchange->sentAt < begin + retryWindow;
+            return call.path.starts_with("/engine") == (service == ServiceId("engine"))
+                   && call.exchange->sentAt >= begin && call.exchange->sentAt < begin + retryWindow;
         });
     };
     std::size_t most = 0;
     double least = 1e9;
     for (std::size_t first = 0; first < repeats.size(); ++first) {
         const TimePoint begin = repeats[first];
-        const auto inWindow = static_cast<std::size_t>(
-            std::ranges::upper_bound(repeats, begin + retryWindow) - (repeats.begin() + static_cast<long>(first)));
+        const auto inWindow = static_cast<std::size_t>(std::ranges::upper_bound(repeats, begin + retryWindow)
+                                                       - (repeats.begin() + static_cast<long>(first)));
         const auto requests =
             std::max({requestsIn(begin), requestsIn(begin - retryWindow / 2), requestsIn(begin - retryWindow)});
         const double allowed = retryRatio * static_cast<double>(requests) + retryBurst;
--- a/src/platformstandin/SilentFleetMain.cpp
+++ b/src/platformstandin/SilentFleetMain.cpp
@@ -23,7 +23,13 @@
         {"engines", 0, POPT_ARG_INT, &engines, 0, "number of engines", "N"},
         {"requests-per-second", 0, POPT_ARG_INT, &requestsPerSecond, 0, "requests of all callers", "N"},
         {"silences", 0, POPT_ARG_INT, &silences, 0, "how often engines fall silent, every 6 s", "N"},
-        {"serve-target", 0, POPT_ARG_STRING, &servedTarget, 0, "serve as one target; for this program's own use", "JSON"},
+        {"serve-target",
+         0,
+         POPT_ARG_STRING,
+         &servedTarget,
+         0,
+         "serve as one target; for this program's own use",
+         "JSON"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("carawaymill-silent-fleet", argc, argv, table, 0);
     const bool isRead = poptGetNextOpt(context) >= -1;
--- a/src/platformstandin/TargetProcess.cpp
+++ b/src/platformstandin/TargetProcess.cpp
@@ -56,9 +56,8 @@
     return options;
 }
 
-std::unique_ptr<TargetProcess> TargetProcess::start(boost::asio::io_context &context,
-                                                    const std::string &program,
-                                                    const TargetStandInOptions &options)
+std::unique_ptr<TargetProcess>
+TargetProcess::start(boost::asio::io_context &context, const std::string &program, const TargetStandInOptions &options)
 {
     std::array<int, 2> pipeEnds{};
     if (pipe(pipeEnds.data()) != 0) {
