Forwarder: Move the state of one call into a class of its own

Change: ForwardCall holds a call's state and what depends on it alone: beginning, stalling and resuming an attempt, counting runs, the log line at its end. No change of behaviour.

--- /dev/null
+++ b/src/forwarding/ForwardCall.cpp
@@ -0,0 +1,105 @@
+#include "forwarding/ForwardCall.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Carawaymill {
+
+static constexpr unsigned statusOk = 200;
+
+void ForwardCall::beginAttempt(const ChosenTargets &targets, TimePoint now)
+{
+    lastAttempt = lastAttempt.next();
+    attempt = lastAttempt;
+    dispatches += 1;
+    runs += 1;
+    ranAt[targets.target] += 1;
+    head.reset();
+    answeredSince.reset();
+    provenSound = false;
+    body.clear();
+    relay.restart();
+    progressAt = now;
+    progressQueriedAt.reset();
+    sentAt = now;
+}
+
+void ForwardCall::stall()
+{
+    lastAttemptEnd = "moved";
+    stalled = StalledAttempt{.attempt = attempt,
+                             .chosen = *std::exchange(chosen, std::nullopt),
+                             .via = via,
+                             .sentAt = sentAt,
+                             .head = std::move(head),
+                             .answeredSince = answeredSince,
+                             .relay = relay};
+}
+
+void ForwardCall::returnToStalled(TimePoint now)
+{
+    StalledAttempt earlier = std::move(*stalled);
+    stalled.reset();
+    attempt = earlier.attempt;
+    chosen = std::move(earlier.chosen);
+    via = std::move(earlier.via);
+    sentAt = earlier.sentAt;
+    head = std::move(earlier.head);
+    answeredSince = earlier.answeredSince;
+    provenSound = false;
+    relay = std::move(earlier.relay);
+    body.clear();
+    progressAt = now;
+    progressQueriedAt.reset();
+}
+
+void ForwardCall::discountRun(const TargetId &target)
+{
+    runs -= 1;
+    if (--ranAt.at(target) == 0) {
+        ranAt.erase(target);
+    }
+}
+
+bool ForwardCall::mayRunAgain() const
+{
+    return route->repeat == RepeatPolicy::Repeatable && ranAt.size() < std::max(1U, route->maximumTargets);
+}
+
+bool ForwardCall::mayMove(std::uint32_t maximumDispatches) const
+{
+    // A response that is no stream is not resumed elsewhere, and one stalled attempt is kept open at a time.
+    const bool isOtherResponse = head && !beginsStream(*head);
+    return mayRunAgain() && !stalled && !isOtherResponse && dispatches < maximumDispatches;
+}
+
+bool ForwardCall::uses(const TargetId &target) const
+{
+    return chosen && std::ranges::any_of(chosen->path, [&](const PathStage &stage) { return stage.target == target; });
+}
+
+bool ForwardCall::beginsStream(const TargetResponseStarted &responseHead) const
+{
+    return route->responseKind == ResponseKind::EventStream && responseHead.head.status == statusOk
+           && responseHead.sealed;
+}
+
+bool ForwardCall::needsFreshConnection(const TargetId &target) const
+{
+    return route->repeat == RepeatPolicy::AtMostOnce || rejectedBy.contains(target);
+}
+
+std::string ForwardCall::describeEnd(const std::string &outcome, TimePoint now) const
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - receivedAt);
+    std::string line = "Forward: event=end request=" + request->attempt + " outcome=" + outcome
+                       + " route=" + (route != nullptr ? route->name : "none")
+                       + " ms=" + std::to_string(milliseconds.count()) + " dispatches=" + std::to_string(dispatches)
+                       + " runs=" + std::to_string(runs) + " last-attempt=" + lastAttemptEnd;
+    if (table) {
+        line += " configuration=" + std::to_string(table->configuration().version.value());
+    }
+    return line;
+}
+
+} // namespace Carawaymill
--- /dev/null
+++ b/src/forwarding/ForwardCall.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "forwarding/EventStreamRelay.h"
+#include "forwarding/ForwardMessages.h"
+#include "forwarding/ForwardTargets.h"
+#include "forwarding/RouteTable.h"
+#include "quarantine/CrashAttribution.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carawaymill {
+
+/// The attempt that a stream was moved away from. It stays open until another target has begun, since a target that
+/// falls silent may go on.
+struct StalledAttempt
+{
+    AttemptNumber attempt;
+    ChosenTargets chosen;
+    std::optional<RelayHost> via;
+    TimePoint sentAt;
+    std::optional<TargetResponseStarted> head;
+    std::optional<TimePoint> answeredSince;
+    EventStreamRelay relay;
+};
+
+/// One caller's request while the forwarder handles it.
+struct ForwardCall
+{
+    RequestId id;
+    std::shared_ptr<const ForwardRequest> request;
+    /// Keeps `route` alive.
+    std::shared_ptr<const RouteTable> table;
+    const Route *route = nullptr;
+    std::optional<OrganisationId> organisation;
+    std::vector<RequestTrait> traits;
+    ServiceId service;
+    TimePoint receivedAt;
+    /// When the call began to wait for targets: on arrival, or when its last attempt could not be sent.
+    TimePoint waitsSince;
+    /// Time by which the caller gets a response, or its stream is broken off.
+    TimePoint deadline;
+    /// std::nullopt if the caller sets no deadline.
+    std::optional<TimePoint> callerDeadline;
+
+    AttemptNumber attempt;
+    AttemptNumber lastAttempt;
+    /// Targets of the current attempt; std::nullopt between attempts.
+    std::optional<ChosenTargets> chosen;
+    /// The host that the current attempt goes through, and when it was sent.
+    std::optional<RelayHost> via;
+    TimePoint sentAt;
+    std::optional<StalledAttempt> stalled;
+    std::set<TargetId> tried;
+    /// The first targets of the attempts that were rejected.
+    std::set<TargetId> rejectedBy;
+    std::uint32_t dispatches = 0;
+    /// Whether a target's request limit has left no room for the call.
+    bool wasLimited = false;
+    /// Number of attempts that a target may have run.
+    std::uint32_t runs = 0;
+    /// The first targets of these attempts, and the number of attempts at each.
+    std::map<TargetId, std::uint32_t> ranAt;
+    /// How the last attempt that has ended did so, for the log.
+    const char *lastAttemptEnd = "none";
+
+    std::optional<TargetResponseStarted> head;
+    /// When the first bytes of the current attempt's response body were received.
+    std::optional<TimePoint> answeredSince;
+    /// Whether the current attempt has proven the request's traits sound.
+    bool provenSound = false;
+    std::string body;
+    /// Error response of a target, which is sent to the caller unless another target succeeds.
+    std::optional<HttpResponse> targetFailure;
+
+    /// Whether the head of a stream was sent to the caller.
+    bool streaming = false;
+    EventStreamRelay relay;
+    /// Time of the last event of the stream, or of the dispatch.
+    TimePoint progressAt;
+    std::optional<TimePoint> progressQueriedAt;
+
+    /// Counts a new attempt at the targets and clears what belongs to the one before.
+    void beginAttempt(const ChosenTargets &targets, TimePoint now);
+
+    /// Keeps the current attempt open as the stalled one.
+    void stall();
+
+    /// Makes the stalled attempt the current one. There must be one.
+    void returnToStalled(TimePoint now);
+
+    /// Takes back one run at the target, which has not begun it.
+    void discountRun(const TargetId &target);
+
+    /// Whether the route allows a run at one more target.
+    [[nodiscard]] bool mayRunAgain() const;
+
+    /// Whether the request may be sent to further targets while its current attempt stays open.
+    [[nodiscard]] bool mayMove(std::uint32_t maximumDispatches) const;
+
+    /// Whether the current attempt's path includes the target.
+    [[nodiscard]] bool uses(const TargetId &target) const;
+
+    /// Whether the head begins an event stream that can be relayed.
+    [[nodiscard]] bool beginsStream(const TargetResponseStarted &responseHead) const;
+
+    /// Whether the next attempt at this target must not reuse a connection. On a kept one the target may have
+    /// closed it or may write an earlier rejection again, which names the same attempt of the caller.
+    [[nodiscard]] bool needsFreshConnection(const TargetId &target) const;
+
+    /// The log line for the end of the call.
+    [[nodiscard]] std::string describeEnd(const std::string &outcome, TimePoint now) const;
+};
+
+} // namespace Carawaymill
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -94,14 +94,14 @@
     m_targets.unlisted(target, router);
 }
 
-Forwarder::Call *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
+ForwardCall *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
 {
     const auto found = m_calls.find(id);
     const bool isPresent = found != m_calls.end() && found->second.attempt == attempt && found->second.chosen;
     return isPresent ? &found->second : nullptr;
 }
 
-Forwarder::Call *Forwarder::stalledAttempt(RequestId id, AttemptNumber attempt)
+ForwardCall *Forwarder::stalledAttempt(RequestId id, AttemptNumber attempt)
 {
     const auto found = m_calls.find(id);
     const bool isPresent = found != m_calls.end() && found->second.stalled && found->second.stalled->attempt == attempt;
@@ -109,7 +109,7 @@
 }
 
 std::optional<ForwardFailure>
-Forwarder::admit(const ForwardRequest &request, Call &call, const HandlerContext &context) const
+Forwarder::admit(const ForwardRequest &request, ForwardCall &call, const HandlerContext &context) const
 {
     if (m_rejectFrom && context.now >= *m_rejectFrom) {
         return ForwardFailure::Draining;
@@ -180,7 +180,7 @@
 void Forwarder::accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, HandlerContext &context)
 {
     const auto [entry, isNew] = m_calls.try_emplace(id);
-    Call &call = entry->second;
+    ForwardCall &call = entry->second;
     call.id = id;
     call.request = std::make_shared<const ForwardRequest>(request);
     call.table = m_table;
@@ -204,13 +204,14 @@
     dispatch(call, ForwardFailure::NoTarget, context);
 }
 
-bool Forwarder::mustWait(const Call &call, const ChosenTargets &chosen)
+bool Forwarder::mustWait(const ForwardCall &call, const ChosenTargets &chosen)
 {
     // A stream whose caller has already received its head resumes at once, even on congested targets.
     return chosen.limited || (chosen.congested && !call.streaming);
 }
 
-std::optional<ChosenTargets> Forwarder::choose(Call &call, const std::set<TargetId> &excluded, HandlerContext &context)
+std::optional<ChosenTargets>
+Forwarder::choose(ForwardCall &call, const std::set<TargetId> &excluded, HandlerContext &context)
 {
     const auto chooseWithout = [&](const ExcludedTargets &without) {
         return m_targets.choose(call.service, *call.request, without, context.router, context.now);
@@ -231,7 +232,7 @@
     return chosen;
 }
 
-void Forwarder::dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
+void Forwarder::dispatch(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
     if (refuseCondemned(call, context)) {
         return;
@@ -252,7 +253,7 @@
     sendToTarget(call, std::move(*chosen), context);
 }
 
-void Forwarder::enqueue(Call &call, HandlerContext &context)
+void Forwarder::enqueue(ForwardCall &call, HandlerContext &context)
 {
     if (!m_queue.accepts(context.now)) {
         refuse(call, ForwardFailure::Overloaded, context);
@@ -274,7 +275,7 @@
     }
     std::set<ServiceId> withoutCapacity;
     for (const RequestId id : m_queue.order(context.now)) {
-        Call &call = m_calls.at(id);
+        ForwardCall &call = m_calls.at(id);
         if (withoutCapacity.contains(call.service) || refuseCondemned(call, context)) {
             continue;
         }
@@ -293,21 +294,9 @@
     }
 }
 
-void Forwarder::sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context)
+void Forwarder::sendToTarget(ForwardCall &call, ChosenTargets chosen, HandlerContext &context)
 {
-    call.lastAttempt = call.lastAttempt.next();
-    call.attempt = call.lastAttempt;
-    call.dispatches += 1;
-    call.runs += 1;
-    call.ranAt[chosen.target] += 1;
-    call.head.reset();
-    call.answeredSince.reset();
-    call.provenSound = false;
-    call.body.clear();
-    call.relay.restart();
-    call.progressAt = context.now;
-    call.progressQueriedAt.reset();
-    call.sentAt = context.now;
+    call.beginAttempt(chosen, context.now);
     call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
     m_queue.started(context.now);
@@ -329,13 +318,7 @@
     context.actions.emplace_back(std::move(action));
 }
 
-bool Forwarder::mayRunAgain(const Call &call) const
-{
-    return call.route->repeat == RepeatPolicy::Repeatable
-           && call.ranAt.size() < std::max(1U, call.route->maximumTargets);
-}
-
-void Forwarder::dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context)
+void Forwarder::dispatchAgain(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context)
 {
     if (refuseCondemned(call, context)) {
         return;
@@ -354,7 +337,7 @@
     dispatch(call, fallbackReason, context);
 }
 
-void Forwarder::dispatchUnsent(Call &call, HandlerContext &context)
+void Forwarder::dispatchUnsent(ForwardCall &call, HandlerContext &context)
 {
     call.waitsSince = context.now;
     if (call.dispatches >= m_options.maximumDispatches || context.now >= call.deadline) {
@@ -371,7 +354,7 @@
     dispatch(call, ForwardFailure::NoTarget, context);
 }
 
-void Forwarder::endAttempt(Call &call, bool abandon, HandlerContext &context)
+void Forwarder::endAttempt(ForwardCall &call, bool abandon, HandlerContext &context)
 {
     if (!call.chosen) {
         return;
@@ -383,15 +366,7 @@
     }
 }
 
-void Forwarder::discountRun(Call &call, const TargetId &target)
-{
-    call.runs -= 1;
-    if (--call.ranAt.at(target) == 0) {
-        call.ranAt.erase(target);
-    }
-}
-
-void Forwarder::endStalled(Call &call, bool abandon, HandlerContext &context)
+void Forwarder::endStalled(ForwardCall &call, bool abandon, HandlerContext &context)
 {
     if (!call.stalled) {
         return;
@@ -403,40 +378,28 @@
     call.stalled.reset();
 }
 
-bool Forwarder::returnToStalled(Call &call, HandlerContext &context)
+bool Forwarder::returnToStalled(ForwardCall &call, HandlerContext &context)
 {
     if (!call.stalled) {
         return false;
     }
     endAttempt(call, true, context);
-    StalledAttempt stalled = std::move(*call.stalled);
-    call.stalled.reset();
     context.actions.emplace_back(ForwardLogLine{"Forward: event=returned request=" + call.request->attempt
-                                                + " target=" + stalled.chosen.target.value()});
-    call.attempt = stalled.attempt;
-    call.chosen = std::move(stalled.chosen);
-    call.via = std::move(stalled.via);
-    call.sentAt = stalled.sentAt;
-    call.head = std::move(stalled.head);
-    call.answeredSince = stalled.answeredSince;
-    call.provenSound = false;
-    call.relay = std::move(stalled.relay);
-    call.body.clear();
-    call.progressAt = context.now;
-    call.progressQueriedAt.reset();
+                                                + " target=" + call.stalled->chosen.target.value()});
+    call.returnToStalled(context.now);
     return true;
 }
 
 void Forwarder::stalledStarted(const TargetResponseStarted &event, HandlerContext &context)
 {
-    Call *call = stalledAttempt(event.id, event.attempt);
+    ForwardCall *call = stalledAttempt(event.id, event.attempt);
     if (call == nullptr) {
         return;
     }
     recordStatements(call->stalled->chosen.target, event, context);
-    if (!beginsStream(*call, event)) {
+    if (!call->beginsStream(event)) {
         if (event.notRun) {
-            discountRun(*call, call->stalled->chosen.target);
+            call->discountRun(call->stalled->chosen.target);
             recordRejection(*call, call->stalled->chosen.target, event, context);
         }
         endStalled(*call, true, context);
@@ -454,7 +417,7 @@
 
 void Forwarder::stalledData(const TargetResponseData &event, HandlerContext &context)
 {
-    Call *call = stalledAttempt(event.id, event.attempt);
+    ForwardCall *call = stalledAttempt(event.id, event.attempt);
     if (call == nullptr || !call->stalled->head) {
         return;
     }
@@ -473,7 +436,7 @@
 
 void Forwarder::stalledCompleted(const TargetResponseCompleted &event, HandlerContext &context)
 {
-    Call *call = stalledAttempt(event.id, event.attempt);
+    ForwardCall *call = stalledAttempt(event.id, event.attempt);
     if (call == nullptr) {
         return;
     }
@@ -488,7 +451,7 @@
 
 void Forwarder::stalledFailed(const TargetResponseFailed &event, HandlerContext &context)
 {
-    Call *call = stalledAttempt(event.id, event.attempt);
+    ForwardCall *call = stalledAttempt(event.id, event.attempt);
     if (call == nullptr) {
         return;
     }
@@ -507,7 +470,7 @@
     if (event.sent) {
         m_targets.recordFailure(target, context.now);
     } else if (event.relayFailure == RelayFailure::HostUnavailable && via) {
-        discountRun(*call, target);
+        call->discountRun(target);
         m_links.recordRelayUnavailable(*via, context.now);
     } else {
         recordUnreachable(*call, target, via, context);
@@ -525,7 +488,7 @@
 
 void Forwarder::on(const TargetResponseStarted &event, HandlerContext &context)
 {
-    Call *call = currentAttempt(event.id, event.attempt);
+    ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
         stalledStarted(event, context);
         return;
@@ -535,7 +498,7 @@
         m_links.recordReached(call->sentAt);
     }
     call->head = event;
-    if (beginsStream(*call, event) && !call->streaming) {
+    if (call->beginsStream(event) && !call->streaming) {
         endStalled(*call, true, context);
         call->streaming = true;
         context.actions.emplace_back(BeginStream{
@@ -565,14 +528,9 @@
     }
 }
 
-bool Forwarder::beginsStream(const Call &call, const TargetResponseStarted &head)
-{
-    return call.route->responseKind == ResponseKind::EventStream && head.head.status == statusOk && head.sealed;
-}
-
 void Forwarder::on(const TargetResponseData &event, HandlerContext &context)
 {
-    Call *call = currentAttempt(event.id, event.attempt);
+    ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
         stalledData(event, context);
         return;
@@ -581,14 +539,14 @@
         return;
     }
     call->answeredSince = call->answeredSince.value_or(context.now);
-    if (beginsStream(*call, *call->head)) {
+    if (call->beginsStream(*call->head)) {
         relayStream(*call, event.bytes, context);
     } else {
         call->body += event.bytes;
     }
 }
 
-void Forwarder::relayStream(Call &call, std::string_view bytes, HandlerContext &context)
+void Forwarder::relayStream(ForwardCall &call, std::string_view bytes, HandlerContext &context)
 {
     std::string events = call.relay.append(bytes);
     if (call.relay.isOverlong()) {
@@ -604,7 +562,7 @@
     writeEvents(call, std::move(events), context);
 }
 
-void Forwarder::writeEvents(Call &call, std::string events, HandlerContext &context)
+void Forwarder::writeEvents(ForwardCall &call, std::string events, HandlerContext &context)
 {
     call.progressAt = context.now;
     call.progressQueriedAt.reset();
@@ -613,7 +571,7 @@
 
 void Forwarder::on(const TargetResponseCompleted &event, HandlerContext &context)
 {
-    Call *call = currentAttempt(event.id, event.attempt);
+    ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
         stalledCompleted(event, context);
         return;
@@ -629,7 +587,7 @@
     responseCompleted(*call, context);
 }
 
-void Forwarder::recordRejection(Call &call,
+void Forwarder::recordRejection(ForwardCall &call,
                                 const TargetId &target,
                                 const TargetResponseStarted &head,
                                 HandlerContext &context)
@@ -645,12 +603,12 @@
                                                 + " status=" + std::to_string(head.head.status)});
 }
 
-void Forwarder::recordUnreachable(Call &call,
+void Forwarder::recordUnreachable(ForwardCall &call,
                                   const TargetId &target,
                                   const std::optional<RelayHost> &via,
                                   HandlerContext &context)
 {
-    discountRun(call, target);
+    call.discountRun(target);
     context.actions.emplace_back(ForwardLogLine{"Forward: event=unreachable request=" + call.request->attempt
                                                 + " target=" + target.value()
                                                 + " via=" + (via ? via->host.value() : "none")});
@@ -691,10 +649,10 @@
     }
 }
 
-void Forwarder::targetRejected(Call &call, HandlerContext &context)
+void Forwarder::targetRejected(ForwardCall &call, HandlerContext &context)
 {
     const TargetId target = call.chosen->target;
-    discountRun(call, target);
+    call.discountRun(target);
     recordRejection(call, target, *call.head, context);
     call.lastAttemptEnd = "rejected";
     endAttempt(call, false, context);
@@ -704,7 +662,7 @@
     dispatchAgain(call, ForwardFailure::TargetsRefused, context);
 }
 
-void Forwarder::responseCompleted(Call &call, HandlerContext &context)
+void Forwarder::responseCompleted(ForwardCall &call, HandlerContext &context)
 {
     const HttpResponseHead &head = call.head->head;
     if (call.streaming) {
@@ -729,7 +687,7 @@
     }
     const bool success = head.status < firstFailureStatus;
     HttpResponse response{.status = head.status, .headers = head.headers, .body = std::move(call.body)};
-    if (!success && (call.stalled || mayRunAgain(call))) {
+    if (!success && (call.stalled || call.mayRunAgain())) {
         call.targetFailure = std::move(response);
         call.tried.insert(call.chosen->target);
         m_targets.recordFailure(call.chosen->target, context.now);
@@ -747,7 +705,7 @@
 
 void Forwarder::on(const TargetResponseFailed &event, HandlerContext &context)
 {
-    Call *call = currentAttempt(event.id, event.attempt);
+    ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
         stalledFailed(event, context);
         return;
@@ -755,7 +713,7 @@
     const TargetId target = call->chosen->target;
     if (!event.sent) {
         if (event.relayFailure == RelayFailure::HostUnavailable && call->via) {
-            discountRun(*call, target);
+            call->discountRun(target);
             m_links.recordRelayUnavailable(*call->via, context.now);
             // Each host is asked once at most before it is left out for a while.
             call->dispatches -= 1;
@@ -773,7 +731,7 @@
     responseLost(*call, context);
 }
 
-void Forwarder::responseLost(Call &call, HandlerContext &context)
+void Forwarder::responseLost(ForwardCall &call, HandlerContext &context)
 {
     recordLoss(call,
                call.attempt,
@@ -788,7 +746,7 @@
     if (returnToStalled(call, context)) {
         return;
     }
-    if (!mayRunAgain(call)) {
+    if (!call.mayRunAgain()) {
         refuse(call, ForwardFailure::ResponseLost, context);
         return;
     }
@@ -830,7 +788,7 @@
     }
 }
 
-void Forwarder::checkStreamProgress(Call &call, HandlerContext &context)
+void Forwarder::checkStreamProgress(ForwardCall &call, HandlerContext &context)
 {
     if (!call.chosen || call.route->responseKind != ResponseKind::EventStream || call.chosen->path.empty()) {
         return;
@@ -846,7 +804,7 @@
     call.progressQueriedAt = context.now;
     if (m_links.reach().isSeparated() && !call.via) {
         // The connection may have been lost with this host's links.
-        if (mayMove(call)) {
+        if (call.mayMove(m_options.maximumDispatches)) {
             moveStream(call, call.chosen->target, context);
         }
         return;
@@ -863,7 +821,7 @@
 void Forwarder::on(const ProgressReported &event, HandlerContext &context)
 {
     m_crashObserver.recordReport(event);
-    Call *call = currentAttempt(event.id, event.attempt);
+    ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr || !call->progressQueriedAt) {
         return;
     }
@@ -926,7 +884,7 @@
     }
 }
 
-bool Forwarder::refuseCondemned(Call &call, HandlerContext &context)
+bool Forwarder::refuseCondemned(ForwardCall &call, HandlerContext &context)
 {
     if (!m_attribution.refusalTime(call.traits, context.now)) {
         return false;
@@ -936,8 +894,10 @@
     return true;
 }
 
-std::vector<RequestTrait>
-Forwarder::suspectTraits(const Call &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const
+std::vector<RequestTrait> Forwarder::suspectTraits(const ForwardCall &call,
+                                                   bool hasHead,
+                                                   std::optional<TimePoint> answeredSince,
+                                                   TimePoint now) const
 {
     if (answeredSince) {
         return now - *answeredSince < m_options.justBegunPeriod ? call.traits : std::vector<RequestTrait>();
@@ -950,7 +910,7 @@
     return call.traits;
 }
 
-void Forwarder::recordLoss(const Call &call,
+void Forwarder::recordLoss(const ForwardCall &call,
                            AttemptNumber attempt,
                            const ChosenTargets &chosen,
                            const std::optional<RelayHost> &via,
@@ -969,7 +929,7 @@
                                                .via = via});
 }
 
-void Forwarder::recordSurvival(Call &call, HandlerContext &context)
+void Forwarder::recordSurvival(ForwardCall &call, HandlerContext &context)
 {
     const bool isStream = call.route->responseKind == ResponseKind::EventStream;
     const bool isYoung = !call.answeredSince || context.now - *call.answeredSince < m_options.justBegunPeriod;
@@ -984,10 +944,8 @@
 {
     std::vector<RequestId> stopped;
     for (const auto &[id, call] : m_calls) {
-        const bool usesTarget = call.chosen && std::ranges::any_of(call.chosen->path, [&](const PathStage &stage) {
-                                    return stage.target == target;
-                                });
-        if (usesTarget && context.now - call.progressAt >= recentProgress && mayMove(call)) {
+        if (call.uses(target) && context.now - call.progressAt >= recentProgress
+            && call.mayMove(m_options.maximumDispatches)) {
             stopped.push_back(id);
         }
     }
@@ -996,14 +954,8 @@
     }
 }
 
-bool Forwarder::mayMove(const Call &call) const
-{
-    // A response that is no stream is not resumed elsewhere, and one stalled attempt is kept open at a time.
-    const bool isOtherResponse = call.head && !beginsStream(call, *call.head);
-    return mayRunAgain(call) && !call.stalled && !isOtherResponse && call.dispatches < m_options.maximumDispatches;
-}
-
-std::optional<ChosenTargets> Forwarder::chooseForMove(Call &call, const TargetId &stopped, HandlerContext &context)
+std::optional<ChosenTargets>
+Forwarder::chooseForMove(ForwardCall &call, const TargetId &stopped, HandlerContext &context)
 {
     // A target cannot tell two attempts of one request apart: the first target must differ, the others should.
     std::set<TargetId> excluded = call.tried;
@@ -1023,7 +975,7 @@
     return hasRoom(chosen) ? std::move(chosen) : std::nullopt;
 }
 
-void Forwarder::moveStream(Call &call, const TargetId &stopped, HandlerContext &context)
+void Forwarder::moveStream(ForwardCall &call, const TargetId &stopped, HandlerContext &context)
 {
     // A condemned request stays where it runs: elsewhere it would crash another target.
     if (m_attribution.refusalTime(call.traits, context.now)) {
@@ -1036,24 +988,17 @@
     context.actions.emplace_back(ForwardLogLine{"Forward: event=moved request=" + call.request->attempt
                                                 + " from=" + stopped.value() + " to=" + chosen->target.value()});
     call.tried.insert(stopped);
-    call.lastAttemptEnd = "moved";
-    call.stalled = StalledAttempt{.attempt = call.attempt,
-                                  .chosen = *std::exchange(call.chosen, std::nullopt),
-                                  .via = call.via,
-                                  .sentAt = call.sentAt,
-                                  .head = std::move(call.head),
-                                  .answeredSince = call.answeredSince,
-                                  .relay = call.relay};
+    call.stall();
     sendToTarget(call, std::move(*chosen), context);
 }
 
-void Forwarder::timeOut(Call &call, HandlerContext &context)
+void Forwarder::timeOut(ForwardCall &call, HandlerContext &context)
 {
     endAttempt(call, true, context);
     refuse(call, ForwardFailure::TimeoutReached, context);
 }
 
-Duration Forwarder::retryAfter(const Call &call, ForwardFailure reason, const HandlerContext &context)
+Duration Forwarder::retryAfter(const ForwardCall &call, ForwardFailure reason, const HandlerContext &context)
 {
     if (reason == ForwardFailure::Condemned) {
         const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
@@ -1076,7 +1021,7 @@
     return shortest + std::chrono::duration_cast<Duration>(longest * spread);
 }
 
-void Forwarder::refuse(Call &call, ForwardFailure reason, HandlerContext &context)
+void Forwarder::refuse(ForwardCall &call, ForwardFailure reason, HandlerContext &context)
 {
     std::string outcome = "refused:";
     if (call.streaming) {
@@ -1095,16 +1040,9 @@
     finish(call, outcome + forwardFailureName(reason), context);
 }
 
-void Forwarder::finish(Call &call, const std::string &outcome, HandlerContext &context)
+void Forwarder::finish(ForwardCall &call, const std::string &outcome, HandlerContext &context)
 {
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - call.receivedAt);
-    std::string line = "Forward: event=end request=" + call.request->attempt + " outcome=" + outcome
-                       + " route=" + (call.route != nullptr ? call.route->name : "none") + " ms="
-                       + std::to_string(milliseconds.count()) + " dispatches=" + std::to_string(call.dispatches)
-                       + " runs=" + std::to_string(call.runs) + " last-attempt=" + call.lastAttemptEnd;
-    if (call.table) {
-        line += " configuration=" + std::to_string(call.table->configuration().version.value());
-    }
+    std::string line = call.describeEnd(outcome, context.now);
     endStalled(call, true, context);
     context.actions.emplace_back(ForwardLogLine{std::move(line)});
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "forwarding/CrashObserver.h"
-#include "forwarding/EventStreamRelay.h"
 #include "forwarding/FleetRetryBudget.h"
+#include "forwarding/ForwardCall.h"
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
@@ -148,83 +148,6 @@
     [[nodiscard]] const TargetRequestLimits &limits() const { return m_limits; }
 
 private:
-    /// The attempt that a stream was moved away from. It stays open until another target has begun, since a target that
-    /// falls silent may go on.
-    struct StalledAttempt
-    {
-        AttemptNumber attempt;
-        ChosenTargets chosen;
-        std::optional<RelayHost> via;
-        TimePoint sentAt;
-        std::optional<TargetResponseStarted> head;
-        std::optional<TimePoint> answeredSince;
-        EventStreamRelay relay;
-    };
-
-    /// One caller's request.
-    struct Call
-    {
-        RequestId id;
-        std::shared_ptr<const ForwardRequest> request;
-        /// Keeps `route` alive.
-        std::shared_ptr<const RouteTable> table;
-        const Route *route = nullptr;
-        std::optional<OrganisationId> organisation;
-        std::vector<RequestTrait> traits;
-        ServiceId service;
-        TimePoint receivedAt;
-        /// When the call began to wait for targets: on arrival, or when its last attempt could not be sent.
-        TimePoint waitsSince;
-        /// Time by which the caller gets a response, or its stream is broken off.
-        TimePoint deadline;
-        /// std::nullopt if the caller sets no deadline.
-        std::optional<TimePoint> callerDeadline;
-
-        AttemptNumber attempt;
-        AttemptNumber lastAttempt;
-        /// Targets of the current attempt; std::nullopt between attempts.
-        std::optional<ChosenTargets> chosen;
-        /// The host that the current attempt goes through, and when it was sent.
-        std::optional<RelayHost> via;
-        TimePoint sentAt;
-        std::optional<StalledAttempt> stalled;
-        std::set<TargetId> tried;
-        /// The first targets of the attempts that were rejected.
-        std::set<TargetId> rejectedBy;
-        std::uint32_t dispatches = 0;
-        /// Whether a target's request limit has left no room for the call.
-        bool wasLimited = false;
-        /// Number of attempts that a target may have run.
-        std::uint32_t runs = 0;
-        /// The first targets of these attempts, and the number of attempts at each.
-        std::map<TargetId, std::uint32_t> ranAt;
-        /// How the last attempt that has ended did so, for the log.
-        const char *lastAttemptEnd = "none";
-
-        std::optional<TargetResponseStarted> head;
-        /// When the first bytes of the current attempt's response body were received.
-        std::optional<TimePoint> answeredSince;
-        /// Whether the current attempt has proven the request's traits sound.
-        bool provenSound = false;
-        std::string body;
-        /// Error response of a target, which is sent to the caller unless another target succeeds.
-        std::optional<HttpResponse> targetFailure;
-
-        /// Whether the head of a stream was sent to the caller.
-        bool streaming = false;
-        EventStreamRelay relay;
-        /// Time of the last event of the stream, or of the dispatch.
-        TimePoint progressAt;
-        std::optional<TimePoint> progressQueriedAt;
-
-        /// Whether the next attempt at this target must not reuse a connection. On a kept one the target may have
-        /// closed it or may write an earlier rejection again, which names the same attempt of the caller.
-        [[nodiscard]] bool needsFreshConnection(const TargetId &target) const
-        {
-            return route->repeat == RepeatPolicy::AtMostOnce || rejectedBy.contains(target);
-        }
-    };
-
     /// A request that arrived before the configuration and the directory were read.
     struct EarlyRequest
     {
@@ -263,93 +186,90 @@
     [[nodiscard]] bool isStarting(TimePoint now) const;
     void accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, HandlerContext &context);
     /// The call if `attempt` is its current attempt, otherwise null.
-    [[nodiscard]] Call *currentAttempt(RequestId id, AttemptNumber attempt);
+    [[nodiscard]] ForwardCall *currentAttempt(RequestId id, AttemptNumber attempt);
     /// The call if `attempt` is its stalled attempt, otherwise null.
-    [[nodiscard]] Call *stalledAttempt(RequestId id, AttemptNumber attempt);
+    [[nodiscard]] ForwardCall *stalledAttempt(RequestId id, AttemptNumber attempt);
     /// Sets the call's route and organisation. Returns the reason if the request is refused, otherwise std::nullopt.
     [[nodiscard]] std::optional<ForwardFailure>
-    admit(const ForwardRequest &request, Call &call, const HandlerContext &context) const;
+    admit(const ForwardRequest &request, ForwardCall &call, const HandlerContext &context) const;
     [[nodiscard]] static ServiceId selectService(const Route &route, const std::string &attempt);
     /// Chooses targets and takes room for the call in the request limit of the first one. Takes none if the call has to
     /// wait for capacity.
     [[nodiscard]] std::optional<ChosenTargets>
-    choose(Call &call, const std::set<TargetId> &excluded, HandlerContext &context);
+    choose(ForwardCall &call, const std::set<TargetId> &excluded, HandlerContext &context);
     /// Whether the call has to wait until the chosen targets have capacity.
-    [[nodiscard]] static bool mustWait(const Call &call, const ChosenTargets &chosen);
+    [[nodiscard]] static bool mustWait(const ForwardCall &call, const ChosenTargets &chosen);
     void dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context);
     /// Sends the call to a target or queues it; refuses it with `fallbackReason` if no target is available.
-    void dispatch(Call &call, ForwardFailure fallbackReason, HandlerContext &context);
-    void sendToTarget(Call &call, ChosenTargets chosen, HandlerContext &context);
+    void dispatch(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context);
+    void sendToTarget(ForwardCall &call, ChosenTargets chosen, HandlerContext &context);
     /// Queues the call until its targets have capacity; refuses it if the queue is too long.
-    void enqueue(Call &call, HandlerContext &context);
+    void enqueue(ForwardCall &call, HandlerContext &context);
     /// Dispatches queued calls while targets have capacity, and refuses those that have waited too long.
     void serveQueue(HandlerContext &context);
     /// Like dispatch(), within the limits on repeats.
-    void dispatchAgain(Call &call, ForwardFailure fallbackReason, HandlerContext &context);
+    void dispatchAgain(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context);
     /// The same for a call whose last attempt has not reached a target, which takes nothing from the retry budget.
-    void dispatchUnsent(Call &call, HandlerContext &context);
-    [[nodiscard]] bool mayRunAgain(const Call &call) const;
+    void dispatchUnsent(ForwardCall &call, HandlerContext &context);
     /// Ends the current attempt; `abandon` closes its connection.
-    void endAttempt(Call &call, bool abandon, HandlerContext &context);
-    /// Takes back one run at the target, which has not begun it.
-    static void discountRun(Call &call, const TargetId &target);
+    void endAttempt(ForwardCall &call, bool abandon, HandlerContext &context);
     /// Ends the stalled attempt if there is one; `abandon` closes its connection.
-    void endStalled(Call &call, bool abandon, HandlerContext &context);
+    void endStalled(ForwardCall &call, bool abandon, HandlerContext &context);
     /// Returns to the stalled attempt and abandons the current one if there is one. Returns false if there is no
     /// stalled attempt.
-    bool returnToStalled(Call &call, HandlerContext &context);
+    bool returnToStalled(ForwardCall &call, HandlerContext &context);
     void stalledStarted(const TargetResponseStarted &event, HandlerContext &context);
     void stalledData(const TargetResponseData &event, HandlerContext &context);
     void stalledCompleted(const TargetResponseCompleted &event, HandlerContext &context);
     void stalledFailed(const TargetResponseFailed &event, HandlerContext &context);
-    /// Whether the head begins an event stream that can be relayed.
-    [[nodiscard]] static bool beginsStream(const Call &call, const TargetResponseStarted &head);
     /// Sends complete events to the caller. `events` is not empty.
-    void writeEvents(Call &call, std::string events, HandlerContext &context);
+    void writeEvents(ForwardCall &call, std::string events, HandlerContext &context);
     /// Records what the head of a response states about the target that sent it.
     void recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
     /// Records that `target` sent `head`, which states that it has not run the request.
-    void
-    recordRejection(Call &call, const TargetId &target, const TargetResponseStarted &head, HandlerContext &context);
+    void recordRejection(ForwardCall &call,
+                         const TargetId &target,
+                         const TargetResponseStarted &head,
+                         HandlerContext &context);
     /// Records that no byte of the request could be sent to `target`, from this host or from `via`.
-    void
-    recordUnreachable(Call &call, const TargetId &target, const std::optional<RelayHost> &via, HandlerContext &context);
-    void targetRejected(Call &call, HandlerContext &context);
+    void recordUnreachable(ForwardCall &call,
+                           const TargetId &target,
+                           const std::optional<RelayHost> &via,
+                           HandlerContext &context);
+    void targetRejected(ForwardCall &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
-    void responseLost(Call &call, HandlerContext &context);
-    void responseCompleted(Call &call, HandlerContext &context);
-    void relayStream(Call &call, std::string_view bytes, HandlerContext &context);
-    void checkStreamProgress(Call &call, HandlerContext &context);
+    void responseLost(ForwardCall &call, HandlerContext &context);
+    void responseCompleted(ForwardCall &call, HandlerContext &context);
+    void relayStream(ForwardCall &call, std::string_view bytes, HandlerContext &context);
+    void checkStreamProgress(ForwardCall &call, HandlerContext &context);
     /// Moves every stalled stream whose path includes the target to other targets that have capacity.
     void moveStreams(const TargetId &target, HandlerContext &context);
-    /// Whether the call's request may be sent to further targets while its current attempt stays open.
-    [[nodiscard]] bool mayMove(const Call &call) const;
     /// Resumes a stream at other targets while the stalled attempt stays open. Leaves the stream in place if that is
     /// impossible, since the target may recover.
-    void moveStream(Call &call, const TargetId &stopped, HandlerContext &context);
+    void moveStream(ForwardCall &call, const TargetId &stopped, HandlerContext &context);
     /// The targets that a stream can be moved to; std::nullopt if there are none with capacity.
     [[nodiscard]] std::optional<ChosenTargets>
-    chooseForMove(Call &call, const TargetId &stopped, HandlerContext &context);
-    void timeOut(Call &call, HandlerContext &context);
+    chooseForMove(ForwardCall &call, const TargetId &stopped, HandlerContext &context);
+    void timeOut(ForwardCall &call, HandlerContext &context);
     void attribute(const CrashAttributionEvent &event, HandlerContext &context);
     /// Refuses the call if one of its traits is condemned. Returns whether it did.
-    bool refuseCondemned(Call &call, HandlerContext &context);
+    bool refuseCondemned(ForwardCall &call, HandlerContext &context);
     /// The traits of an attempt that had only just begun, so that it may have crashed its target.
     [[nodiscard]] std::vector<RequestTrait>
-    suspectTraits(const Call &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const;
+    suspectTraits(const ForwardCall &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const;
     /// Records that the response of an attempt at the target was lost, which may be a crash of the target.
-    void recordLoss(const Call &call,
+    void recordLoss(const ForwardCall &call,
                     AttemptNumber attempt,
                     const ChosenTargets &chosen,
                     const std::optional<RelayHost> &via,
                     const std::vector<RequestTrait> &traits,
                     HandlerContext &context);
     /// Records the traits as sound if the current attempt has been answered for long enough.
-    void recordSurvival(Call &call, HandlerContext &context);
-    void refuse(Call &call, ForwardFailure reason, HandlerContext &context);
+    void recordSurvival(ForwardCall &call, HandlerContext &context);
+    void refuse(ForwardCall &call, ForwardFailure reason, HandlerContext &context);
     /// Logs the outcome of the call and removes it.
-    void finish(Call &call, const std::string &outcome, HandlerContext &context);
-    [[nodiscard]] Duration retryAfter(const Call &call, ForwardFailure reason, const HandlerContext &context);
+    void finish(ForwardCall &call, const std::string &outcome, HandlerContext &context);
+    [[nodiscard]] Duration retryAfter(const ForwardCall &call, ForwardFailure reason, const HandlerContext &context);
 
     ForwarderOptions m_options;
     Random m_random;
@@ -360,12 +280,12 @@
     TargetLinks m_links;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
-    std::map<RequestId, Call> m_calls;
+    std::map<RequestId, ForwardCall> m_calls;
     StartQueue m_queue;
     std::vector<EarlyRequest> m_earlyRequests;
-    /// Time of the first event.
     /// Time of the last event.
     TimePoint m_now{};
+    /// Time of the first event.
     std::optional<TimePoint> m_startedAt;
     bool m_directoryLoaded = false;
     std::optional<TimePoint> m_rejectFrom;
