Forwarder: Log how long moved streams and their new targets were silent

Change: TargetLiveness keeps the time of each target's last sign, event=moved names it and the stream's own silence, and two counters show how many moves were undone. It replaces the time of the last event in ForwardTargets.

--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -212,17 +212,8 @@
                || m_now - found->second.since >= m_options.toleratedSilence);
 }
 
-bool ForwardTargets::hasRespondedSince(const TargetId &target, TimePoint time) const
+void ForwardTargets::recordResponse(const ChosenTargets &chosen, ChainRouter &router)
 {
-    const auto load = m_loads.find(target);
-    return load != m_loads.end() && load->second.respondedAt > time;
-}
-
-void ForwardTargets::recordResponse(const ChosenTargets &chosen, ChainRouter &router, TimePoint now)
-{
-    if (const auto load = m_loads.find(chosen.target); load != m_loads.end()) {
-        load->second.respondedAt = now;
-    }
     if (m_unresponsive.empty()) {
         return;
     }
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -98,10 +98,7 @@
     void clearUnresponsive(const TargetId &target, ChainRouter &router);
 
     /// Records that events of a response arrived, for which every target on its path has worked.
-    void recordResponse(const ChosenTargets &chosen, ChainRouter &router, TimePoint now);
-
-    /// Whether the target has sent events of any response after `time`.
-    [[nodiscard]] bool hasRespondedSince(const TargetId &target, TimePoint time) const;
+    void recordResponse(const ChosenTargets &chosen, ChainRouter &router);
 
     /// Records that the target stated in a response that it leaves. Holds until it starts again as a new process,
     /// whatever its directory record states.
@@ -177,8 +174,6 @@
         /// Decayed number of failures at `failedAt`.
         double failures = 0;
         TimePoint failedAt{};
-        /// Time of the last event of a response.
-        TimePoint respondedAt{};
     };
 
     /// Excludes the target from new requests for `period`.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -48,6 +48,11 @@
     return "";
 }
 
+static std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 Forwarder::Forwarder(ForwarderOptions options)
     : m_options(std::move(options))
     , m_random(stableHash("forwarder", m_options.targets.seed))
@@ -92,6 +97,7 @@
 void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
 {
     m_targets.unlisted(target, router);
+    m_liveness.forget(target);
 }
 
 ForwardCall *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
@@ -386,6 +392,7 @@
     endAttempt(call, true, context);
     context.actions.emplace_back(ForwardLogLine{"Forward: event=returned request=" + call.request->attempt
                                                 + " target=" + call.stalled->chosen.target.value()});
+    ++m_moves.returned;
     call.returnToStalled(context.now);
     return true;
 }
@@ -410,7 +417,7 @@
         call->stalled->head = event;
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
+    recordEvents(call->stalled->chosen, context);
     returnToStalled(*call, context);
     on(event, context);
 }
@@ -429,7 +436,7 @@
     if (events.empty()) {
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
+    recordEvents(call->stalled->chosen, context);
     returnToStalled(*call, context);
     writeEvents(*call, std::move(events), context);
 }
@@ -444,7 +451,7 @@
         endStalled(*call, false, context);
         return;
     }
-    m_targets.recordResponse(call->stalled->chosen, context.router, context.now);
+    recordEvents(call->stalled->chosen, context);
     returnToStalled(*call, context);
     on(event, context);
 }
@@ -513,9 +520,8 @@
         m_targets.recordLeaving(target, context.router, context.now);
     }
     if (head.restFor) {
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*head.restFor).count();
         context.actions.emplace_back(ForwardLogLine{"Forward: event=resting target=" + target.value()
-                                                    + " for_ms=" + std::to_string(milliseconds)});
+                                                    + " for_ms=" + milliseconds(*head.restFor)});
         m_targets.recordRest(target, *head.restFor, context.router, context.now);
     }
     const bool isAuthentic = head.sealed || (head.notRun && !head.misdirected);
@@ -558,10 +564,16 @@
     }
     endStalled(call, true, context);
     recordSurvival(call, context);
-    m_targets.recordResponse(*call.chosen, context.router, context.now);
+    recordEvents(*call.chosen, context);
     writeEvents(call, std::move(events), context);
 }
 
+void Forwarder::recordEvents(const ChosenTargets &chosen, HandlerContext &context)
+{
+    m_liveness.recordSigns(chosen.path, context.now);
+    m_targets.recordResponse(chosen, context.router);
+}
+
 void Forwarder::writeEvents(ForwardCall &call, std::string events, HandlerContext &context)
 {
     call.progressAt = context.now;
@@ -828,7 +840,7 @@
     std::optional<TargetId> atFault;
     if (!event.answered) {
         // The reply may be lost or late: events of other streams since the query show that the target works.
-        if (m_targets.hasRespondedSince(call->chosen->target, *call->progressQueriedAt)) {
+        if (m_liveness.hasShownSignSince(call->chosen->target, *call->progressQueriedAt)) {
             return;
         }
         atFault = call->chosen->target;
@@ -836,6 +848,7 @@
             return;
         }
     } else {
+        m_liveness.recordSign(call->chosen->target, context.now);
         m_targets.recordReport(call->chosen->target, context.router);
         if (event.blockedAtAddress) {
             atFault = m_targets.targetAt(*event.blockedAtAddress);
@@ -985,8 +998,12 @@
     if (!chosen || !m_retries.tryRetry(call.service, context.now)) {
         return;
     }
+    const auto lastSign = m_liveness.longestSilence(chosen->path, context.now);
     context.actions.emplace_back(ForwardLogLine{"Forward: event=moved request=" + call.request->attempt
-                                                + " from=" + stopped.value() + " to=" + chosen->target.value()});
+                                                + " from=" + stopped.value() + " to=" + chosen->target.value()
+                                                + " silent_ms=" + milliseconds(context.now - call.progressAt)
+                                                + " sign_age_ms=" + (lastSign ? milliseconds(*lastSign) : "none")});
+    ++m_moves.moved;
     call.tried.insert(stopped);
     call.stall();
     sendToTarget(call, std::move(*chosen), context);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -8,6 +8,7 @@
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
 #include "forwarding/TargetLinks.h"
+#include "forwarding/TargetLiveness.h"
 #include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
@@ -100,6 +101,15 @@
                                      ForwardLogLine,
                                      ForwardEnded>;
 
+/// Numbers of streams since the start of the process.
+struct StreamMoveCounts
+{
+    /// Streams that were sent to other targets because one on their path was silent.
+    std::uint64_t moved = 0;
+    /// Those of them that went on at their earlier targets.
+    std::uint64_t returned = 0;
+};
+
 /// Forwards callers' requests to targets and relays the responses.
 ///
 /// A request that may run at most once is retried only if the target states that it did not run it, or if no byte of it
@@ -143,6 +153,8 @@
 
     [[nodiscard]] const FleetRetryBudget &retries() const { return m_retries; }
 
+    [[nodiscard]] const StreamMoveCounts &moves() const { return m_moves; }
+
     [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
 
     [[nodiscard]] const TargetRequestLimits &limits() const { return m_limits; }
@@ -222,6 +234,8 @@
     void stalledData(const TargetResponseData &event, HandlerContext &context);
     void stalledCompleted(const TargetResponseCompleted &event, HandlerContext &context);
     void stalledFailed(const TargetResponseFailed &event, HandlerContext &context);
+    /// Records that events of a response of these targets arrived.
+    void recordEvents(const ChosenTargets &chosen, HandlerContext &context);
     /// Sends complete events to the caller. `events` is not empty.
     void writeEvents(ForwardCall &call, std::string events, HandlerContext &context);
     /// Records what the head of a response states about the target that sent it.
@@ -278,6 +292,8 @@
     CrashAttribution m_attribution;
     TargetRequestLimits m_limits;
     TargetLinks m_links;
+    TargetLiveness m_liveness;
+    StreamMoveCounts m_moves;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, ForwardCall> m_calls;
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -420,6 +420,8 @@
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
     gauge("retries_refused_total", m_forwarder.retries().refused());
+    gauge("streams_moved_total", m_forwarder.moves().moved);
+    gauge("streams_returned_total", m_forwarder.moves().returned);
     gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
     gauge("quarantine_condemned_traits", m_forwarder.attribution().condemnedTraits());
     gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
--- a/src/platformstandin/SilentFleet.cpp
+++ b/src/platformstandin/SilentFleet.cpp
@@ -118,7 +118,8 @@
              .failureDomain = FailureDomainId(index % 2 == 0 ? "zone-1" : "zone-2"),
              .storeAddress = m_platform.store().address(),
              .seedHosts = {m_hostAddresses.front(), m_hostAddresses.back()},
-             .retryBurst = retryBurst});
+             .retryBurst = retryBurst,
+             .relays = m_options.relays});
         m_daemons.push_back(
             DaemonProcess::start({.program = m_options.daemon, .settings = name + ".json", .log = name + ".log"}));
         if (!m_daemons.back()) {
--- a/src/platformstandin/SilentFleet.h
+++ b/src/platformstandin/SilentFleet.h
@@ -20,6 +20,8 @@
     /// The daemon, and a program that serves as a TargetProcess.
     std::string daemon;
     std::string targetProgram;
+    /// Whether the daemon's settings have the port at which a host passes on requests of others.
+    bool relays = true;
     /// Folder for settings files and logs.
     std::string workFolder;
     std::uint64_t seed = 1;
--- a/src/platformstandin/SilentFleetMain.cpp
+++ b/src/platformstandin/SilentFleetMain.cpp
@@ -10,6 +10,7 @@
     char *daemon = nullptr;
     char *workFolder = nullptr;
     char *servedTarget = nullptr;
+    int withoutRelays = 0;
     int seed = 1;
     int hosts = 4;
     int engines = 13;
@@ -17,6 +18,7 @@
     int silences = 4;
     const poptOption table[] = {
         {"daemon", 'd', POPT_ARG_STRING, &daemon, 0, "daemon to play", "PROGRAM"},
+        {"without-relays", 0, POPT_ARG_NONE, &withoutRelays, 0, "the daemon's build has no relay port", nullptr},
         {"work", 'w', POPT_ARG_STRING, &workFolder, 0, "folder for settings files and logs", "FOLDER"},
         {"seed", 's', POPT_ARG_INT, &seed, 0, "seed of the load and of the silences", "N"},
         {"hosts", 0, POPT_ARG_INT, &hosts, 0, "number of hosts", "N"},
@@ -43,6 +45,7 @@
     }
     SilentFleet fleet({.daemon = daemon,
                        .targetProgram = argv[0],
+                       .relays = withoutRelays == 0,
                        .workFolder = workFolder,
                        .seed = static_cast<std::uint64_t>(seed),
                        .hosts = static_cast<std::size_t>(hosts),
