Forwarder: Send a stream on only to targets that have just shown that they work

When sound targets fall silent for a second, streams are repeated although that serves nobody; the repeats are read when the silence ends and state a time left that is gone. Where one failure domain stays silent, streams spend their only repeat on another target of that domain and then hang. Cause: the silence of one target was taken as a reason to use another one of which nothing was known. Class: acting on a suspicion without evidence that the alternative is better. Change: before a stream is moved, every target on its new path must have shown a sign of life within 150 ms; those that have not are probed, and so is the silent one. While all are silent nothing answers and nothing is sent; as soon as one works, the stream moves. The choice takes no room in request limits any more until the stream is sent. A probe can go by way of another host. Why it works: a target that answers a probe reads what is sent to it at once, so the time left that it reads is the caller's. Tests changed: fixtures answer the new probes (a target found silent does not answer), and those that expect no move answer them too; the one of a separated host checks that liveness probes go by way of the other host.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -21,6 +21,7 @@
     relay.restart();
     progressAt = now;
     progressQueriedAt.reset();
+    movesAwayFrom.reset();
     sentAt = now;
 }
 
@@ -51,6 +52,7 @@
     body.clear();
     progressAt = now;
     progressQueriedAt.reset();
+    movesAwayFrom.reset();
 }
 
 void ForwardCall::discountRun(const TargetId &target)
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -83,6 +83,8 @@
     /// Time of the last event of the stream, or of the dispatch.
     TimePoint progressAt;
     std::optional<TimePoint> progressQueriedAt;
+    /// The silent target of a stream that is sent to others once these have shown that they work.
+    std::optional<TargetId> movesAwayFrom;
 
     /// Counts a new attempt at the targets and clears what belongs to the one before.
     void beginAttempt(const ChosenTargets &targets, TimePoint now);
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -174,13 +174,25 @@
     std::optional<RelayHost> via = std::nullopt;
 };
 
-/// Action: find out whether this host can open a connection to the target. Answered by one `TargetProbed`.
+/// What the answer to a probe is needed for.
+enum class ProbePurpose : std::uint8_t {
+    /// Whether this host reaches any target.
+    Links,
+    /// Whether the target works, before a stream is sent to it again.
+    Liveness,
+};
+
+/// Action: find out whether a new connection to the target can be opened and is answered. Answered by one
+/// `TargetProbed`.
 struct ProbeTarget
 {
     TargetId target;
     std::string address;
     /// For the connection, and again for the response.
     Duration timeout{};
+    ProbePurpose purpose = ProbePurpose::Links;
+    /// The host that passes the probe on; std::nullopt if it goes directly to the target.
+    std::optional<RelayHost> via = std::nullopt;
 };
 
 /// Event: response to `ProbeTarget`.
@@ -188,6 +200,7 @@
 {
     TargetId target;
     bool reached = false;
+    ProbePurpose purpose = ProbePurpose::Links;
 };
 
 /// Identifies a request that this host passes on for another host.
@@ -245,6 +258,9 @@
     Condemned,
 };
 
+/// For example `no-target`.
+[[nodiscard]] const char *forwardFailureName(ForwardFailure failure);
+
 /// Action: respond to a caller whose request ends without a target's response.
 struct RefuseCaller
 {
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -17,37 +17,6 @@
 /// Our deadline is this much before the caller's, so that the caller receives our response before it gives up.
 static constexpr Duration responseMargin = 20ms;
 
-const char *forwardFailureName(ForwardFailure failure)
-{
-    switch (failure) {
-    case ForwardFailure::Draining:
-        return "draining";
-    case ForwardFailure::NoConfiguration:
-        return "no-configuration";
-    case ForwardFailure::ConfigurationTooOld:
-        return "configuration-too-old";
-    case ForwardFailure::NoRoute:
-        return "no-route";
-    case ForwardFailure::KeyUnknown:
-        return "key-unknown";
-    case ForwardFailure::NoTarget:
-        return "no-target";
-    case ForwardFailure::Overloaded:
-        return "overloaded";
-    case ForwardFailure::RetryBudgetSpent:
-        return "retry-budget-spent";
-    case ForwardFailure::TargetsRefused:
-        return "targets-refused";
-    case ForwardFailure::TimeoutReached:
-        return "timeout-reached";
-    case ForwardFailure::ResponseLost:
-        return "answer-lost";
-    case ForwardFailure::Condemned:
-        return "condemned";
-    }
-    return "";
-}
-
 static std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -65,6 +34,7 @@
                .seed = stableHash("links", m_options.targets.seed),
                .probeTimeout = m_options.progressQueryTimeout,
                .suspicionPeriod = m_options.suspicionPeriod})
+    , m_liveness(m_options.liveness)
     , m_queue(m_options.queue)
 {
 }
@@ -578,6 +548,7 @@
 {
     call.progressAt = context.now;
     call.progressQueriedAt.reset();
+    call.movesAwayFrom.reset();
     context.actions.emplace_back(WriteStream{.id = call.id, .chunk = std::move(events)});
 }
 
@@ -639,7 +610,19 @@
 
 void Forwarder::on(const TargetProbed &event, HandlerContext &context)
 {
-    m_links.recordProbe(event, m_targets, context.router, context.now);
+    if (event.reached) {
+        m_liveness.recordSign(event.target, context.now);
+        m_targets.recordReport(event.target, context.router);
+    }
+    switch (event.purpose) {
+    case ProbePurpose::Links:
+        m_links.recordProbe(event, m_targets, context.router, context.now);
+        break;
+    case ProbePurpose::Liveness:
+        m_liveness.endQuery(event.target, event.reached, context.now);
+        m_signsChanged = true;
+        break;
+    }
 }
 
 void Forwarder::on(const RelayRequested &event, HandlerContext &context)
@@ -782,6 +765,7 @@
     attribute(Tick{}, context);
     dispatchLimits(Tick{}, context);
     acceptEarlyRequests(context);
+    moveWaitingStreams(context);
     serveQueue(context);
     std::vector<RequestId> due;
     for (const auto &[id, call] : m_calls) {
@@ -971,21 +955,22 @@
 Forwarder::chooseForMove(ForwardCall &call, const TargetId &stopped, HandlerContext &context)
 {
     // A target cannot tell two attempts of one request apart: the first target must differ, the others should.
-    std::set<TargetId> excluded = call.tried;
+    std::set<TargetId> excluded = m_liveness.unanswered(context.now);
+    excluded.insert(call.tried.begin(), call.tried.end());
     excluded.insert(stopped);
     excluded.insert(call.chosen->target);
     std::set<TargetId> wholePath = excluded;
     for (const PathStage &stage : call.chosen->path) {
         wholePath.insert(stage.target);
     }
-    const auto hasRoom = [](const std::optional<ChosenTargets> &chosen) {
-        return chosen && !chosen->congested && !chosen->limited;
+    const std::set<TargetId> withoutRoom = m_limits.withoutRoom(context.now);
+    const auto chooseWithout = [&](const std::set<TargetId> &without) {
+        auto chosen = m_targets.choose(
+            call.service, *call.request, {.everywhere = without, .asFirst = withoutRoom}, context.router, context.now);
+        return chosen && !chosen->congested ? std::move(chosen) : std::nullopt;
     };
-    auto chosen = choose(call, wholePath, context);
-    if (!hasRoom(chosen)) {
-        chosen = choose(call, excluded, context);
-    }
-    return hasRoom(chosen) ? std::move(chosen) : std::nullopt;
+    auto chosen = chooseWithout(wholePath);
+    return chosen ? std::move(chosen) : chooseWithout(excluded);
 }
 
 void Forwarder::moveStream(ForwardCall &call, const TargetId &stopped, HandlerContext &context)
@@ -994,8 +979,20 @@
     if (m_attribution.refusalTime(call.traits, context.now)) {
         return;
     }
-    auto chosen = chooseForMove(call, stopped, context);
-    if (!chosen || !m_retries.tryRetry(call.service, context.now)) {
+    call.movesAwayFrom.reset();
+    auto chosen = m_links.hasWay(context.now) ? chooseForMove(call, stopped, context) : std::nullopt;
+    if (!chosen) {
+        return;
+    }
+    // Where all targets are silent at once, another one could not begin the stream any earlier than this one goes on.
+    if (const auto silent = m_liveness.withoutRecentSign(chosen->path, context.now); !silent.empty()) {
+        call.movesAwayFrom = stopped;
+        requestSigns(silent, context);
+        requestSigns({stopped}, context);
+        return;
+    }
+    if (!m_limits.tryTake(chosen->target, !call.wasLimited, context.now)
+        || !m_retries.tryRetry(call.service, context.now)) {
         return;
     }
     const auto lastSign = m_liveness.longestSilence(chosen->path, context.now);
@@ -1009,6 +1006,41 @@
     sendToTarget(call, std::move(*chosen), context);
 }
 
+void Forwarder::requestSigns(const std::vector<TargetId> &targets, HandlerContext &context)
+{
+    for (const TargetId &target : targets) {
+        const auto listed = m_targets.targets().find(target);
+        if (listed != m_targets.targets().end() && m_liveness.beginQuery(target)) {
+            context.actions.emplace_back(ProbeTarget{.target = target,
+                                                     .address = listed->second.address,
+                                                     .timeout = m_options.progressQueryTimeout,
+                                                     .purpose = ProbePurpose::Liveness,
+                                                     .via = m_links.chooseRelay(context.now)});
+        }
+    }
+}
+
+void Forwarder::moveWaitingStreams(HandlerContext &context)
+{
+    if (!std::exchange(m_signsChanged, false)) {
+        return;
+    }
+    std::vector<std::pair<RequestId, TargetId>> waiting;
+    for (const auto &[id, call] : m_calls) {
+        if (call.movesAwayFrom && call.chosen && call.mayMove(m_options.maximumDispatches)) {
+            waiting.emplace_back(id, *call.movesAwayFrom);
+        }
+    }
+    for (const auto &[id, stopped] : waiting) {
+        ForwardCall &call = m_calls.at(id);
+        if (m_targets.isUnresponsive(stopped) || m_links.reach().isSeparated()) {
+            moveStream(call, stopped, context);
+        } else {
+            call.movesAwayFrom.reset();
+        }
+    }
+}
+
 void Forwarder::timeOut(ForwardCall &call, HandlerContext &context)
 {
     endAttempt(call, true, context);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -30,6 +30,7 @@
     CrashAttributionOptions attribution;
     TargetRequestLimitsOptions limits;
     TargetReachOptions reach;
+    TargetLivenessOptions liveness;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
     Duration justBegunPeriod = 400ms;
@@ -259,8 +260,12 @@
     /// Moves every stalled stream whose path includes the target to other targets that have capacity.
     void moveStreams(const TargetId &target, HandlerContext &context);
     /// Resumes a stream at other targets while the stalled attempt stays open. Leaves the stream in place if that is
-    /// impossible, since the target may recover.
+    /// impossible, since the target may recover, and for as long as the other targets have not shown that they work.
     void moveStream(ForwardCall &call, const TargetId &stopped, HandlerContext &context);
+    /// Probes the targets unless a probe of them is open.
+    void requestSigns(const std::vector<TargetId> &targets, HandlerContext &context);
+    /// Tries again to move the streams that waited for other targets to show that they work.
+    void moveWaitingStreams(HandlerContext &context);
     /// The targets that a stream can be moved to; std::nullopt if there are none with capacity.
     [[nodiscard]] std::optional<ChosenTargets>
     chooseForMove(ForwardCall &call, const TargetId &stopped, HandlerContext &context);
@@ -294,6 +299,8 @@
     TargetLinks m_links;
     TargetLiveness m_liveness;
     StreamMoveCounts m_moves;
+    /// Whether a probe has ended since the streams that wait for one were last looked at.
+    bool m_signsChanged = false;
     CrashObserver m_crashObserver;
     std::shared_ptr<const RouteTable> m_table;
     std::map<RequestId, ForwardCall> m_calls;
@@ -307,7 +314,4 @@
     std::optional<TimePoint> m_rejectFrom;
 };
 
-/// For example `no-target`.
-[[nodiscard]] const char *forwardFailureName(ForwardFailure failure);
-
 } // namespace Carawaymill
--- a/src/forwarding/tests/CrashingRequestTest.cpp
+++ b/src/forwarding/tests/CrashingRequestTest.cpp
@@ -124,7 +124,10 @@
                 });
             } else if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
                 schedule(tick, [this, host, probe = *probe] {
-                    deliver(host, TargetProbed{.target = probe.target, .reached = !m_down.contains(probe.address)});
+                    deliver(host,
+                            TargetProbed{.target = probe.target,
+                                         .reached = !m_down.contains(probe.address),
+                                         .purpose = probe.purpose});
                 });
             } else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action)) {
                 m_running.erase({host, abandoned->id, abandoned->attempt});
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -1,5 +1,8 @@
 #include "forwarding/tests/ForwarderFixture.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace Carawaymill {
 
 static EngineProfile profile()
@@ -135,6 +138,28 @@
     return all;
 }
 
+std::vector<ForwarderAction> ForwarderFixture::answerLivenessProbes(std::vector<ForwarderAction> actions)
+{
+    const auto append = [&actions](std::vector<ForwarderAction> more) {
+        std::ranges::move(more, std::back_inserter(actions));
+    };
+    for (std::size_t next = 0; next < actions.size();) {
+        bool hasProbes = false;
+        for (; next < actions.size(); ++next) {
+            const auto *probe = std::get_if<ProbeTarget>(&actions[next]);
+            if (probe != nullptr && probe->purpose == ProbePurpose::Liveness) {
+                hasProbes = true;
+                const bool works = !forwarder.targets().isUnresponsive(probe->target);
+                append(handle(TargetProbed{.target = probe->target, .reached = works, .purpose = probe->purpose}));
+            }
+        }
+        if (hasProbes) {
+            append(advance(20ms));
+        }
+    }
+    return actions;
+}
+
 ForwardRequested ForwarderFixture::request(std::uint64_t id, const std::string &path)
 {
     return {.id = RequestId(id),
--- a/src/forwarding/tests/ForwarderFixture.h
+++ b/src/forwarding/tests/ForwarderFixture.h
@@ -23,6 +23,10 @@
     /// Advances the time in ticks of 20 ms and returns all actions.
     std::vector<ForwarderAction> advance(Duration time);
 
+    /// Answers the probes among the actions, for all targets but those that the forwarder has found silent, and returns
+    /// these actions and those that follow until a tick brings no more probes.
+    std::vector<ForwarderAction> answerLivenessProbes(std::vector<ForwarderAction> actions);
+
     /// Targets of the services `scribe` and `desk`, as loadState() lists them.
     [[nodiscard]] static DirectoryTarget engine(const std::string &id, LayerRange layers);
     [[nodiscard]] static DirectoryTarget plainTarget(const std::string &id);
--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -181,10 +181,10 @@
     const auto query = only<QueryProgress>(actions);
     CHECK(query.address == "a1:1");
     ProgressReported report{.id = first.id, .attempt = first.attempt, .answered = true, .blockedAtAddress = {}};
-    CHECK(!has<ForwardToTarget>(fixture.handle(report)));
+    CHECK(!has<ForwardToTarget>(fixture.answerLivenessProbes(fixture.handle(report))));
     fixture.advance(420ms);
     report.blockedAtAddress = "a2:1";
-    const auto second = only<ForwardToTarget>(fixture.handle(report));
+    const auto second = only<ForwardToTarget>(fixture.answerLivenessProbes(fixture.handle(report)));
     CHECK(second.target == TargetId("b1"));
     CHECK(second.resumeAfter == StreamPosition(1));
 }
@@ -194,8 +194,8 @@
 static std::vector<ForwarderAction> stallAtSilentTarget(ForwarderFixture &fixture, const ForwardToTarget &dispatch)
 {
     CHECK(only<QueryProgress>(fixture.advance(420ms)).attempt == dispatch.attempt);
-    return fixture.handle(
-        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}});
+    return fixture.answerLivenessProbes(fixture.handle(
+        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}}));
 }
 
 TEST_CASE("a stream of a silent target is not broken off when the target that it was moved to rejects it")
--- a/src/forwarding/tests/PausedEngines.cpp
+++ b/src/forwarding/tests/PausedEngines.cpp
@@ -127,7 +127,7 @@
     const bool reached = !isPaused(probe.address);
     m_answers.push_back({.host = host,
                          .at = m_now + (reached ? roundTrip : probe.timeout),
-                         .event = TargetProbed{.target = probe.target, .reached = reached}});
+                         .event = TargetProbed{.target = probe.target, .reached = reached, .purpose = probe.purpose}});
 }
 
 void PausedEngines::recordEvents(std::size_t host, const WriteStream &written)
--- a/src/forwarding/tests/SeparatedHostTest.cpp
+++ b/src/forwarding/tests/SeparatedHostTest.cpp
@@ -30,7 +30,7 @@
         for (const ForwarderAction &action : actions) {
             refusals += std::holds_alternative<RefuseCaller>(action) ? 1 : 0;
             if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
-                deliver(TargetProbed{.target = probe->target, .reached = false});
+                deliver(TargetProbed{.target = probe->target, .reached = false, .purpose = probe->purpose});
             }
             const auto *dispatch = std::get_if<ForwardToTarget>(&action);
             if (dispatch == nullptr) {
@@ -120,7 +120,14 @@
     fixture.handle(ForwarderFixture::started(direct));
     fixture.handle(ForwarderFixture::event(direct, 1));
     separate(fixture);
-    const auto actions = fixture.advance(1500ms);
+    std::vector<ForwarderAction> actions;
+    for (const TimePoint end = fixture.now + 1500ms; fixture.now < end;) {
+        std::ranges::move(fixture.answerLivenessProbes(fixture.advance(20ms)), std::back_inserter(actions));
+    }
+    for (const ForwarderAction &action : actions) {
+        const auto *probe = std::get_if<ProbeTarget>(&action);
+        CHECK((probe == nullptr || probe->purpose == ProbePurpose::Links || probe->via == relayHost("other")));
+    }
     const auto found = std::ranges::find_if(actions, [&](const ForwarderAction &action) {
         const auto *dispatch = std::get_if<ForwardToTarget>(&action);
         return dispatch != nullptr && dispatch->id == direct.id;
@@ -163,7 +170,8 @@
         }
         for (const ForwarderAction &action : fixture.advance(60ms)) {
             if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
-                fixture.handle(TargetProbed{.target = probe->target, .reached = !dead.contains(probe->target)});
+                fixture.handle(TargetProbed{
+                    .target = probe->target, .reached = !dead.contains(probe->target), .purpose = probe->purpose});
             }
         }
     }
--- a/src/forwarding/tests/SilentTargetTest.cpp
+++ b/src/forwarding/tests/SilentTargetTest.cpp
@@ -16,8 +16,8 @@
 static std::vector<ForwarderAction> findSilent(ForwarderFixture &fixture, const ForwardToTarget &dispatch)
 {
     fixture.advance(1100ms);
-    return fixture.handle(
-        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}});
+    return fixture.answerLivenessProbes(fixture.handle(
+        ProgressReported{.id = dispatch.id, .attempt = dispatch.attempt, .answered = false, .blockedAtAddress = {}}));
 }
 
 TEST_CASE("a response that is no stream is not moved and its body stays whole")
@@ -43,10 +43,11 @@
     fixture.forwarder.targetUnlisted(TargetId("b1"), fixture.router);
     const auto dispatch = sendStream(fixture, 1);
     fixture.advance(1100ms);
-    const auto actions = fixture.handle(ProgressReported{.id = dispatch.id,
-                                                         .attempt = dispatch.attempt,
-                                                         .answered = true,
-                                                         .blockedAtAddress = dispatch.path.back().address});
+    const auto actions = fixture.answerLivenessProbes(
+        fixture.handle(ProgressReported{.id = dispatch.id,
+                                        .attempt = dispatch.attempt,
+                                        .answered = true,
+                                        .blockedAtAddress = dispatch.path.back().address}));
     CHECK(!has<AbandonAttempt>(actions));
     CHECK(!has<ForwardToTarget>(actions));
     CHECK(has<BeginStream>(fixture.handle(ForwarderFixture::started(dispatch))));
@@ -87,8 +88,8 @@
     fixture.advance(1020ms);
     fixture.handle(ForwarderFixture::event(other, 1));
     fixture.advance(160ms);
-    const auto actions = fixture.handle(
-        ProgressReported{.id = queried.id, .attempt = queried.attempt, .answered = false, .blockedAtAddress = {}});
+    const auto actions = fixture.answerLivenessProbes(fixture.handle(
+        ProgressReported{.id = queried.id, .attempt = queried.attempt, .answered = false, .blockedAtAddress = {}}));
     CHECK(!has<ForwardToTarget>(actions));
     CHECK(!fixture.forwarder.targets().isSuspected(queried.target));
 }
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -99,32 +99,45 @@
     closeExchange(action.id, action.attempt);
 }
 
-void TargetClient::queryProgress(const QueryProgress &action)
+HttpRequest
+TargetClient::reportRequestFor(const TargetId &target, const std::optional<RelayHost> &via, bool fresh) const
 {
     HttpRequest request = reportRequest();
-    if (action.via) {
-        request = encodeRelayedRequest(
-            {.target = action.target, .freshConnection = false, .request = std::move(request)}, m_relayKey);
+    if (via) {
+        request = encodeRelayedRequest({.target = target, .freshConnection = fresh, .request = std::move(request)},
+                                       m_relayKey);
     }
+    return request;
+}
+
+/// The response of the target; that of a host which has not passed the request on counts as none.
+static HttpResult responseOfTarget(const HttpResult &result, const std::optional<RelayHost> &via)
+{
+    const auto *response = std::get_if<HttpResponse>(&result);
+    const bool isRefused = via && response != nullptr && readRelayFailure(response->headers).has_value();
+    return isRefused ? HttpResult(HttpNoResponse{}) : result;
+}
+
+void TargetClient::queryProgress(const QueryProgress &action)
+{
     m_client.send(action.via ? action.via->address : action.address,
-                  request,
+                  reportRequestFor(action.target, action.via, false),
                   {.timeout = action.timeout, .connectTimeout = action.timeout},
                   [this, action](const HttpResult &result) {
-                      const auto *response = std::get_if<HttpResponse>(&result);
-                      const bool isRefused =
-                          action.via && response != nullptr && readRelayFailure(response->headers).has_value();
-                      m_onEvent(readProgress(action, isRefused ? HttpResult(HttpNoResponse{}) : result));
+                      m_onEvent(readProgress(action, responseOfTarget(result, action.via)));
                   });
 }
 
 void TargetClient::probe(const ProbeTarget &action)
 {
-    m_client.send(action.address,
-                  reportRequest(),
+    m_client.send(action.via ? action.via->address : action.address,
+                  reportRequestFor(action.target, action.via, true),
                   {.timeout = action.timeout, .connectTimeout = action.timeout, .freshConnection = true},
-                  [this, target = action.target](const HttpResult &result) {
-                      m_onEvent(
-                          TargetProbed{.target = target, .reached = std::holds_alternative<HttpResponse>(result)});
+                  [this, action](const HttpResult &result) {
+                      const HttpResult response = responseOfTarget(result, action.via);
+                      m_onEvent(TargetProbed{.target = action.target,
+                                             .reached = std::holds_alternative<HttpResponse>(response),
+                                             .purpose = action.purpose});
                   });
 }
 
--- a/src/platform/TargetClient.h
+++ b/src/platform/TargetClient.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace Carawaymill {
@@ -36,6 +37,9 @@
     /// does.
     bool handleRelayFailure(const ForwardToTarget &action, const HttpStreamEvent &event);
     void closeExchange(RequestId id, AttemptNumber attempt);
+    /// A request for the target's report, encoded for the host that is to pass it on if there is one.
+    [[nodiscard]] HttpRequest
+    reportRequestFor(const TargetId &target, const std::optional<RelayHost> &via, bool fresh) const;
 
     HttpClient &m_client;
     std::string m_relayKey;
