TargetReach: Take an accepted connection as proof of a host's links

What callers saw: while all engines were silent, hosts refused requests of other services (no-target) or sent them through other hosts, and sent streams through other hosts to engines as silent as before. Cause: a silent target and a probe without a reply both counted as lost links, although the connection had been accepted. Evidence: own runs with real processes, event=separated unreached_targets=13 on one to three of four hosts in each silence of all engines; their kernels accept connections all the while. The new test fails before: separated on each check after about a second, and the request of a plain service has via set. Change: a probe reports whether its connection was accepted; only one that was not counts against the links, an accepted one clears the doubt and ends a separation. Why it works: with links lost in either direction no connection is accepted, so that a separated host is still found (tests of SeparatedHostTest unchanged).

--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -199,7 +199,10 @@
 struct TargetProbed
 {
     TargetId target;
+    /// Whether the target replied.
     bool reached = false;
+    /// Whether the connection was accepted. The kernel of a silent target accepts it too.
+    bool connected = reached;
     ProbePurpose purpose = ProbePurpose::Links;
 };
 
--- a/src/forwarding/TargetLinks.cpp
+++ b/src/forwarding/TargetLinks.cpp
@@ -56,11 +56,11 @@
 
 void TargetLinks::recordProbe(const TargetProbed &probed, ForwardTargets &targets, ChainRouter &router, TimePoint now)
 {
-    if (!probed.reached) {
+    if (!probed.connected) {
         if (m_reach.recordProbeFailed(probed.target, targets.targets().size(), now)) {
             clearBlame(targets, router);
         }
-    } else if (m_reach.recordProbeAnswered()) {
+    } else if (m_reach.recordProbeConnected()) {
         m_log.push_back("Forward: event=rejoined target=" + probed.target.value());
     }
 }
--- a/src/forwarding/TargetLinks.h
+++ b/src/forwarding/TargetLinks.h
@@ -59,6 +59,7 @@
 
     /// A probe, if this host doubts its links and one is due.
     [[nodiscard]] std::optional<ProbeTarget> nextProbe(const ForwardTargets &targets, TimePoint now);
+    /// Records the end of a probe. An accepted connection shows that the links work, whether the target replies or not.
     void recordProbe(const TargetProbed &probed, ForwardTargets &targets, ChainRouter &router, TimePoint now);
 
     /// Whether this host passes on a request of another one.
--- a/src/forwarding/TargetReach.cpp
+++ b/src/forwarding/TargetReach.cpp
@@ -46,7 +46,7 @@
     return true;
 }
 
-bool TargetReach::recordProbeAnswered()
+bool TargetReach::recordProbeConnected()
 {
     clear();
     return std::exchange(m_separated, false);
--- a/src/forwarding/TargetReach.h
+++ b/src/forwarding/TargetReach.h
@@ -46,10 +46,10 @@
     /// Whether it is time for a probe of a target.
     [[nodiscard]] bool takeProbeDue(TimePoint now);
 
-    /// Records that a probe of the target was answered, and returns whether that ended a separation.
-    bool recordProbeAnswered();
+    /// Records that the connection of a probe was accepted, and returns whether that ended a separation.
+    bool recordProbeConnected();
 
-    /// Like recordFailure(), for a probe that was not answered.
+    /// Like recordFailure(), for a probe whose connection was not accepted.
     bool recordProbeFailed(const TargetId &target, std::size_t targets, TimePoint now);
 
     /// Whether this host reaches no target, as far as it knows.
--- a/src/forwarding/tests/SeparatedHostTest.cpp
+++ b/src/forwarding/tests/SeparatedHostTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <iterator>
 
 using namespace Carawaymill;
 
@@ -234,3 +235,35 @@
     fixture.forwarder.rejectNewRequestsFrom(fixture.now);
     CHECK(only<RefuseRelay>(fixture.handle(other)).reason == RelayFailure::HostUnavailable);
 }
+
+/// Guards against refusals of requests whose targets work, while all targets of another service are silent.
+TEST_CASE("a host whose connections are accepted is not separated while all engines are silent")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    std::vector<ForwarderAction> actions;
+    const auto append = [&actions](std::vector<ForwarderAction> more) {
+        std::ranges::move(more, std::back_inserter(actions));
+    };
+    for (std::uint64_t id = 1; id <= 12; ++id) {
+        append(fixture.handle(ForwarderFixture::request(id, "/stream/x")));
+    }
+    std::size_t next = 0;
+    for (const TimePoint end = fixture.now + 3s; fixture.now < end;) {
+        append(fixture.advance(20ms));
+        for (; next < actions.size(); ++next) {
+            const ForwarderAction action = actions[next];
+            if (const auto *query = std::get_if<QueryProgress>(&action)) {
+                append(fixture.handle(ProgressReported{
+                    .id = query->id, .attempt = query->attempt, .answered = false, .blockedAtAddress = {}}));
+            } else if (const auto *probe = std::get_if<ProbeTarget>(&action)) {
+                append(fixture.handle(TargetProbed{
+                    .target = probe->target, .reached = false, .connected = true, .purpose = probe->purpose}));
+            }
+        }
+        CHECK(!fixture.forwarder.reach().isSeparated());
+    }
+    CHECK(has<ProbeTarget>(actions));
+    const auto plain = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(100, "/post/x")));
+    CHECK(!plain.via);
+}
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -137,6 +137,7 @@
                       const HttpResult response = responseOfTarget(result, action.via);
                       m_onEvent(TargetProbed{.target = action.target,
                                              .reached = std::holds_alternative<HttpResponse>(response),
+                                             .connected = !std::holds_alternative<HttpNotSent>(response),
                                              .purpose = action.purpose});
                   });
 }
