Forwarder: Use a target again when it sends events, whatever another host said of it

What callers saw: refusals (no-target) for up to 4 s after a silence of all engines had ended, from single hosts. Cause: a host that sent streams through another one was told that the target is unusable there, since that host had found it silent too, and took it for a target that accepts no connection; nothing but the end of the suspicion period ended that. Class: the opinion of another host kept against what this host sees itself. The new test fails before. Change: what another host says of a target counts as silence, which ends with the first event or reply.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -605,7 +605,9 @@
     }
     call.tried.insert(target);
     m_targets.recordFailure(target, context.now);
-    m_links.suspect(target, m_targets, context.router, context.now);
+    // The other host may have found the target silent, which ends as soon as it sends anything.
+    const UnresponsiveCause cause = via ? UnresponsiveCause::Silent : UnresponsiveCause::Unreachable;
+    m_links.suspect(target, cause, m_targets, context.router, context.now);
 }
 
 void Forwarder::on(const TargetProbed &event, HandlerContext &context)
@@ -640,7 +642,7 @@
 void Forwarder::on(const RelayedRequestNotSent &event, HandlerContext &context)
 {
     if (m_links.recordOutOfReach(event.target, m_targets, context.router, context.now)) {
-        m_links.suspect(event.target, m_targets, context.router, context.now);
+        m_links.suspect(event.target, UnresponsiveCause::Unreachable, m_targets, context.router, context.now);
     }
 }
 
--- a/src/forwarding/TargetLinks.cpp
+++ b/src/forwarding/TargetLinks.cpp
@@ -30,9 +30,10 @@
     return !m_reach.isSeparated();
 }
 
-void TargetLinks::suspect(const TargetId &target, ForwardTargets &targets, ChainRouter &router, TimePoint now) const
+void TargetLinks::suspect(
+    const TargetId &target, UnresponsiveCause cause, ForwardTargets &targets, ChainRouter &router, TimePoint now) const
 {
-    targets.markUnresponsive(target, UnresponsiveCause::Unreachable, m_options.suspicionPeriod, router, now);
+    targets.markUnresponsive(target, cause, m_options.suspicionPeriod, router, now);
 }
 
 void TargetLinks::clearBlame(ForwardTargets &targets, ChainRouter &router)
--- a/src/forwarding/TargetLinks.h
+++ b/src/forwarding/TargetLinks.h
@@ -54,8 +54,12 @@
     /// host has lost its links, and targets that it blamed for that are usable again.
     bool recordOutOfReach(const TargetId &target, ForwardTargets &targets, ChainRouter &router, TimePoint now);
 
-    /// Marks a target as unreachable.
-    void suspect(const TargetId &target, ForwardTargets &targets, ChainRouter &router, TimePoint now) const;
+    /// Marks a target as unresponsive.
+    void suspect(const TargetId &target,
+                 UnresponsiveCause cause,
+                 ForwardTargets &targets,
+                 ChainRouter &router,
+                 TimePoint now) const;
 
     /// A probe, if this host doubts its links and one is due.
     [[nodiscard]] std::optional<ProbeTarget> nextProbe(const ForwardTargets &targets, TimePoint now);
--- a/src/forwarding/tests/SeparatedHostTest.cpp
+++ b/src/forwarding/tests/SeparatedHostTest.cpp
@@ -267,3 +267,24 @@
     const auto plain = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(100, "/post/x")));
     CHECK(!plain.via);
 }
+
+/// Guards against seconds of refusals after a silence that another host took for a target out of reach.
+TEST_CASE("a target that another host finds unusable is used again as soon as it sends events")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.setRelayHosts({relayHost("other")});
+    const auto direct = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(direct));
+    fixture.handle(ForwarderFixture::event(direct, 1));
+    fixture.forwarder.targetUnlisted(TargetId("b1"), fixture.router);
+    separate(fixture);
+    const auto relayed = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(2, "/stream/x")));
+    REQUIRE(relayed.via);
+    REQUIRE(relayed.target == direct.target);
+    TargetResponseFailed unusable = ForwarderFixture::failed(relayed, false);
+    unusable.relayFailure = RelayFailure::TargetUnavailable;
+    fixture.handle(unusable);
+    CHECK(fixture.forwarder.targets().isUnresponsive(direct.target));
+    fixture.handle(ForwarderFixture::event(direct, 2));
+    CHECK(!fixture.forwarder.targets().isUnresponsive(direct.target));
+}
