--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -332,6 +332,22 @@
     CHECK(observeResponse({"no response at all\r\n\r\n"}).failed);
 }
 
+/// Guards against a success with an empty or short body for a target that stopped while it wrote its head.
+TEST_CASE("a response whose connection ends within its head is no response")
+{
+    for (const std::string framing : {"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n" + framing + "X-Server-Seal: 3e1b.07\r\n\r\n";
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            CAPTURE(head.substr(0, length));
+            const ObservedResponse observed = observeResponse({head.substr(0, length)});
+            CHECK(observed.failed);
+            CHECK(!observed.complete);
+            CHECK(observed.status == 0);
+            CHECK(observed.body.empty());
+        }
+    }
+}
+
 TEST_CASE("a response without length is complete if its connection is closed and not if it is reset")
 {
     const std::string response = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\nid: 1\ndata: a\n\n";
