Daemon: Answer the requests that are left when the time for a drain is over

Cause: the daemon stopped its event loop without ending the calls. Evidence: the new test fails on a forwarder that ignores the event: 0 of 2 answers. Change: DrainTimeoutReached ends every call: attempts are abandoned, requests that may have run get 502, those that were not sent 503, begun streams are broken off; the daemon writes these answers for at most 0.25 s before it stops, within the margin to the kill. Why it works: no call is left when the loop stops.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -32,6 +32,10 @@
 /// No step of a pipeline waits for a tick here, and each wake-up costs.
 static constexpr std::chrono::milliseconds forwardingTickInterval(20);
 
+/// After the time for a drain, answers to the requests that are left are written for at most this time. Shorter than
+/// the margin that is kept before the platform kills the process.
+static constexpr std::chrono::milliseconds lastAnswersPeriod(250);
+
 /// One host to hold a scope and one to take over from it.
 static constexpr std::uint32_t forwardingScopeCandidates = 2;
 
@@ -222,7 +226,8 @@
         });
     }
 
-    /// Stops when nothing is in progress any more, or when the time for it is up.
+    /// Stops when nothing is in progress any more, or when the time for it is up and the requests that are left have
+    /// been answered.
     void finishDrain()
     {
         const TimePoint now = readBootClock();
@@ -231,6 +236,14 @@
         if (!idle && now < *m_drainUntil) {
             return;
         }
+        if (!idle && !m_drainTimedOut) {
+            LOG(INFO) << "Daemon: event=drain-timeout requests=" << m_callers->requestsInProgress();
+            m_drainTimedOut = true;
+            feed(DrainTimeoutReached{});
+        }
+        if (m_callers->requestsInProgress() > 0 && now < *m_drainUntil + lastAnswersPeriod) {
+            return;
+        }
         LOG(INFO) << "Daemon: stops, " << m_callers->requestsInProgress() << " requests in progress.";
         m_context.stop();
     }
@@ -414,6 +427,7 @@
     RequestId m_lastRequest;
     std::optional<TimePoint> m_drainUntil;
     TimePoint m_drainAtLeastUntil{};
+    bool m_drainTimedOut = false;
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -66,6 +66,11 @@
     RequestId id;
 };
 
+/// Event: the time in which a draining host completes its requests is over; those that are left must end now.
+struct DrainTimeoutReached
+{
+};
+
 /// Event: the head of a target's response was received.
 struct TargetResponseStarted
 {
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -463,6 +463,18 @@
     }
 }
 
+void Forwarder::on(const DrainTimeoutReached &, HandlerContext &context)
+{
+    for (const EarlyRequest &early : std::exchange(m_earlyRequests, {})) {
+        accept(early.event.request, early.event.id, early.receivedAt, context);
+    }
+    while (!m_calls.empty()) {
+        ForwardCall &call = m_calls.begin()->second;
+        endAttempt(call, true, context);
+        refuse(call, ForwardFailure::Draining, context);
+    }
+}
+
 void Forwarder::on(const TargetResponseStarted &event, HandlerContext &context)
 {
     ForwardCall *call = currentAttempt(event.id, event.attempt);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -59,6 +59,7 @@
 using ForwarderEvent = std::variant<Tick,
                                     ForwardRequested,
                                     ForwardCallerDisconnected,
+                                    DrainTimeoutReached,
                                     TargetResponseStarted,
                                     TargetResponseData,
                                     TargetResponseCompleted,
@@ -180,6 +181,7 @@
     void on(const Tick &event, HandlerContext &context);
     void on(const ForwardRequested &event, HandlerContext &context);
     void on(const ForwardCallerDisconnected &event, HandlerContext &context);
+    void on(const DrainTimeoutReached &event, HandlerContext &context);
     void on(const TargetResponseStarted &event, HandlerContext &context);
     void on(const TargetResponseData &event, HandlerContext &context);
     void on(const TargetResponseCompleted &event, HandlerContext &context);
--- a/src/forwarding/tests/ForwarderTest.cpp
+++ b/src/forwarding/tests/ForwarderTest.cpp
@@ -306,6 +306,35 @@
     CHECK(has<EndStream>(fixture.handle(ForwarderFixture::ended(accepted))));
 }
 
+/// Guards against connections that a host closes without an answer when it stops.
+TEST_CASE("requests that are still in progress at the end of a drain are answered")
+{
+    ForwarderFixture fixture;
+    fixture.forwarder.rejectNewRequestsFrom(fixture.now);
+    fixture.now -= 1ms;
+    const auto post = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(1, "/post/x")));
+    const auto silent = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(2, "/stream/x")));
+    const auto begun = only<ForwardToTarget>(fixture.handle(ForwarderFixture::request(3, "/stream/x")));
+    fixture.handle(ForwarderFixture::started(begun));
+    const auto actions = fixture.handle(DrainTimeoutReached{});
+    std::map<RequestId, RefuseCaller> refusals;
+    std::set<RequestId> abandoned;
+    for (const ForwarderAction &action : actions) {
+        if (const auto *refusal = std::get_if<RefuseCaller>(&action)) {
+            refusals[refusal->id] = *refusal;
+        } else if (const auto *abandon = std::get_if<AbandonAttempt>(&action)) {
+            abandoned.insert(abandon->id);
+        }
+    }
+    REQUIRE(refusals.size() == 2);
+    CHECK(refusals.at(post.id).mayHaveRun);
+    CHECK(refusals.at(silent.id).mayHaveRun);
+    CHECK(!refusals.at(post.id).retryAfter);
+    CHECK(only<AbortStream>(actions).id == begun.id);
+    CHECK(abandoned.size() == 3);
+    CHECK(fixture.forwarder.inProgress() == 0);
+}
+
 TEST_CASE("requests that arrive while a host starts are dispatched once its configuration and directory are loaded")
 {
     ForwarderFixture fixture({}, false);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -427,6 +427,13 @@
     membersChanged(context);
 }
 
+void Node::on(const DrainTimeoutReached &event, NodeContext &context)
+{
+    if (m_forwarding) {
+        m_forwarding->forward(event, context);
+    }
+}
+
 void Node::membersChanged(NodeContext &context)
 {
     if (m_forwarding) {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -87,6 +87,7 @@
     void on(const HostListRead &event, NodeContext &context);
     void on(const PeerMessage &event, NodeContext &context);
     void on(const DrainRequested &event, NodeContext &context);
+    void on(const DrainTimeoutReached &event, NodeContext &context);
     template<typename ForwardEvent>
     void on(const ForwardEvent &event, NodeContext &context);
 
