DaemonSettings: Accept requests in a drain for a part of the grace time only

With a grace of 8 s later requests than 2.8 s are refused here; with a short grace the same happens: at 3 s requests were accepted until 0.3 s after the process had ended. Cause: the accept period was a constant, whatever the grace time. Evidence: the new test fails at 1.5, 3 and 5 s before (of 1.5, 3, 5, 8 and 30 s). Change: at most two fifths of the time until the process stops; nothing changes from 7.5 s of it on. Why it works: three fifths of the time are left for the request accepted last; what is still there at the end is answered.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -458,7 +458,8 @@
         forwarding = ForwardingOptions{.publications = platformPublicationFormat(),
                                        .retries = settings.forwarding->retries,
                                        .configurationMaximumAge = settings.forwarding->configurationMaximumAge,
-                                       .propagation = settings.forwarding->propagation};
+                                       .propagation = settings.forwarding->propagation,
+                                       .drainAcceptPeriod = settings.forwarding->drainAcceptPeriod};
         if (const ListenSettings &relay = settings.forwarding->relay; relay.port != 0) {
             forwarding->relayAddress = relay.address + ":" + std::to_string(relay.port);
         }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -2,6 +2,7 @@
 
 #include "support/HostPort.h"
 
+#include <algorithm>
 #include <iterator>
 #include <set>
 
@@ -17,6 +18,8 @@
 static constexpr const char *hashOfNoToken = "0000000000000000000000000000000000000000000000000000000000000000";
 /// A shutdown ends so long before the process is killed.
 static constexpr Duration stopMargin = 500ms;
+/// A draining host accepts requests for at most this fraction of its time, so that they end before it stops.
+static constexpr double drainAcceptShare = 0.4;
 /// One day.
 static constexpr std::uint64_t longestMilliseconds = 86'400'000;
 
@@ -234,6 +237,8 @@
     settings.drainTimeout =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(reader.fraction("graceSeconds", 8)))
         - stopMargin;
+    forwarding.drainAcceptPeriod = std::min(
+        forwarding.drainAcceptPeriod, std::chrono::duration_cast<Duration>(settings.drainTimeout * drainAcceptShare));
     settings.drainAtLeast = reader.milliseconds("drainAtLeastMilliseconds", 2600ms);
     settings.leaseTimeToLive = reader.milliseconds("leaseMilliseconds", 4s);
     parent.take(reader.finish());
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -36,6 +36,8 @@
     /// A configuration that was not confirmed for so long no longer vouches for any key.
     Duration configurationMaximumAge = 3500ms;
     PropagationBounds propagation = {};
+    /// Time for which a draining host still accepts requests. Long enough for the balancer to stop sending them.
+    Duration drainAcceptPeriod = 2800ms;
 };
 
 /// Everything that a daemon is told at its start, from one JSON file.
--- a/src/daemon/tests/DaemonSettingsTest.cpp
+++ b/src/daemon/tests/DaemonSettingsTest.cpp
@@ -99,6 +99,21 @@
     CHECK(settings.drainTimeout == 7500ms);
 }
 
+/// Guards against requests that are taken so late in a drain that the stop of the process cuts them.
+TEST_CASE("a host with a short grace time stops accepting requests early enough to complete them")
+{
+    for (const double grace : {1.5, 3.0, 5.0, 8.0, 30.0}) {
+        CAPTURE(grace);
+        nlohmann::json json = platformSettings();
+        json["forwarding"]["graceSeconds"] = grace;
+        const auto read = readDaemonSettings(json.dump());
+        REQUIRE(std::holds_alternative<DaemonSettings>(read));
+        const auto &settings = std::get<DaemonSettings>(read);
+        CHECK(settings.forwarding->drainAcceptPeriod * 5 <= settings.drainTimeout * 2);
+        CHECK(settings.forwarding->drainAcceptPeriod <= 2800ms);
+    }
+}
+
 TEST_CASE("every fault of the settings is told at once")
 {
     nlohmann::json settings = platformSettings();
