--- a/src/daemon/tests/PlatformFixture.cpp
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -28,7 +28,7 @@
     return "tcp://127.0.0.1:" + std::to_string(freePort(context));
 }
 
-PlatformFixture::PlatformFixture(std::size_t hosts, bool ownLinks)
+PlatformFixture::PlatformFixture(std::size_t hosts, bool ownLinks, Duration drainTimeout)
     : m_platform(std::make_unique<PlatformStandIn>(m_context))
     , m_callers(m_context)
 {
@@ -57,6 +57,7 @@
             return other.host != self.host;
         });
         settings.leaseTimeToLive = 4s;
+        settings.drainTimeout = drainTimeout;
         settings.forwarding = ForwardingSettings();
         settings.forwarding->retries.burst = retryBurst;
         settings.forwarding->relay.port = freePort(m_context);
--- a/src/daemon/tests/PlatformFixture.h
+++ b/src/daemon/tests/PlatformFixture.h
@@ -19,13 +19,17 @@
 {
 public:
     /// `ownLinks`: each host reaches the targets over links of its own; see `HostLinks`.
-    explicit PlatformFixture(std::size_t hosts = 1, bool ownLinks = false);
+    /// `drainTimeout`: how long the daemons complete requests after drain().
+    explicit PlatformFixture(std::size_t hosts = 1, bool ownLinks = false, Duration drainTimeout = 300s);
 
     [[nodiscard]] PlatformStandIn &platform() { return *m_platform; }
 
     /// The links of a host; only if the hosts have links of their own.
     [[nodiscard]] HostLinks &links(std::size_t host) { return *m_links.at(host); }
 
+    /// Shuts a host down, as SIGTERM does. When it has stopped, nothing in this `io_context` goes on.
+    void drain(std::size_t host) { m_daemons.at(host)->drain(); }
+
     /// Sends a caller's request to a host.
     std::shared_ptr<CallerExchange> call(std::size_t host, const std::string &path);
 
