TargetLiveness: Keep entries of listed targets only

What an operator would see in time: a little memory more for each target that leaves while its streams go on. Cause: events that arrive after a target was unlisted wrote its entry again. Change: one entry a target, from its listing to its end; what comes besides is ignored.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -62,12 +62,13 @@
 {
     m_targets.listed(target, router);
     m_limits.listed(target.id, target.incarnation);
+    m_liveness.listed(target.id);
 }
 
 void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
 {
     m_targets.unlisted(target, router);
-    m_liveness.forget(target);
+    m_liveness.unlisted(target);
 }
 
 ForwardCall *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
--- a/src/forwarding/TargetLiveness.cpp
+++ b/src/forwarding/TargetLiveness.cpp
@@ -1,13 +1,16 @@
 #include "forwarding/TargetLiveness.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Carawaymill {
 
 void TargetLiveness::recordSign(const TargetId &target, TimePoint now)
 {
-    m_lastSigns.insert_or_assign(target, now);
-    m_unansweredAt.erase(target);
+    if (const auto found = m_targets.find(target); found != m_targets.end()) {
+        found->second.lastSign = now;
+        found->second.unansweredAt.reset();
+    }
 }
 
 void TargetLiveness::recordSigns(const std::vector<PathStage> &path, TimePoint now)
@@ -19,19 +22,19 @@
 
 bool TargetLiveness::hasShownSignSince(const TargetId &target, TimePoint time) const
 {
-    const auto last = m_lastSigns.find(target);
-    return last != m_lastSigns.end() && last->second > time;
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.lastSign > time;
 }
 
 std::optional<Duration> TargetLiveness::longestSilence(const std::vector<PathStage> &path, TimePoint now) const
 {
     Duration longest{};
     for (const PathStage &stage : path) {
-        const auto last = m_lastSigns.find(stage.target);
-        if (last == m_lastSigns.end()) {
+        const auto found = m_targets.find(stage.target);
+        if (found == m_targets.end() || !found->second.lastSign) {
             return std::nullopt;
         }
-        longest = std::max(longest, now - last->second);
+        longest = std::max(longest, now - *found->second.lastSign);
     }
     return longest;
 }
@@ -47,30 +50,31 @@
     return targets;
 }
 
+bool TargetLiveness::beginQuery(const TargetId &target)
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && !std::exchange(found->second.queryIsOpen, true);
+}
+
 void TargetLiveness::endQuery(const TargetId &target, bool answered, TimePoint now)
 {
-    m_openQueries.erase(target);
-    if (!answered) {
-        m_unansweredAt.insert_or_assign(target, now);
+    if (const auto found = m_targets.find(target); found != m_targets.end()) {
+        found->second.queryIsOpen = false;
+        if (!answered) {
+            found->second.unansweredAt = now;
+        }
     }
 }
 
 std::set<TargetId> TargetLiveness::unanswered(TimePoint now) const
 {
     std::set<TargetId> targets;
-    for (const auto &[target, at] : m_unansweredAt) {
-        if (now - at < m_options.unansweredPeriod) {
+    for (const auto &[target, state] : m_targets) {
+        if (state.unansweredAt && now - *state.unansweredAt < m_options.unansweredPeriod) {
             targets.insert(target);
         }
     }
     return targets;
 }
 
-void TargetLiveness::forget(const TargetId &target)
-{
-    m_lastSigns.erase(target);
-    m_openQueries.erase(target);
-    m_unansweredAt.erase(target);
-}
-
 } // namespace Carawaymill
--- a/src/forwarding/TargetLiveness.h
+++ b/src/forwarding/TargetLiveness.h
@@ -19,8 +19,8 @@
     Duration unansweredPeriod = 500ms;
 };
 
-/// Knows when each target last showed that it works, by events of a response or by the reply to a query, and which
-/// targets are to be queried for such a sign.
+/// Knows when each listed target last showed that it works, by events of a response or by the reply to a query, and
+/// which targets are to be queried for such a sign.
 class TargetLiveness
 {
 public:
@@ -29,6 +29,11 @@
     {
     }
 
+    /// Begins and ends the record of a target. What arrives of targets that are not listed is ignored.
+    void listed(const TargetId &target) { m_targets.try_emplace(target); }
+
+    void unlisted(const TargetId &target) { m_targets.erase(target); }
+
     /// Records that the target replied.
     void recordSign(const TargetId &target, TimePoint now);
 
@@ -44,8 +49,9 @@
     /// The targets on the path that have shown no sign recently.
     [[nodiscard]] std::vector<TargetId> withoutRecentSign(const std::vector<PathStage> &path, TimePoint now) const;
 
-    /// Records that a query is sent to the target. Returns false, and none is to be sent, while one is open.
-    [[nodiscard]] bool beginQuery(const TargetId &target) { return m_openQueries.insert(target).second; }
+    /// Records that a query is sent to the target. Returns false, and none is to be sent, while one is open and for
+    /// targets that are not listed.
+    [[nodiscard]] bool beginQuery(const TargetId &target);
 
     /// Records the end of a query. A reply is recorded with recordSign().
     void endQuery(const TargetId &target, bool answered, TimePoint now);
@@ -53,15 +59,19 @@
     /// The targets that have not replied to their last query, a short time ago, and have shown no sign since.
     [[nodiscard]] std::set<TargetId> unanswered(TimePoint now) const;
 
-    /// Forgets a target that is no longer listed.
-    void forget(const TargetId &target);
+    [[nodiscard]] std::size_t size() const { return m_targets.size(); }
 
 private:
+    struct State
+    {
+        std::optional<TimePoint> lastSign;
+        bool queryIsOpen = false;
+        /// When the last query ended without a reply, unless a sign came later.
+        std::optional<TimePoint> unansweredAt;
+    };
+
     TargetLivenessOptions m_options;
-    std::map<TargetId, TimePoint> m_lastSigns;
-    std::set<TargetId> m_openQueries;
-    /// When the last query of each target ended without a reply.
-    std::map<TargetId, TimePoint> m_unansweredAt;
+    std::map<TargetId, State> m_targets;
 };
 
 } // namespace Carawaymill
