--- a/src/forwarding/tests/TargetLivenessTest.cpp
+++ b/src/forwarding/tests/TargetLivenessTest.cpp
@@ -9,6 +9,7 @@
 static std::vector<PathStage> pathOf(const std::vector<std::string> &targets)
 {
     std::vector<PathStage> path;
+    path.reserve(targets.size());
     for (const std::string &target : targets) {
         path.push_back({.target = TargetId(target), .address = target + ":1", .layers = {}});
     }
--- a/src/platformstandin/SilentFleet.cpp
+++ b/src/platformstandin/SilentFleet.cpp
@@ -172,7 +172,8 @@
         const TimePoint now = readBootClock();
         due += seconds(now - last) * m_options.requestsPerSecond;
         last = now;
-        for (; due >= 1; due -= 1) {
+        while (due >= 1) {
+            due -= 1;
             const double kind = m_random.fraction();
             const std::string path = kind < 0.85 ? "/engine/a" : kind < 0.95 ? "/once/a" : "/plain/a";
             const std::string &host = m_hostAddresses[m_random.below(m_hostAddresses.size())];
