--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -466,9 +466,7 @@
 
 void Forwarder::on(const DrainTimeoutReached &, HandlerContext &context)
 {
-    for (const EarlyRequest &early : std::exchange(m_earlyRequests, {})) {
-        accept(early.event.request, early.event.id, early.receivedAt, context);
-    }
+    acceptEarlyRequests(context);
     while (!m_calls.empty()) {
         ForwardCall &call = m_calls.begin()->second;
         endAttempt(call, true, context);
