--- a/src/platformstandin/CallerStandIn.cpp
+++ b/src/platformstandin/CallerStandIn.cpp
@@ -8,7 +8,8 @@
 /// Longer than the deadline that callers state.
 static constexpr Duration responseTimeout = 15s;
 
-std::shared_ptr<CallerExchange> CallerStandIn::call(const std::string &address, const std::string &path)
+std::shared_ptr<CallerExchange>
+CallerStandIn::call(const std::string &address, const std::string &path, CallerConnection connection)
 {
     auto call = std::make_shared<CallerExchange>();
     call->attempt = "attempt-" + std::to_string(++m_lastAttempt);
@@ -24,14 +25,17 @@
     call->exchange =
         m_client.open(address,
                       request,
-                      {.timeout = responseTimeout, .freshConnection = true},
+                      {.timeout = responseTimeout, .freshConnection = connection == CallerConnection::New},
                       [record = call.get()](const HttpStreamEvent &event) {
                           std::visit(Overloaded{[&](const HttpResponseHead &head) { record->status = head.status; },
                                                 [&](const HttpBodyPart &part) { record->body += part.bytes; },
                                                 [&](HttpResponseEnd) { record->complete = true; },
-                                                [&](HttpNotSent) { record->failed = true; },
+                                                [&](HttpNotSent) { record->failed = record->notSent = true; },
                                                 [&](HttpNoResponse) { record->failed = true; }},
                                      event);
+                          if (record->ended()) {
+                              record->endedAt = readBootClock();
+                          }
                       });
     return call;
 }
--- a/src/platformstandin/CallerStandIn.h
+++ b/src/platformstandin/CallerStandIn.h
@@ -14,18 +14,28 @@
 {
     std::string attempt;
     TimePoint sentAt;
+    /// When the response was complete or the connection failed.
+    TimePoint endedAt{};
     unsigned status = 0;
     std::string body;
     /// The response arrived completely.
     bool complete = false;
     /// The connection failed before the response was complete.
     bool failed = false;
+    /// No connection to the host could be opened.
+    bool notSent = false;
     std::unique_ptr<HttpExchange> exchange;
 
     [[nodiscard]] bool ended() const { return complete || failed; }
 };
 
-/// Stand-in for the callers of the platform's published routes: each request goes over a connection of its own.
+/// Whether a request goes over a connection of its own, or over an idle one of an earlier request if there is any.
+enum class CallerConnection {
+    New,
+    Kept,
+};
+
+/// Stand-in for the callers of the platform's published routes.
 class CallerStandIn
 {
 public:
@@ -35,7 +45,8 @@
     }
 
     /// Sends a request to the address of a host.
-    std::shared_ptr<CallerExchange> call(const std::string &address, const std::string &path);
+    std::shared_ptr<CallerExchange>
+    call(const std::string &address, const std::string &path, CallerConnection connection = CallerConnection::New);
 
 private:
     HttpClient m_client;
--- a/src/platformstandin/DaemonProcess.cpp
+++ b/src/platformstandin/DaemonProcess.cpp
@@ -43,6 +43,13 @@
     }
 }
 
+void DaemonProcess::reload() const
+{
+    if (!m_ended) {
+        kill(m_process, SIGHUP);
+    }
+}
+
 bool DaemonProcess::hasEnded()
 {
     m_ended = m_ended || waitpid(m_process, &m_status, WNOHANG) == m_process;
--- a/src/platformstandin/DaemonProcess.h
+++ b/src/platformstandin/DaemonProcess.h
@@ -32,6 +32,9 @@
     /// Sends SIGTERM.
     void terminate() const;
 
+    /// Sends SIGHUP, as after a change of the settings file.
+    void reload() const;
+
     /// Whether the process has ended.
     [[nodiscard]] bool hasEnded();
 
--- a/src/platformstandin/SilentFleet.cpp
+++ b/src/platformstandin/SilentFleet.cpp
@@ -21,10 +21,20 @@
 static constexpr Duration deadlineSlack = 500ms;
 static constexpr std::size_t allowedLostRequests = 3;
 
-static constexpr std::size_t plainTargets = 3;
+static constexpr std::ptrdiff_t allowedLateRetries = 3;
+static constexpr Duration connectivityPeriod = 3s;
+static constexpr Duration graceTime = 8s;
+/// A connection that is closed within this time of a request may have crossed it.
+static constexpr Duration lossSlack = 200ms;
+
+static constexpr std::size_t plainTargets = 6;
+static constexpr Duration plainPace = 600ms;
+static constexpr const char *crashingPath = "/plain/crash";
+/// The balancer sends nothing new to a host from about this time after its readiness check has begun to fail.
+static constexpr Duration balancerDelay = 2s;
 static constexpr Duration startLimit = 20s;
 static constexpr Duration responseLimit = 16s;
-static constexpr Duration silenceInterval = 6s;
+static constexpr Duration roundInterval = 6s;
 /// The configuration changes this long before the targets fall silent.
 static constexpr Duration changeLead = 600ms;
 static constexpr EventCount eventsPerStream = 60;
@@ -61,8 +71,10 @@
     }
     m_startedAt = readBootClock();
     load(4s);
-    for (std::size_t number = 0; number < m_options.silences; ++number) {
-        silence(number);
+    for (std::size_t round = 0; round < m_options.rounds; ++round) {
+        const TimePoint end = readBootClock() + roundInterval;
+        std::visit([&](const auto &trouble) { play(trouble, round); }, m_options.trouble);
+        load(end - readBootClock());
     }
     load(4s);
     const TimePoint end = readBootClock() + responseLimit;
@@ -76,65 +88,78 @@
         checkTargetsPerAttempt(arrivals);
         checkDeadlines(arrivals);
     }
+    checkCrashingRequest(arrivalsAt(ServiceId("plain")));
     checkCalls();
+    checkLostCalls();
     return !m_broken;
 }
 
 bool SilentFleet::startTargets()
 {
-    const auto start = [this](const std::string &id, const ServiceId &service, bool isEngine) {
-        TargetStandInOptions options{.id = TargetId(id),
-                                     .service = service,
-                                     .failureDomain = FailureDomainId(m_targets.size() % 2 == 0 ? "zone-1" : "zone-2"),
-                                     .streams = isEngine,
-                                     .eventsPerStream = eventsPerStream,
-                                     .pace = eventPace};
-        if (isEngine) {
-            options.engine = EngineStandInProfile{.acceleratorKind = publishedAcceleratorKind, .layers = {}};
-        }
-        m_services[options.id] = service;
-        m_targets.push_back(TargetProcess::start(m_context, m_options.targetProgram, options));
-        return m_targets.back() != nullptr;
-    };
     bool started = true;
     for (std::size_t number = 1; number <= m_options.engines; ++number) {
-        started = start("e" + std::to_string(number), ServiceId("engine"), true) && started;
+        started = startTarget(ServiceId("engine"), true) && started;
     }
     for (std::size_t number = 1; number <= plainTargets; ++number) {
-        started = start("p" + std::to_string(number), ServiceId("plain"), false) && started;
+        started = startTarget(ServiceId("plain"), false) && started;
     }
     return started;
 }
 
+bool SilentFleet::startTarget(const ServiceId &service, bool isEngine)
+{
+    const std::size_t number = ++m_targetsStarted;
+    TargetStandInOptions options{.id = TargetId((isEngine ? "e" : "p") + std::to_string(number)),
+                                 .service = service,
+                                 .failureDomain = FailureDomainId(number % 2 == 0 ? "zone-1" : "zone-2"),
+                                 .streams = isEngine,
+                                 .eventsPerStream = eventsPerStream,
+                                 .pace = isEngine ? eventPace : plainPace,
+                                 .crashingPath = isEngine ? "" : crashingPath};
+    if (isEngine) {
+        options.engine = EngineStandInProfile{.acceleratorKind = publishedAcceleratorKind, .layers = {}};
+    }
+    m_services[options.id] = service;
+    m_targets.push_back(TargetProcess::start(m_context, m_options.targetProgram, options));
+    return m_targets.back() != nullptr;
+}
+
 bool SilentFleet::startDaemons()
 {
     for (std::size_t number = 1; number <= m_options.hosts; ++number) {
-        m_hostAddresses.push_back("127.0.2." + std::to_string(number));
+        const std::string name = m_options.workFolder + "/host-" + std::to_string(number);
+        m_hosts.push_back(
+            {.address = "127.0.2." + std::to_string(number), .settings = name + ".json", .log = name + ".log"});
     }
     for (std::size_t index = 0; index < m_options.hosts; ++index) {
-        const std::string name = m_options.workFolder + "/host-" + std::to_string(index + 1);
-        std::ofstream(name + ".json") << entryHostSettings(
-            {.address = m_hostAddresses[index],
+        Host &host = m_hosts[index];
+        std::ofstream(host.settings) << entryHostSettings(
+            {.address = host.address,
              .failureDomain = FailureDomainId(index % 2 == 0 ? "zone-1" : "zone-2"),
              .storeAddress = m_platform.store().address(),
-             .seedHosts = {m_hostAddresses.front(), m_hostAddresses.back()},
+             .seedHosts = {m_hosts.front().address, m_hosts.back().address},
+             .graceTime = graceTime,
              .retryBurst = retryBurst,
              .relays = m_options.relays});
-        m_daemons.push_back(
-            DaemonProcess::start({.program = m_options.daemon, .settings = name + ".json", .log = name + ".log"}));
-        if (!m_daemons.back()) {
+        if (!startDaemon(host)) {
             return false;
         }
     }
     return true;
 }
 
+bool SilentFleet::startDaemon(Host &host) const
+{
+    host.daemon = DaemonProcess::start({.program = m_options.daemon, .settings = host.settings, .log = host.log});
+    return host.daemon != nullptr;
+}
+
 bool SilentFleet::waitUntilServed()
 {
     const TimePoint end = readBootClock() + startLimit;
-    for (const std::string &host : m_hostAddresses) {
+    for (const Host &host : m_hosts) {
         for (bool served = false; !served;) {
-            const auto exchange = m_callers.call(callerAddressOf(host), "/engine/start");
+            const auto exchange = m_callers.call(callerAddressOf(host.address), "/engine/start");
             while (!exchange->ended() && readBootClock() < end) {
                 runFor(50ms);
             }
@@ -161,6 +186,8 @@
     for (const TimePoint end = readBootClock() + period; readBootClock() < end;) {
         m_context.run_one_for(std::chrono::milliseconds(5));
         recordTargets();
+        replaceCrashedTargets();
+        replaceStoppedHosts();
     }
 }
 
@@ -175,9 +202,15 @@
         while (due >= 1) {
             due -= 1;
             const double kind = m_random.fraction();
-            const std::string path = kind < 0.85 ? "/engine/a" : kind < 0.95 ? "/once/a" : "/plain/a";
-            const std::string &host = m_hostAddresses[m_random.below(m_hostAddresses.size())];
-            m_calls.push_back({.exchange = m_callers.call(callerAddressOf(host), path), .path = path});
+            const double streams = std::holds_alternative<HostsKilled>(m_options.trouble) ? 0.2 : 0.85;
+            const std::string path = kind < streams ? "/engine/a" : kind < 0.95 ? "/plain/a" : "/once/a";
+            const std::size_t index = m_random.below(m_hosts.size());
+            const auto connection = m_random.fraction() < 0.5 ? CallerConnection::Kept : CallerConnection::New;
+            if (const Host &host = m_hosts[index]; host.inRotation && host.daemon) {
+                m_calls.push_back({.exchange = m_callers.call(callerAddressOf(host.address), path, connection),
+                                   .path = path,
+                                   .host = index});
+            }
         }
         runFor(loadStep);
     }
@@ -198,12 +231,11 @@
     m_platform.publish(m_configuration);
 }
 
-void SilentFleet::silence(std::size_t number)
+void SilentFleet::play(const EnginesSilent & /*trouble*/, std::size_t round)
 {
-    const TimePoint end = readBootClock() + silenceInterval;
-    changeConfiguration(number);
+    changeConfiguration(round);
     load(changeLead);
-    const bool all = number % 2 == 0;
+    const bool all = round % 2 == 0;
     std::vector<const TargetProcess *> paused;
     for (const auto &target : m_targets) {
         if (m_services.at(target->id()) == ServiceId("engine") && (all || m_random.fraction() < 0.6)) {
@@ -220,19 +252,151 @@
     for (const TargetProcess *target : paused) {
         target->resume();
     }
-    load(end - readBootClock());
+}
+
+void SilentFleet::play(const HostsKilled & /*trouble*/, std::size_t round)
+{
+    static constexpr std::size_t killsPerRound = 8;
+    static constexpr Duration killInterval = 600ms;
+    static constexpr std::size_t targetsPerKill = 5;
+    for (std::size_t kill = 0; kill < killsPerRound; ++kill) {
+        for (std::size_t target = 0; target < targetsPerKill; ++target) {
+            replacePlainTarget();
+            load(killInterval / targetsPerKill);
+        }
+        killHost(m_hosts[(round * killsPerRound + kill) % m_hosts.size()]);
+    }
+}
+
+void SilentFleet::play(const HostsStopped & /*trouble*/, std::size_t round)
+{
+    static constexpr Duration stopInterval = 1500ms;
+    stopHost(m_hosts[2 * round % m_hosts.size()]);
+    load(stopInterval);
+    stopHost(m_hosts[(2 * round + 1) % m_hosts.size()]);
+}
+
+void SilentFleet::play(const SettingsReloaded & /*trouble*/, std::size_t /*round*/)
+{
+    for (std::size_t signal = 0; signal < 10; ++signal) {
+        for (const Host &host : m_hosts) {
+            host.daemon->reload();
+        }
+        load(400ms);
+    }
+}
+
+void SilentFleet::play(const StoreDown & /*trouble*/, std::size_t round)
+{
+    changeConfiguration(round);
+    m_platform.store().setDown(true);
+    load(3s);
+    m_platform.store().setDown(false);
+}
+
+void SilentFleet::play(const TargetsCrashed & /*trouble*/, std::size_t round)
+{
+    // From the second round on, the hosts start anew: in turn, or all at once.
+    if (round > 0) {
+        const Duration interval = round % 2 == 1 ? 500ms : 0ms;
+        for (Host &host : m_hosts) {
+            killHost(host);
+            load(interval);
+        }
+        load(connectivityPeriod);
+    }
+    for (std::size_t call = 0; call < 20; ++call) {
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            m_calls.push_back({.exchange = m_callers.call(callerAddressOf(m_hosts[index].address), crashingPath),
+                               .path = crashingPath,
+                               .host = index});
+        }
+        load(200ms);
+    }
+}
+
+void SilentFleet::killHost(Host &host)
+{
+    std::cout << seconds(readBootClock() - m_startedAt) << " s: " << host.address << " is killed" << std::endl;
+    host.daemon.reset();
+    host.killedAt.push_back(readBootClock());
+    check(startDaemon(host), "a daemon starts");
+}
+
+void SilentFleet::stopHost(Host &host)
+{
+    if (host.stoppedAt) {
+        return;
+    }
+    std::cout << seconds(readBootClock() - m_startedAt) << " s: " << host.address << " is stopped" << std::endl;
+    host.stoppedAt = readBootClock();
+    host.daemon->terminate();
+}
+
+void SilentFleet::replaceStoppedHosts()
+{
+    for (Host &host : m_hosts) {
+        if (!host.stoppedAt) {
+            continue;
+        }
+        host.inRotation = readBootClock() < *host.stoppedAt + balancerDelay;
+        if (!host.inRotation && host.daemon->hasEnded()) {
+            check(host.daemon->hasEndedWell(), "a daemon ends with status 0");
+            check(startDaemon(host), "a daemon starts");
+            host.stoppedAt.reset();
+            host.inRotation = true;
+        }
+        check(!host.stoppedAt || readBootClock() < *host.stoppedAt + graceTime, "a daemon ends within the grace time");
+    }
+}
+
+void SilentFleet::replacePlainTarget()
+{
+    const auto found = std::ranges::find_if(
+        m_targets, [&](const auto &target) { return m_services.at(target->id()) == ServiceId("plain"); });
+    std::unique_ptr<TargetProcess> target = std::move(*found);
+    m_targets.erase(found);
+    retire(std::move(target));
+    check(startTarget(ServiceId("plain"), false), "a target starts");
+}
+
+void SilentFleet::replaceCrashedTargets()
+{
+    for (std::size_t index = 0; index < m_targets.size();) {
+        if (!m_targets[index]->hasEnded()) {
+            ++index;
+            continue;
+        }
+        m_crashes.push_back(readBootClock());
+        std::unique_ptr<TargetProcess> target = std::move(m_targets[index]);
+        m_targets.erase(m_targets.begin() + static_cast<long>(index));
+        retire(std::move(target));
+        check(startTarget(ServiceId("plain"), false), "a target starts");
+    }
+}
+
+void SilentFleet::retire(std::unique_ptr<TargetProcess> target)
+{
+    m_platform.store().remove("servers/" + target->id().value(), readBootClock());
+    m_pastTargets.emplace_back(target->id(), target->arrivals());
 }
 
 SilentFleet::ArrivalsByAttempt SilentFleet::arrivalsAt(const ServiceId &service) const
 {
     ArrivalsByAttempt arrivals;
-    for (const auto &target : m_targets) {
-        if (m_services.at(target->id()) != service) {
-            continue;
+    const auto add = [&](const TargetId &target, const std::vector<TargetArrival> &list) {
+        if (m_services.at(target) != service) {
+            return;
         }
-        for (const TargetArrival &arrival : target->arrivals()) {
-            arrivals[arrival.attempt].push_back({.target = target->id(), .arrival = arrival});
+        for (const TargetArrival &arrival : list) {
+            arrivals[arrival.attempt].push_back({.target = target, .arrival = arrival});
         }
+    };
+    for (const auto &target : m_targets) {
+        add(target->id(), target->arrivals());
+    }
+    for (const auto &[id, list] : m_pastTargets) {
+        add(id, list);
     }
     for (auto &[attempt, list] : arrivals) {
         std::ranges::stable_sort(list, {}, [](const Arrival &arrival) { return arrival.arrival.at; });
@@ -306,10 +470,38 @@
     check(tooLong <= allowedLongDeadlines || tooLong * 5 <= late, "repeats leave targets no more time than is left");
 }
 
+void SilentFleet::checkCrashingRequest(const ArrivalsByAttempt &arrivals)
+{
+    if (m_crashes.size() < 3) {
+        return;
+    }
+    std::set<std::string> crashing;
+    for (const Call &call : m_calls) {
+        if (call.path == crashingPath) {
+            crashing.insert(call.exchange->attempt);
+        }
+    }
+    const auto isExcused = [&](TimePoint at) {
+        return at <= m_crashes[2] + connectivityPeriod || std::ranges::any_of(m_hosts, [&](const Host &host) {
+                   return std::ranges::any_of(host.killedAt, [&](TimePoint killed) {
+                       return at > killed && at <= killed + connectivityPeriod;
+                   });
+               });
+    };
+    std::ptrdiff_t late = 0;
+    for (const auto &[attempt, list] : arrivals) {
+        late +=
+            crashing.contains(attempt)
+                ? std::ranges::count_if(list, [&](const Arrival &arrival) { return !isExcused(arrival.arrival.at); })
+                : 0;
+    }
+    std::cout << m_crashes.size() << " crashes, " << late << " late arrivals of the request that causes them\n";
+    check(late <= allowedLateRetries, "a request that crashes targets is sent in at most three late retries");
+}
+
 void SilentFleet::checkCalls()
 {
     std::map<std::string, std::map<std::string, std::size_t>> outcomes;
-    std::size_t lost = 0;
     std::size_t truncated = 0;
     const std::string wholeStream = streamEvents(eventsPerStream);
     for (const Call &call : m_calls) {
@@ -319,11 +511,6 @@
             outcome = "wrong events";
             ++truncated;
         }
-        if (!exchange.complete) {
-            ++lost;
-            std::cout << "  " << outcome << " " << call.path << " " << exchange.attempt << " sent at "
-                      << seconds(exchange.sentAt - m_startedAt) << " s\n";
-        }
         ++outcomes[call.path][outcome];
     }
     for (const auto &[path, counts] : outcomes) {
@@ -334,7 +521,38 @@
         std::cout << "\n";
     }
     check(truncated == 0, "streams that end well are whole");
-    check(lost <= allowedLostRequests, "requests end with an answer");
+}
+
+void SilentFleet::checkLostCalls()
+{
+    std::set<std::string> arrived;
+    for (const char *service : {"engine", "plain"}) {
+        for (const auto &[attempt, list] : arrivalsAt(ServiceId(service))) {
+            arrived.insert(attempt);
+        }
+    }
+    std::size_t passedOn = 0;
+    std::size_t unread = 0;
+    for (const Call &call : m_calls) {
+        const CallerExchange &exchange = *call.exchange;
+        const bool isExcused = std::ranges::any_of(m_hosts[call.host].killedAt, [&](TimePoint killed) {
+            return exchange.sentAt <= killed + lossSlack
+                   && (!exchange.ended() || killed <= exchange.endedAt + lossSlack);
+        });
+        // A caller that is refused the connection tries another host.
+        if (exchange.complete || isExcused || exchange.notSent || call.path == crashingPath) {
+            continue;
+        }
+        const bool isPassedOn = arrived.contains(exchange.attempt);
+        (isPassedOn ? passedOn : unread) += 1;
+        std::cout << "  without an answer: " << call.path << " " << exchange.attempt << " sent at "
+                  << seconds(exchange.sentAt - m_startedAt) << " s to " << m_hosts[call.host].address
+                  << ", ended after " << (exchange.ended() ? seconds(exchange.endedAt - exchange.sentAt) : -1) << " s, "
+                  << (isPassedOn ? "at a target" : "at no target") << "\n";
+    }
+    std::cout << passedOn << " requests at targets and " << unread << " others without an answer\n";
+    check(passedOn == 0, "requests that targets have got end with an answer");
+    check(unread <= allowedLostRequests, "requests end with an answer");
 }
 
 void SilentFleet::check(bool holds, const std::string &promise)
--- a/src/platformstandin/SilentFleet.h
+++ b/src/platformstandin/SilentFleet.h
@@ -10,11 +10,47 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace Carawaymill {
 
+/// All or most engines are stopped for about a second while the configuration changes.
+struct EnginesSilent
+{
+};
+
+/// Hosts are killed one after the other and started again at once, while targets are killed too.
+struct HostsKilled
+{
+};
+
+/// Hosts are stopped with SIGTERM, the next one before the last one has ended, and started again.
+struct HostsStopped
+{
+};
+
+/// All hosts get SIGHUP again and again.
+struct SettingsReloaded
+{
+};
+
+/// The metadata store answers no call for some seconds.
+struct StoreDown
+{
+};
+
+/// A request crashes each target that begins to answer it, and comes again, also after all hosts were killed.
+struct TargetsCrashed
+{
+};
+
+using FleetTrouble =
+    std::variant<EnginesSilent, HostsKilled, HostsStopped, SettingsReloaded, StoreDown, TargetsCrashed>;
+
 struct SilentFleetOptions
 {
     /// The daemon, and a program that serves as a TargetProcess.
@@ -28,18 +64,19 @@
     std::size_t hosts = 4;
     std::size_t engines = 13;
     double requestsPerSecond = 75;
-    /// How often all or most engines fall silent.
-    std::size_t silences = 4;
+    FleetTrouble trouble = EnginesSilent{};
+    /// How often the trouble comes.
+    std::size_t rounds = 4;
 };
 
-/// A fleet of daemons whose engines, as processes of their own, are stopped for about a second again and again while
-/// the configuration changes. Checks the platform's rules on repeats and on lost requests.
+/// A fleet of daemons and targets as processes of their own, to which one kind of trouble comes again and again. Checks
+/// the platform's rules on repeats and on lost requests.
 class SilentFleet
 {
 public:
     explicit SilentFleet(SilentFleetOptions options);
 
-    /// Plays all silences. Returns whether no rule was broken.
+    /// Plays all rounds. Returns whether no rule was broken.
     bool run();
 
 private:
@@ -47,6 +84,19 @@
     {
         std::shared_ptr<CallerExchange> exchange;
         std::string path;
+        std::size_t host = 0;
+    };
+
+    struct Host
+    {
+        std::string address;
+        std::string settings;
+        std::string log;
+        std::unique_ptr<DaemonProcess> daemon;
+        /// The balancer sends new connections.
+        bool inRotation = true;
+        std::optional<TimePoint> stoppedAt = std::nullopt;
+        std::vector<TimePoint> killedAt = {};
     };
 
     struct Arrival
@@ -59,19 +109,38 @@
     using ArrivalsByAttempt = std::map<std::string, std::vector<Arrival>>;
 
     [[nodiscard]] bool startTargets();
+    [[nodiscard]] bool startTarget(const ServiceId &service, bool isEngine);
     [[nodiscard]] bool startDaemons();
+    [[nodiscard]] bool startDaemon(Host &host) const;
     [[nodiscard]] bool waitUntilServed();
     void load(Duration period);
     void runFor(Duration period);
     void recordTargets();
     /// Publishes the next version of the configuration, changed in one of three ways.
     void changeConfiguration(std::size_t kind);
-    void silence(std::size_t number);
+    void play(const EnginesSilent &trouble, std::size_t round);
+    void play(const HostsKilled &trouble, std::size_t round);
+    void play(const HostsStopped &trouble, std::size_t round);
+    void play(const SettingsReloaded &trouble, std::size_t round);
+    void play(const StoreDown &trouble, std::size_t round);
+    void play(const TargetsCrashed &trouble, std::size_t round);
+    void killHost(Host &host);
+    void stopHost(Host &host);
+    /// Starts hosts again that have ended after stopHost(), and takes hosts that are stopping out of rotation.
+    void replaceStoppedHosts();
+    /// Kills a plain target and starts another one.
+    void replacePlainTarget();
+    /// Starts another target for each one that a request has crashed.
+    void replaceCrashedTargets();
+    void retire(std::unique_ptr<TargetProcess> target);
     [[nodiscard]] ArrivalsByAttempt arrivalsAt(const ServiceId &service) const;
     void checkRepeats(const ServiceId &service, const ArrivalsByAttempt &arrivals);
     void checkTargetsPerAttempt(const ArrivalsByAttempt &arrivals);
     void checkDeadlines(const ArrivalsByAttempt &arrivals);
+    /// Checks in how many retries the request that crashes targets was sent after hosts could have known it.
+    void checkCrashingRequest(const ArrivalsByAttempt &arrivals);
     void checkCalls();
+    void checkLostCalls();
     void check(bool holds, const std::string &promise);
 
     SilentFleetOptions m_options;
@@ -82,8 +151,11 @@
     PublishedConfiguration m_configuration;
     std::map<TargetId, ServiceId> m_services;
     std::vector<std::unique_ptr<TargetProcess>> m_targets;
-    std::vector<std::string> m_hostAddresses;
-    std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
+    /// Targets that were killed or have crashed, for their arrivals.
+    std::vector<std::pair<TargetId, std::vector<TargetArrival>>> m_pastTargets;
+    std::vector<TimePoint> m_crashes;
+    std::size_t m_targetsStarted = 0;
+    std::vector<Host> m_hosts;
     std::vector<Call> m_calls;
     TimePoint m_startedAt{};
     bool m_broken = false;
--- a/src/platformstandin/SilentFleetMain.cpp
+++ b/src/platformstandin/SilentFleetMain.cpp
@@ -1,10 +1,25 @@
 #include "platformstandin/SilentFleet.h"
 
 #include <iostream>
+#include <map>
+#include <optional>
 #include <popt.h>
+#include <string>
 
 using namespace Carawaymill;
 
+static std::optional<FleetTrouble> troubleNamed(const std::string &name)
+{
+    static const std::map<std::string, FleetTrouble> troubles{{"silent-engines", EnginesSilent{}},
+                                                              {"killed-hosts", HostsKilled{}},
+                                                              {"stopped-hosts", HostsStopped{}},
+                                                              {"reloads", SettingsReloaded{}},
+                                                              {"store-down", StoreDown{}},
+                                                              {"crashing-request", TargetsCrashed{}}};
+    const auto found = troubles.find(name);
+    return found != troubles.end() ? std::optional(found->second) : std::nullopt;
+}
+
 int main(int argc, const char **argv)
 {
     char *daemon = nullptr;
@@ -15,7 +30,8 @@
     int hosts = 4;
     int engines = 13;
     int requestsPerSecond = 75;
-    int silences = 4;
+    int rounds = 4;
+    char *trouble = nullptr;
     const poptOption table[] = {
         {"daemon", 'd', POPT_ARG_STRING, &daemon, 0, "daemon to play", "PROGRAM"},
         {"without-relays", 0, POPT_ARG_NONE, &withoutRelays, 0, "the daemon's build has no relay port", nullptr},
@@ -24,7 +40,14 @@
         {"hosts", 0, POPT_ARG_INT, &hosts, 0, "number of hosts", "N"},
         {"engines", 0, POPT_ARG_INT, &engines, 0, "number of engines", "N"},
         {"requests-per-second", 0, POPT_ARG_INT, &requestsPerSecond, 0, "requests of all callers", "N"},
-        {"silences", 0, POPT_ARG_INT, &silences, 0, "how often engines fall silent, every 6 s", "N"},
+        {"trouble",
+         't',
+         POPT_ARG_STRING,
+         &trouble,
+         0,
+         "silent-engines (the default), killed-hosts, stopped-hosts, reloads, store-down or crashing-request",
+         "NAME"},
+        {"rounds", 0, POPT_ARG_INT, &rounds, 0, "how often the trouble comes, every 6 s", "N"},
         {"serve-target",
          0,
          POPT_ARG_STRING,
@@ -39,8 +62,9 @@
         serveAsTargetProcess(servedTarget);
         return 0;
     }
-    if (!isRead || daemon == nullptr || workFolder == nullptr) {
-        std::cerr << "carawaymill-silent-fleet: --daemon and --work are needed\n";
+    const std::optional<FleetTrouble> played = troubleNamed(trouble != nullptr ? trouble : "silent-engines");
+    if (!isRead || daemon == nullptr || workFolder == nullptr || !played) {
+        std::cerr << "carawaymill-silent-fleet: --daemon, --work and the name of a trouble are needed\n";
         return 2;
     }
     SilentFleet fleet({.daemon = daemon,
@@ -51,6 +75,7 @@
                        .hosts = static_cast<std::size_t>(hosts),
                        .engines = static_cast<std::size_t>(engines),
                        .requestsPerSecond = static_cast<double>(requestsPerSecond),
-                       .silences = static_cast<std::size_t>(silences)});
+                       .trouble = *played,
+                       .rounds = static_cast<std::size_t>(rounds)});
     return fleet.run() ? 0 : 1;
 }
--- a/src/platformstandin/TargetProcess.cpp
+++ b/src/platformstandin/TargetProcess.cpp
@@ -33,7 +33,8 @@
                         {"concurrency", options.concurrency},
                         {"streams", options.streams},
                         {"eventsPerStream", options.eventsPerStream},
-                        {"paceMs", toMilliseconds(options.pace)}};
+                        {"paceMs", toMilliseconds(options.pace)},
+                        {"crashingPath", options.crashingPath}};
     if (options.engine) {
         json["acceleratorKind"] = options.engine->acceleratorKind;
     }
@@ -48,7 +49,8 @@
                                  .concurrency = json.at("concurrency").get<std::uint32_t>(),
                                  .streams = json.at("streams").get<bool>(),
                                  .eventsPerStream = json.at("eventsPerStream").get<EventCount>(),
-                                 .pace = std::chrono::milliseconds(json.at("paceMs").get<std::int64_t>())};
+                                 .pace = std::chrono::milliseconds(json.at("paceMs").get<std::int64_t>()),
+                                 .crashingPath = json.at("crashingPath").get<std::string>()};
     if (json.contains("acceleratorKind")) {
         options.engine =
             EngineStandInProfile{.acceleratorKind = json.at("acceleratorKind").get<std::string>(), .layers = {}};
@@ -113,6 +115,7 @@
     boost::asio::async_read_until(
         m_output, m_buffer, '\n', [this](const boost::system::error_code &error, std::size_t) {
             if (error) {
+                m_ended = error != boost::asio::error::operation_aborted;
                 return;
             }
             std::istream stream(&m_buffer);
@@ -171,6 +174,10 @@
             }
             std::cout << json << std::endl;
         }
+        if (target.hasCrashed()) {
+            context.stop();
+            return;
+        }
         timer.expires_after(tickInterval);
         timer.async_wait([&tick](const boost::system::error_code &error) {
             if (!error) {
--- a/src/platformstandin/TargetProcess.h
+++ b/src/platformstandin/TargetProcess.h
@@ -40,6 +40,9 @@
     /// Whether the record has changed since the last call.
     [[nodiscard]] bool takeRecordChange() { return std::exchange(m_recordChanged, false); }
 
+    /// Whether the process has ended by itself, because a request crashed it.
+    [[nodiscard]] bool hasEnded() const { return m_ended; }
+
     /// Requests of callers, in the order in which the process has read them.
     [[nodiscard]] const std::vector<TargetArrival> &arrivals() const { return m_arrivals; }
 
@@ -54,6 +57,7 @@
     boost::asio::streambuf m_buffer;
     nlohmann::json m_record;
     bool m_recordChanged = false;
+    bool m_ended = false;
     std::vector<TargetArrival> m_arrivals;
 };
 
