HttpServer: Close no connection in a drain on which a request may be on its way

Cause: closeIfIdle() ended every connection without a request in progress. It could not tell an idle connection from a new one, from one whose bytes had arrived unread, or from one whose response had not announced the close because its head was older than the SIGTERM. The last kind was the most frequent: the connection was closed when its stream ended, while its caller reused it.

Now responses announce the close from the SIGTERM on, and connections stay open until they have announced it or the host no longer accepts requests. Only connections that have responded, without unread bytes, are closed then.

Three tests in httpTest fail on the code before (18 of 21 pass), and pass now.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -112,7 +112,8 @@
         m_drainAtLeastUntil = now + m_settings.drainAtLeast;
         feed(DrainRequested{});
         if (m_settings.forwarding) {
-            m_callers->closeConnections();
+            m_callers->announceClose();
+            m_closeIdleAt = now + m_settings.forwarding->drainAcceptPeriod;
         }
     }
 
@@ -233,6 +234,12 @@
         const TimePoint now = readBootClock();
         const bool idle = now >= m_drainAtLeastUntil && m_node->drained() && m_callers->requestsInProgress() == 0
                           && m_relay.inProgress() == 0;
+        if (m_closeIdleAt && (idle || now >= *m_closeIdleAt)) {
+            // Requests that have arrived unread are answered before the next tick.
+            m_callers->closeConnections();
+            m_closeIdleAt.reset();
+            return;
+        }
         if (!idle && now < *m_drainUntil) {
             return;
         }
@@ -427,6 +434,8 @@
     RequestId m_lastRequest;
     std::optional<TimePoint> m_drainUntil;
     TimePoint m_drainAtLeastUntil{};
+    /// When idle connections of callers are closed in a drain, since further requests on them would be refused.
+    std::optional<TimePoint> m_closeIdleAt;
     bool m_drainTimedOut = false;
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -55,22 +55,23 @@
         });
     }
 
-    void drain()
+    void stop()
     {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         closeConnections();
+        forEachSession([](HttpSession &session) { session.closeUnlessBusy(); });
     }
 
+    void announceClose() { m_state->announcesClose = true; }
+
     void setLimits(const CallerLimits &limits) { m_state->options.limits = limits; }
 
     void closeConnections()
     {
-        m_state->draining = true;
-        const auto sessions = m_state->sessions;
-        for (HttpSession *session : sessions) {
-            session->closeIfIdle();
-        }
+        m_state->announcesClose = true;
+        m_state->closesIdle = true;
+        forEachSession([](HttpSession &session) { session.closeIfIdle(); });
     }
 
     [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
@@ -78,6 +79,15 @@
     [[nodiscard]] std::size_t requestsInProgress() const { return m_state->requestsInProgress; }
 
 private:
+    template<typename Function>
+    void forEachSession(Function function)
+    {
+        const auto sessions = m_state->sessions;
+        for (HttpSession *session : sessions) {
+            function(*session);
+        }
+    }
+
     tcp::acceptor m_acceptor;
     std::shared_ptr<HttpServerState> m_state;
 };
@@ -89,7 +99,7 @@
 
 HttpServer::~HttpServer()
 {
-    m_implementation->drain();
+    m_implementation->stop();
 }
 
 Result<std::unique_ptr<HttpServer>, ListenFailure>
@@ -123,9 +133,9 @@
     m_implementation->closeConnections();
 }
 
-void HttpServer::drain()
+void HttpServer::announceClose()
 {
-    m_implementation->drain();
+    m_implementation->announceClose();
 }
 
 } // namespace Carawaymill
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -56,11 +56,12 @@
     [[nodiscard]] std::size_t requestsInProgress() const;
     /// Takes effect with the next request on each connection.
     void setLimits(const CallerLimits &limits);
-    /// Closes idle connections now and the others after their next response. New connections are still accepted, but
-    /// they too are closed after their first response.
+    /// From now on, each response announces that its connection is closed. Connections whose last response has not
+    /// announced it stay open for one more request: it may be on its way.
+    void announceClose();
+    /// Closes connections that are idle after a response, and the others after their next response. New connections are
+    /// still accepted, but they too are closed after their first response.
     void closeConnections();
-    /// Stops listening and closes idle connections; the others are closed when the response in progress is complete.
-    void drain();
 
 private:
     class Implementation;
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -96,13 +96,25 @@
 
 void HttpSession::closeIfIdle()
 {
-    // If bytes of a request have already arrived, it is served. Otherwise the read ends with an error, which closes the
-    // connection.
+    if (m_awaitingRequest && m_hasResponded && !hasUnreadBytes()) {
+        // The read ends with an error, which closes the connection, or with bytes that have arrived meanwhile.
+        m_stream.cancel();
+    }
+}
+
+void HttpSession::closeUnlessBusy()
+{
     if (m_awaitingRequest) {
         m_stream.cancel();
     }
 }
 
+bool HttpSession::hasUnreadBytes() const
+{
+    error_code ignored;
+    return m_buffer.size() > 0 || m_stream.socket().available(ignored) > 0;
+}
+
 /// Whether the caller sent malformed HTTP, as opposed to a connection that was closed or timed out.
 static bool isMalformed(error_code error)
 {
@@ -212,12 +224,10 @@
         return;
     }
     const bool hasFailed = m_closed || (error && error != boost::asio::error::operation_aborted);
-    // closeIfIdle() may have come before the read for the next request was started.
-    const bool isIdleInDrain = m_server->draining && m_buffer.size() == 0;
-    if (hasFailed || isIdleInDrain) {
+    if (hasFailed) {
         close();
     } else {
-        readRequest();
+        awaitNextRequest();
     }
 }
 
@@ -239,20 +249,28 @@
         text.append(name).append(": ").append(value).append("\r\n");
     }
     text.append(framing).append("\r\n");
-    if (!m_keepAlive || m_server->draining) {
+    if (!m_keepAlive) {
         text.append("Connection: close\r\n");
     }
     return text.append("\r\n");
 }
 
+void HttpSession::beginResponse()
+{
+    m_hasResponded = true;
+    m_keepAlive = m_keepAlive && !m_server->announcesClose;
+}
+
 void HttpSession::sendResponse(const HttpResponse &response)
 {
     m_responseComplete = true;
+    beginResponse();
     enqueue(serialiseHead(response, "Content-Length: " + std::to_string(response.body.size())) + response.body);
 }
 
 void HttpSession::startStream(const HttpResponse &response)
 {
+    beginResponse();
     enqueue(serialiseHead(response, "Transfer-Encoding: chunked"));
 }
 
@@ -316,12 +334,21 @@
     m_requestInProgress = false;
     m_disconnectCallback = nullptr;
     --m_server->requestsInProgress;
-    if (!m_keepAlive || m_server->draining) {
+    if (!m_keepAlive) {
         close();
     } else if (m_readingAhead) {
         // readAhead() goes on with the next request.
         error_code ignored;
         m_stream.socket().cancel(ignored);
+    } else {
+        awaitNextRequest();
+    }
+}
+
+void HttpSession::awaitNextRequest()
+{
+    if (m_server->closesIdle && !hasUnreadBytes()) {
+        close();
     } else {
         readRequest();
     }
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -23,8 +23,10 @@
     HttpHandler handler;
     std::set<HttpSession *> sessions;
     std::size_t requestsInProgress = 0;
-    /// Every connection is closed after its next response.
-    bool draining = false;
+    /// Responses announce that their connection is closed, which is done once they are complete.
+    bool announcesClose = false;
+    /// Connections are also closed after responses that have not announced it, unless a request has arrived.
+    bool closesIdle = false;
 };
 
 /// One connection of a caller: reads a request, passes it to the handler, writes the response, and repeats.
@@ -37,8 +39,11 @@
     HttpSession &operator=(const HttpSession &) = delete;
     ~HttpSession();
 
-    /// Closes the connection unless a request is in progress or its first bytes have arrived.
+    /// Closes the connection if a response was sent on it and no byte of a further request has arrived. The first
+    /// request on a new connection is on its way.
     void closeIfIdle();
+    /// Closes the connection unless a request is in progress.
+    void closeUnlessBusy();
 
     // The responder of the request in progress calls these functions, see `HttpResponder`.
     void sendResponse(const HttpResponse &response);
@@ -65,9 +70,13 @@
     void enqueue(const std::string &bytes);
     void writeNext();
     void finishRequest();
+    /// Continues after a response whose connection stays open.
+    void awaitNextRequest();
     /// Closes the connection, ends the request in progress and runs the disconnect callback.
     void fail();
     void close();
+    [[nodiscard]] bool hasUnreadBytes() const;
+    void beginResponse();
     /// Serialises status and headers; `framing` is the header that states where the body ends.
     [[nodiscard]] std::string serialiseHead(const HttpResponse &response, const std::string &framing) const;
 
@@ -87,6 +96,8 @@
     bool m_responseComplete = false;
     /// The connection stays open after the response.
     bool m_keepAlive = true;
+    /// A response was sent on the connection.
+    bool m_hasResponded = false;
     bool m_readingAhead = false;
     bool m_closed = false;
 };
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -458,3 +458,82 @@
         CHECK(closed);
     }
 }
+
+/// Sends a request without a body on the connection.
+static void writeRequest(tcp::socket &socket)
+{
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+}
+
+/// Everything that arrives on the connection until it is closed, or until a quiet period.
+static std::string readAll(HttpFixture &fixture, tcp::socket &socket)
+{
+    std::string received;
+    bool ended = false;
+    boost::asio::async_read(socket,
+                            boost::asio::dynamic_buffer(received),
+                            [&](const boost::system::error_code &, std::size_t) { ended = true; });
+    fixture.context().restart();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+    while (!ended && std::chrono::steady_clock::now() < end) {
+        fixture.context().run_one_for(std::chrono::milliseconds(20));
+    }
+    socket.close();
+    fixture.context().poll();
+    return received;
+}
+
+TEST_CASE("a new connection is not closed in a drain before its first request has arrived")
+{
+    HttpFixture fixture(echo);
+    tcp::socket socket(fixture.context());
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+    fixture.context().poll();
+    fixture.server().closeConnections();
+    fixture.context().poll();
+    writeRequest(socket);
+    const std::string received = readAll(fixture, socket);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a connection whose response has not announced its close takes one more request in a drain")
+{
+    std::unique_ptr<HttpResponder> stream;
+    HttpFixture fixture([&](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+        if (stream == nullptr) {
+            stream = std::move(responder);
+            stream->startStream({});
+        } else {
+            echo(std::move(request), std::move(responder));
+        }
+    });
+    tcp::socket socket(fixture.context());
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+    writeRequest(socket);
+    fixture.runUntil([&] { return stream != nullptr; });
+    fixture.server().announceClose();
+    stream->finishStream();
+    fixture.context().poll();
+    writeRequest(socket);
+    const std::string received = readAll(fixture, socket);
+    CHECK(received.find("0\r\n\r\nHTTP/1.1 200 OK") != std::string::npos);
+    CHECK(received.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a request whose bytes have arrived unread is answered when idle connections are closed")
+{
+    HttpFixture fixture(echo);
+    tcp::socket socket(fixture.context());
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+    writeRequest(socket);
+    std::array<char, 512> buffer{};
+    bool answered = false;
+    socket.async_read_some(boost::asio::buffer(buffer),
+                           [&](const boost::system::error_code &, std::size_t) { answered = true; });
+    fixture.runUntil([&] { return answered; });
+    fixture.context().poll();
+    writeRequest(socket);
+    fixture.server().closeConnections();
+    CHECK(readAll(fixture, socket).starts_with("HTTP/1.1 200"));
+}
