FleetRetryBudget: Give no share of the burst to a process that has just started

Callers of a service in trouble add to its load.

Cause: each start of a process was given the whole share of the host, though the process before had used it within the same window. The half of the burst that was held back covers one restart of every host only. Hosts that start one after the other had too large shares besides, since they count the hosts that have registered so far.

A process now takes its share when it has known the number of hosts for a whole window: nothing that an earlier process sent is left in the window then, and the count is settled. The ratio to its own requests holds from the start.

--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -35,6 +35,9 @@
 void FleetRetryBudget::setHosts(std::size_t hosts, TimePoint now)
 {
     updateHosts(now);
+    if (hosts > 0) {
+        m_knownSince = m_knownSince.value_or(now);
+    }
     m_reportedHosts = hosts;
     updateHosts(now);
 }
@@ -51,9 +54,10 @@
     m_fewerSince.reset();
 }
 
-double FleetRetryBudget::burstShare() const
+double FleetRetryBudget::burstShare(TimePoint now) const
 {
-    return m_hosts > 0 ? m_options.burst * usedBurstShare / static_cast<double>(m_hosts) : 0;
+    const bool isSettled = m_knownSince && now - *m_knownSince >= m_options.window;
+    return isSettled && m_hosts > 0 ? m_options.burst * usedBurstShare / static_cast<double>(m_hosts) : 0;
 }
 
 bool FleetRetryBudget::tryRetry(const ServiceId &service, TimePoint now)
@@ -66,7 +70,7 @@
         requests += counted.requests;
         retries += counted.retries;
     }
-    if (retries > requests * m_options.ratio * usedRatioShare + burstShare()) {
+    if (retries > requests * m_options.ratio * usedRatioShare + burstShare(now)) {
         ++m_refused;
         return false;
     }
--- a/src/forwarding/FleetRetryBudget.h
+++ b/src/forwarding/FleetRetryBudget.h
@@ -23,8 +23,9 @@
 /// This host's share of the retries that all hosts may send to a service.
 ///
 /// The limit holds over all hosts without messages between them: each host stays within the ratio to its own requests
-/// plus an equal share of the burst, none of it before it knows the number of hosts. Half of the burst is reserved for
-/// hosts that are not known yet and for restarted hosts, whose counts are lost.
+/// plus an equal share of the burst. A process takes its share only when it has known other hosts for a whole window:
+/// an earlier process of the host may have used the share, and hosts that start together are not all known at once.
+/// Half of the burst is reserved for retries that arrive late, so that they fall into one window with later ones.
 class FleetRetryBudget
 {
 public:
@@ -59,11 +60,13 @@
     [[nodiscard]] Slot &slot(const ServiceId &service, TimePoint now);
     void updateHosts(TimePoint now);
     /// This host's share of the burst.
-    [[nodiscard]] double burstShare() const;
+    [[nodiscard]] double burstShare(TimePoint now) const;
 
     FleetRetryBudgetOptions m_options;
     std::size_t m_hosts = 0;
     std::size_t m_reportedHosts = 0;
+    /// Since when the number of hosts is known.
+    std::optional<TimePoint> m_knownSince;
     /// Since when fewer hosts than `m_hosts` have been reported.
     std::optional<TimePoint> m_fewerSince;
     std::uint64_t m_granted = 0;
