EventStreamRelay: Read each byte of a stream about once

Cause: for each event, the search for its end looked for both kinds of empty line, and ran to the end of the buffer for the kind that the target does not use; an incomplete event was searched from its start with each part.

One pass finds both, and goes on where the last one stopped.

--- a/src/forwarding/EventStreamRelay.cpp
+++ b/src/forwarding/EventStreamRelay.cpp
@@ -1,21 +1,25 @@
 #include "forwarding/EventStreamRelay.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace Carawaymill {
 
-/// Length of the first event in `bytes` including the empty line that ends it; 0 if the event is incomplete.
-static std::size_t firstEventSize(std::string_view bytes)
+/// End of the first event that ends in `bytes` behind `begin`, after its empty line; npos if none does. Reads each byte
+/// about once: a target in trouble may send events of two bytes without end.
+static std::size_t findEventEnd(std::string_view bytes, std::size_t begin)
 {
-    static constexpr std::string_view lineFeeds = "\n\n";
-    static constexpr std::string_view carriageReturns = "\n\r\n";
-    const std::size_t lineFeedEnd = bytes.find(lineFeeds);
-    const std::size_t carriageReturnEnd = bytes.find(carriageReturns);
-    if (lineFeedEnd == std::string_view::npos && carriageReturnEnd == std::string_view::npos) {
-        return 0;
+    for (std::size_t lineEnd = bytes.find('\n', begin); lineEnd != std::string_view::npos;
+         lineEnd = bytes.find('\n', lineEnd + 1)) {
+        const std::string_view next = bytes.substr(lineEnd + 1, 2);
+        if (next.starts_with('\n')) {
+            return lineEnd + 2;
+        }
+        if (next == "\r\n") {
+            return lineEnd + 3;
+        }
     }
-    return lineFeedEnd < carriageReturnEnd ? lineFeedEnd + lineFeeds.size()
-                                           : carriageReturnEnd + carriageReturns.size();
+    return std::string_view::npos;
 }
 
 /// The number in the event's `id:` line; std::nullopt if there is none.
@@ -55,15 +59,18 @@
 std::string EventStreamRelay::append(std::string_view bytes)
 {
     m_partial.append(bytes);
+    const std::string_view all = m_partial;
     std::string relayed;
-    std::string_view rest = m_partial;
-    while (const std::size_t size = firstEventSize(rest)) {
-        if (const std::string_view event = rest.substr(0, size); accept(event)) {
+    std::size_t begin = 0;
+    for (std::size_t end = findEventEnd(all, m_scanned); end != std::string_view::npos; end = findEventEnd(all, end)) {
+        if (const std::string_view event = all.substr(begin, end - begin); accept(event)) {
             relayed.append(event);
         }
-        rest.remove_prefix(size);
+        begin = end;
     }
-    m_partial.erase(0, m_partial.size() - rest.size());
+    m_partial.erase(0, begin);
+    // The empty line may have begun with the last two bytes.
+    m_scanned = m_partial.size() - std::min<std::size_t>(m_partial.size(), 2);
     return relayed;
 }
 
--- a/src/forwarding/EventStreamRelay.h
+++ b/src/forwarding/EventStreamRelay.h
@@ -26,7 +26,11 @@
     [[nodiscard]] std::string append(std::string_view bytes);
 
     /// Discards an incomplete event of an earlier target.
-    void restart() { m_partial.clear(); }
+    void restart()
+    {
+        std::string().swap(m_partial);
+        m_scanned = 0;
+    }
 
     /// Id of the last event that was relayed or that the caller had before.
     [[nodiscard]] std::optional<StreamPosition> last() const { return m_last; }
@@ -34,6 +38,9 @@
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const { return !m_partial.empty(); }
 
+    /// Bytes of the incomplete event that is buffered.
+    [[nodiscard]] std::size_t heldBytes() const { return m_partial.size(); }
+
     /// Whether the incomplete event is longer than any event: its target is in trouble and may never end it.
     [[nodiscard]] bool isOverlong() const { return m_partial.size() > maximumEventSize; }
 
@@ -44,6 +51,8 @@
 
     std::optional<StreamPosition> m_last;
     std::string m_partial;
+    /// Bytes of `m_partial` in which no event ends.
+    std::size_t m_scanned = 0;
 };
 
 } // namespace Carawaymill
