HttpServer: Bound the responses that callers have not received over all connections

Report of other operators: a faulty target's answer without end filled the memory of the host.

Beyond a limit over all connections of a server, the one with most unsent bytes is closed, so that callers that receive what they asked for are not touched. This holds for callers and for the hosts that requests are passed on for.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -78,6 +78,8 @@
 
     [[nodiscard]] std::size_t requestsInProgress() const { return m_state->requestsInProgress; }
 
+    [[nodiscard]] ByteCount unsentBytes() const { return ByteCount(m_state->unsentBytes); }
+
 private:
     template<typename Function>
     void forEachSession(Function function)
@@ -123,6 +125,11 @@
     return m_implementation->requestsInProgress();
 }
 
+ByteCount HttpServer::unsentBytes() const
+{
+    return m_implementation->unsentBytes();
+}
+
 void HttpServer::setLimits(const CallerLimits &limits)
 {
     m_implementation->setLimits(limits);
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -26,6 +26,9 @@
     CallerLimits limits;
     /// Further connections are closed as soon as they are accepted.
     std::size_t connectionLimit = 4096;
+    /// Bytes of responses that callers have not received yet, over all connections. Beyond it, the connection with most
+    /// of them is closed.
+    ByteCount unsentLimit = ByteCount(32U << 20U);
 };
 
 /// The server cannot listen on its address and port.
@@ -54,6 +57,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Number of requests whose response is not complete yet, including those that the server itself rejects.
     [[nodiscard]] std::size_t requestsInProgress() const;
+    /// Bytes of responses that are queued for callers, see `HttpServerOptions::unsentLimit`.
+    [[nodiscard]] ByteCount unsentBytes() const;
     /// Takes effect with the next request on each connection.
     void setLimits(const CallerLimits &limits);
     /// From now on, each response announces that its connection is closed. Connections whose last response has not
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpSession.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -91,6 +92,9 @@
 
 HttpSession::~HttpSession()
 {
+    if (!m_givenUp) {
+        m_server->unsentBytes -= unsentBytes();
+    }
     m_server->sessions.erase(this);
 }
 
@@ -302,13 +306,39 @@
 
 void HttpSession::enqueue(const std::string &bytes)
 {
-    if (m_closed) {
+    if (m_closed || m_givenUp) {
         return;
     }
     m_queuedBytes += bytes;
+    m_server->unsentBytes += bytes.size();
     if (!m_writing) {
         writeNext();
     }
+    limitUnsentBytes();
+}
+
+void HttpSession::limitUnsentBytes()
+{
+    while (m_server->unsentBytes > m_server->options.unsentLimit.value()) {
+        HttpSession *slowest = nullptr;
+        for (HttpSession *session : m_server->sessions) {
+            if (!session->m_givenUp && (slowest == nullptr || session->unsentBytes() > slowest->unsentBytes())) {
+                slowest = session;
+            }
+        }
+        if (slowest == nullptr || slowest->unsentBytes() == 0) {
+            return;
+        }
+        slowest->giveUpWriting();
+    }
+}
+
+void HttpSession::giveUpWriting()
+{
+    m_givenUp = true;
+    m_server->unsentBytes -= unsentBytes();
+    std::string().swap(m_queuedBytes);
+    boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->fail(); });
 }
 
 void HttpSession::writeNext()
@@ -318,6 +348,10 @@
     boost::asio::async_write(
         m_stream, boost::asio::buffer(m_writeBuffer), [self = shared_from_this()](error_code error, std::size_t) {
             self->m_writing = false;
+            if (!self->m_givenUp) {
+                self->m_server->unsentBytes -= self->m_writeBuffer.size();
+            }
+            std::string().swap(self->m_writeBuffer);
             if (error || self->m_closed) {
                 self->fail();
             } else if (!self->m_queuedBytes.empty()) {
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -23,6 +23,8 @@
     HttpHandler handler;
     std::set<HttpSession *> sessions;
     std::size_t requestsInProgress = 0;
+    /// Bytes of responses that are queued on all connections but those that are given up.
+    std::size_t unsentBytes = 0;
     /// Responses announce that their connection is closed, which is done once they are complete.
     bool announcesClose = false;
     /// Connections are also closed after responses that have not announced it, unless a request has arrived.
@@ -68,6 +70,13 @@
     /// Continues after a read of watchForDisconnect().
     void readAhead(boost::system::error_code error);
     void enqueue(const std::string &bytes);
+    /// Closes the connections of the slowest callers until the bytes that are queued are within their limit.
+    void limitUnsentBytes();
+    /// Drops the bytes that are queued, and closes the connection once the handlers that run have returned.
+    void giveUpWriting();
+
+    [[nodiscard]] std::size_t unsentBytes() const { return m_queuedBytes.size() + m_writeBuffer.size(); }
+
     void writeNext();
     void finishRequest();
     /// Continues after a response whose connection stays open.
@@ -100,6 +109,8 @@
     bool m_hasResponded = false;
     bool m_readingAhead = false;
     bool m_closed = false;
+    /// The caller receives too slowly; the connection is about to be closed.
+    bool m_givenUp = false;
 };
 
 } // namespace Carawaymill
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -537,3 +537,43 @@
     fixture.server().closeConnections();
     CHECK(readAll(fixture, socket).starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("callers that do not receive their responses fill no more memory than a server allots to all of them")
+{
+    static constexpr std::size_t callers = 40;
+    static constexpr std::size_t chunkSize = 64U << 10U;
+    static constexpr std::size_t chunksPerCaller = 400;
+    static constexpr std::size_t unsentLimit = 8U << 20U;
+    std::vector<std::unique_ptr<HttpResponder>> streams;
+    std::size_t closed = 0;
+    HttpFixture fixture(
+        [&](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+            if (request.target == "/echo") {
+                echo(std::move(request), std::move(responder));
+                return;
+            }
+            responder->startStream({});
+            responder->onCallerDisconnected([&closed] { ++closed; });
+            streams.push_back(std::move(responder));
+        },
+        {.unsentLimit = ByteCount(unsentLimit)});
+    std::vector<tcp::socket> sockets;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+        tcp::socket &socket = sockets.emplace_back(fixture.context());
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server().port()});
+        writeRequest(socket);
+    }
+    fixture.runUntil([&] { return streams.size() == callers; });
+    std::size_t most = 0;
+    for (std::size_t round = 0; round < chunksPerCaller; ++round) {
+        for (const auto &stream : streams) {
+            stream->writeChunk(std::string(chunkSize, 'a'));
+        }
+        most = std::max(most, fixture.server().unsentBytes().value());
+        fixture.context().poll();
+    }
+    CHECK(most <= unsentLimit);
+    CHECK(closed > 0);
+    const HttpResult result = fixture.exchange({.method = "GET", .target = "/echo", .headers = {}, .body = ""});
+    CHECK(std::holds_alternative<HttpResponse>(result));
+}
