HttpClient, TargetClient: Give up endless framing and reports early

Up to 256 KB of a chunk's size line or of a trailer were kept for each response, and up to 8 MB of a report, for each of hundreds of targets that are asked at the same time: a host of 260 MB can't hold them.

What waits for the rest of a line has 16 KB now, twice the limit of a head; reports, probes, progress queries and replies to orders have 64 KB.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -22,6 +22,8 @@
 /// Bytes that may be received of heads, chunk framing and skipped responses. A server in trouble may send them without
 /// end.
 static constexpr std::size_t framingLimit = 256U << 10U;
+/// Bytes that may wait for the rest of a head, a chunk's size line or a trailer.
+static constexpr std::size_t unparsedLimit = 16U << 10U;
 /// The framing of a body in small chunks is longer than the body.
 static constexpr std::size_t framingPerBodyByte = 8;
 /// Responses with a lower status are interim responses.
@@ -235,7 +237,9 @@
         if (!m_ended) {
             deliverBody();
         }
-        if (!m_ended && m_received - m_delivered > framingLimit + framingPerBodyByte * m_delivered) {
+        if (!m_ended
+            && (m_buffer.size() > unparsedLimit
+                || m_received - m_delivered > framingLimit + framingPerBodyByte * m_delivered)) {
             fail();
         }
         if (!m_ended) {
--- a/src/http/tests/HttpTest.cpp
+++ b/src/http/tests/HttpTest.cpp
@@ -577,3 +577,12 @@
     const HttpResult result = fixture.exchange({.method = "GET", .target = "/echo", .headers = {}, .body = ""});
     CHECK(std::holds_alternative<HttpResponse>(result));
 }
+
+TEST_CASE("a chunk size line or a trailer that is longer than any sound one is given up long before the body limit")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(24U << 10U, 'a');
+    CHECK(observeResponse({head + "1;" + filler + "\r\nb\r\n0\r\n\r\n"}).failed);
+    CHECK(observeResponse({head + "0\r\nX-Filler: " + filler + "\r\n\r\n"}).failed);
+    CHECK(observeResponse({head + "1;name=value\r\nb\r\n0\r\nX-Trailer: a\r\n\r\n"}).body == "b");
+}
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -10,6 +10,8 @@
 /// The forwarder has its own timeouts and abandons an attempt earlier. This timeout ends an exchange that the forwarder
 /// no longer tracks.
 static constexpr Duration exchangeTimeout = 60s;
+/// Maximum size of a report or of the reply to an order. All targets are asked for theirs again and again.
+static constexpr ByteCount reportBodyLimit(64U << 10U);
 
 TargetClient::TargetClient(HttpClient &client,
                            std::string relayKey,
@@ -122,7 +124,7 @@
 {
     m_client.send(action.via ? action.via->address : action.address,
                   reportRequestFor(action.target, action.via, false),
-                  {.timeout = action.timeout, .connectTimeout = action.timeout},
+                  {.timeout = action.timeout, .connectTimeout = action.timeout, .bodyLimit = reportBodyLimit},
                   [this, action](const HttpResult &result) {
                       m_onEvent(readProgress(action, responseOfTarget(result, action.via)));
                   });
@@ -132,7 +134,10 @@
 {
     m_client.send(action.via ? action.via->address : action.address,
                   reportRequestFor(action.target, action.via, true),
-                  {.timeout = action.timeout, .connectTimeout = action.timeout, .freshConnection = true},
+                  {.timeout = action.timeout,
+                   .connectTimeout = action.timeout,
+                   .freshConnection = true,
+                   .bodyLimit = reportBodyLimit},
                   [this, action](const HttpResult &result) {
                       const HttpResult response = responseOfTarget(result, action.via);
                       m_onEvent(TargetProbed{.target = action.target,
@@ -146,7 +151,7 @@
 {
     m_client.send(action.address,
                   reportRequest(),
-                  {.timeout = action.timeout},
+                  {.timeout = action.timeout, .bodyLimit = reportBodyLimit},
                   [this, target = action.target](const HttpResult &result) {
                       TargetReported reported{.target = target, .outcome = PollOutcome::NoResponse, .report = {}};
                       if (auto report = readReport(target, result)) {
@@ -163,7 +168,7 @@
 {
     m_client.send(action.address,
                   orderRequest(action.order),
-                  {.timeout = action.order.validFor, .freshConnection = true},
+                  {.timeout = action.order.validFor, .freshConnection = true, .bodyLimit = reportBodyLimit},
                   [this, order = action.order](const HttpResult &result) {
                       m_onEvent(OrderReturned{.order = order, .reply = readOrderReply(order, result)});
                   });
