Forwarder: Bound the responses that are not complete over all requests

Report of other operators: bytes without end in a body were kept until the caller closed, and the host ran out of memory.

ResponseBuffers counts what is held over all calls. Beyond an eighth of the host's memory (memoryMegabytes, from the platform's settings), the largest response is given up as if it had been lost: one without end grows into that place, and a sound one is answered, which the test checks.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -36,6 +36,15 @@
 /// the margin that is kept before the platform kills the process.
 static constexpr std::chrono::milliseconds lastAnswersPeriod(250);
 
+/// Part of the host's memory for responses of targets that are not complete, and for those that callers or other hosts
+/// have not received yet, each.
+static constexpr std::uint64_t responseMemoryDivisor = 8;
+
+static ByteCount responseMemory(const DaemonSettings &settings)
+{
+    return ByteCount(settings.memory.value() / responseMemoryDivisor);
+}
+
 /// One host to hold a scope and one to take over from it.
 static constexpr std::uint32_t forwardingScopeCandidates = 2;
 
@@ -134,7 +143,8 @@
                                          {.address = listen.address,
                                           .port = listen.port,
                                           .limits = {.bodyBytes = m_settings.bodyLimit},
-                                          .connectionLimit = m_settings.connectionLimit},
+                                          .connectionLimit = m_settings.connectionLimit,
+                                          .unsentLimit = responseMemory(m_settings)},
                                          [this, taker](HttpRequest request, Responder responder) {
                                              (this->*taker)(std::move(request), std::move(responder));
                                          });
@@ -468,7 +478,8 @@
                                        .retries = settings.forwarding->retries,
                                        .configurationMaximumAge = settings.forwarding->configurationMaximumAge,
                                        .propagation = settings.forwarding->propagation,
-                                       .drainAcceptPeriod = settings.forwarding->drainAcceptPeriod};
+                                       .drainAcceptPeriod = settings.forwarding->drainAcceptPeriod,
+                                       .buffers = {.limit = responseMemory(settings)}};
         if (const ListenSettings &relay = settings.forwarding->relay; relay.port != 0) {
             forwarding->relayAddress = relay.address + ":" + std::to_string(relay.port);
         }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -276,6 +276,10 @@
     }
     settings.firstStartOfDeployment = reader.flag("firstStartOfDeployment");
     settings.bodyLimit = ByteCount(reader.number("bodyLimitBytes", settings.bodyLimit.value(), 64U << 20U));
+    settings.memory = ByteCount(reader.number("memoryMegabytes", settings.memory.value() >> 20U, 1U << 20U) << 20U);
+    if (settings.memory.value() == 0) {
+        reader.note("memoryMegabytes", "A number above 0 is needed.");
+    }
     settings.connectionLimit =
         static_cast<std::uint32_t>(reader.number("connectionLimit", settings.connectionLimit, 1U << 20U));
     if (std::vector<SettingFault> faults = reader.finish(); !faults.empty()) {
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -64,6 +64,9 @@
     bool firstStartOfDeployment = false;
     ByteCount bodyLimit = ByteCount(1U << 20U);
     std::uint32_t connectionLimit = 4096;
+    /// Memory of this host. An eighth of it at most is held for targets' responses that are not complete, and as much
+    /// for those that callers, or other hosts, have not received yet.
+    ByteCount memory = ByteCount(256U << 20U);
     /// How long a shutdown waits for requests in progress.
     Duration drainTimeout = 300s;
     /// A shutdown takes at least so long, since callers are still sent here until the balancer has noticed.
--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -17,8 +17,7 @@
     head.reset();
     answeredSince.reset();
     provenSound = false;
-    body.clear();
-    relay.restart();
+    dropHeldBytes();
     progressAt = now;
     progressQueriedAt.reset();
     movesAwayFrom.reset();
@@ -49,7 +48,7 @@
     answeredSince = earlier.answeredSince;
     provenSound = false;
     relay = std::move(earlier.relay);
-    body.clear();
+    std::string().swap(body);
     progressAt = now;
     progressQueriedAt.reset();
     movesAwayFrom.reset();
@@ -91,6 +90,35 @@
     return route->repeat == RepeatPolicy::AtMostOnce || rejectedBy.contains(target);
 }
 
+std::size_t ForwardCall::heldBytes() const
+{
+    return body.size() + relay.heldBytes() + (stalled ? stalled->relay.heldBytes() : 0)
+           + (targetFailure ? targetFailure->body.size() : 0);
+}
+
+void ForwardCall::dropHeldBytes()
+{
+    // A cleared string would keep its memory.
+    std::string().swap(body);
+    relay.restart();
+}
+
+std::vector<RequestTrait> ForwardCall::suspectTraits(bool hasHead,
+                                                     std::optional<TimePoint> bodySince,
+                                                     Duration justBegunPeriod,
+                                                     TimePoint now) const
+{
+    if (bodySince) {
+        return now - *bodySince < justBegunPeriod ? traits : std::vector<RequestTrait>();
+    }
+    // A stream without a head mostly waits for its turn, so that its parts are no evidence. The request
+    // itself may have crashed the target before its first event.
+    if (!hasHead && route->responseKind == ResponseKind::EventStream && !traits.empty()) {
+        return {traits.front()};
+    }
+    return traits;
+}
+
 std::string ForwardCall::describeEnd(const std::string &outcome, TimePoint now) const
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - receivedAt);
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -114,6 +114,17 @@
     /// closed it or may write an earlier rejection again, which names the same attempt of the caller.
     [[nodiscard]] bool needsFreshConnection(const TargetId &target) const;
 
+    /// Bytes of responses that are held until they can be passed on to the caller.
+    [[nodiscard]] std::size_t heldBytes() const;
+
+    /// Frees the bytes that are held of the current attempt's response.
+    void dropHeldBytes();
+
+    /// The traits that may have crashed the target of an attempt whose response was lost. `hasHead`: whether the
+    /// response had begun; `bodySince`: when the first bytes of its body were received.
+    [[nodiscard]] std::vector<RequestTrait>
+    suspectTraits(bool hasHead, std::optional<TimePoint> bodySince, Duration justBegunPeriod, TimePoint now) const;
+
     /// The log line for the end of the call.
     [[nodiscard]] std::string describeEnd(const std::string &outcome, TimePoint now) const;
 };
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -35,6 +35,7 @@
                .probeTimeout = m_options.progressQueryTimeout,
                .suspicionPeriod = m_options.suspicionPeriod})
     , m_liveness(m_options.liveness)
+    , m_buffers(m_options.buffers)
     , m_queue(m_options.queue)
 {
 }
@@ -111,23 +112,6 @@
     return std::nullopt;
 }
 
-/// Selects by the hash of the attempt id, so that a repeated attempt goes to the same service.
-ServiceId Forwarder::selectService(const Route &route, const std::string &attempt)
-{
-    std::uint64_t total = 0;
-    for (const ServiceShare &share : route.services) {
-        total += share.weight;
-    }
-    std::uint64_t position = total > 0 ? stableHash(attempt) % total : 0;
-    for (const ServiceShare &share : route.services) {
-        if (position < share.weight) {
-            return share.service;
-        }
-        position -= share.weight;
-    }
-    return route.services.empty() ? ServiceId() : route.services.front().service;
-}
-
 void Forwarder::on(const ForwardRequested &event, HandlerContext &context)
 {
     if (isStarting(context.now)) {
@@ -274,6 +258,7 @@
 void Forwarder::sendToTarget(ForwardCall &call, ChosenTargets chosen, HandlerContext &context)
 {
     call.beginAttempt(chosen, context.now);
+    m_buffers.hold(call.id, call.heldBytes());
     call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
     m_queue.started(context.now);
@@ -441,7 +426,8 @@
                    stalled.attempt,
                    stalled.chosen,
                    stalled.via,
-                   suspectTraits(*call, stalled.head.has_value(), stalled.answeredSince, context.now),
+                   call->suspectTraits(
+                       stalled.head.has_value(), stalled.answeredSince, m_options.justBegunPeriod, context.now),
                    context);
     }
     endStalled(*call, false, context);
@@ -516,6 +502,35 @@
 }
 
 void Forwarder::on(const TargetResponseData &event, HandlerContext &context)
+{
+    relayData(event, context);
+    if (const auto found = m_calls.find(event.id); found != m_calls.end()) {
+        m_buffers.hold(event.id, found->second.heldBytes());
+    }
+    while (const auto largest = m_buffers.excess()) {
+        dropResponse(m_calls.at(*largest), context);
+    }
+}
+
+void Forwarder::dropResponse(ForwardCall &call, HandlerContext &context)
+{
+    context.actions.emplace_back(ForwardLogLine{"Forward: event=response-dropped request=" + call.request->attempt
+                                                + " bytes=" + std::to_string(call.heldBytes())
+                                                + " held=" + std::to_string(m_buffers.held().value())});
+    m_buffers.hold(call.id, 0);
+    if (call.targetFailure) {
+        call.targetFailure.reset();
+        m_buffers.hold(call.id, call.heldBytes());
+        return;
+    }
+    endStalled(call, true, context);
+    call.dropHeldBytes();
+    if (call.chosen) {
+        responseLost(call, context);
+    }
+}
+
+void Forwarder::relayData(const TargetResponseData &event, HandlerContext &context)
 {
     ForwardCall *call = currentAttempt(event.id, event.attempt);
     if (call == nullptr) {
@@ -745,7 +760,7 @@
                call.attempt,
                *call.chosen,
                call.via,
-               suspectTraits(call, call.head.has_value(), call.answeredSince, context.now),
+               call.suspectTraits(call.head.has_value(), call.answeredSince, m_options.justBegunPeriod, context.now),
                context);
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
@@ -904,22 +919,6 @@
     return true;
 }
 
-std::vector<RequestTrait> Forwarder::suspectTraits(const ForwardCall &call,
-                                                   bool hasHead,
-                                                   std::optional<TimePoint> answeredSince,
-                                                   TimePoint now) const
-{
-    if (answeredSince) {
-        return now - *answeredSince < m_options.justBegunPeriod ? call.traits : std::vector<RequestTrait>();
-    }
-    // A stream without a head mostly waits for its turn, so that its parts are no evidence. The request
-    // itself may have crashed the target before its first event.
-    if (!hasHead && call.route->responseKind == ResponseKind::EventStream && !call.traits.empty()) {
-        return {call.traits.front()};
-    }
-    return call.traits;
-}
-
 void Forwarder::recordLoss(const ForwardCall &call,
                            AttemptNumber attempt,
                            const ChosenTargets &chosen,
@@ -1109,6 +1108,7 @@
     context.actions.emplace_back(ForwardLogLine{std::move(line)});
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
     m_queue.remove(call.id);
+    m_buffers.hold(call.id, 0);
     m_calls.erase(call.id);
 }
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -5,6 +5,7 @@
 #include "forwarding/ForwardCall.h"
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
+#include "forwarding/ResponseBuffers.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
 #include "forwarding/TargetLinks.h"
@@ -31,6 +32,7 @@
     TargetRequestLimitsOptions limits;
     TargetReachOptions reach;
     TargetLivenessOptions liveness;
+    ResponseBuffersOptions buffers;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
     Duration justBegunPeriod = 400ms;
@@ -161,6 +163,8 @@
 
     [[nodiscard]] const TargetRequestLimits &limits() const { return m_limits; }
 
+    [[nodiscard]] const ResponseBuffers &buffers() const { return m_buffers; }
+
 private:
     /// A request that arrived before the configuration and the directory were read.
     struct EarlyRequest
@@ -207,7 +211,6 @@
     /// Sets the call's route and organisation. Returns the reason if the request is refused, otherwise std::nullopt.
     [[nodiscard]] std::optional<ForwardFailure>
     admit(const ForwardRequest &request, ForwardCall &call, const HandlerContext &context) const;
-    [[nodiscard]] static ServiceId selectService(const Route &route, const std::string &attempt);
     /// Chooses targets and takes room for the call in the request limit of the first one. Takes none if the call has to
     /// wait for capacity.
     [[nodiscard]] std::optional<ChosenTargets>
@@ -257,7 +260,10 @@
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(ForwardCall &call, HandlerContext &context);
     void responseCompleted(ForwardCall &call, HandlerContext &context);
+    void relayData(const TargetResponseData &event, HandlerContext &context);
     void relayStream(ForwardCall &call, std::string_view bytes, HandlerContext &context);
+    /// Gives up the response that the call holds, as if it had been lost.
+    void dropResponse(ForwardCall &call, HandlerContext &context);
     void checkStreamProgress(ForwardCall &call, HandlerContext &context);
     /// Moves every stalled stream whose path includes the target to other targets that have capacity.
     void moveStreams(const TargetId &target, HandlerContext &context);
@@ -275,9 +281,6 @@
     void attribute(const CrashAttributionEvent &event, HandlerContext &context);
     /// Refuses the call if one of its traits is condemned. Returns whether it did.
     bool refuseCondemned(ForwardCall &call, HandlerContext &context);
-    /// The traits of an attempt that had only just begun, so that it may have crashed its target.
-    [[nodiscard]] std::vector<RequestTrait>
-    suspectTraits(const ForwardCall &call, bool hasHead, std::optional<TimePoint> answeredSince, TimePoint now) const;
     /// Records that the response of an attempt at the target was lost, which may be a crash of the target.
     void recordLoss(const ForwardCall &call,
                     AttemptNumber attempt,
@@ -300,6 +303,7 @@
     TargetRequestLimits m_limits;
     TargetLinks m_links;
     TargetLiveness m_liveness;
+    ResponseBuffers m_buffers;
     StreamMoveCounts m_moves;
     /// Whether a probe has ended since the streams that wait for one were last looked at.
     bool m_signsChanged = false;
--- a/src/forwarding/RouteTable.cpp
+++ b/src/forwarding/RouteTable.cpp
@@ -1,9 +1,27 @@
 #include "forwarding/RouteTable.h"
 
+#include "support/Hash.h"
+
 #include <algorithm>
 
 namespace Carawaymill {
 
+ServiceId selectService(const Route &route, const std::string &attempt)
+{
+    std::uint64_t total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    std::uint64_t position = total > 0 ? stableHash(attempt) % total : 0;
+    for (const ServiceShare &share : route.services) {
+        if (position < share.weight) {
+            return share.service;
+        }
+        position -= share.weight;
+    }
+    return route.services.empty() ? ServiceId() : route.services.front().service;
+}
+
 RouteTable::RouteTable(SharedConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
--- a/src/forwarding/RouteTable.h
+++ b/src/forwarding/RouteTable.h
@@ -10,6 +10,9 @@
 
 namespace Carawaymill {
 
+/// Selects one of the route's services by the hash of the attempt id, so that a repeated attempt goes to the same one.
+[[nodiscard]] ServiceId selectService(const Route &route, const std::string &attempt);
+
 /// Finds the route and the organisation of a request in one version of the configuration.
 class RouteTable
 {
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -69,7 +69,8 @@
                    .attribution = {.self = options.host, .incarnation = options.incarnation},
                    .limits = {.self = options.host,
                               .incarnation = options.incarnation,
-                              .firstStartOfDeployment = options.firstStartOfDeployment}})
+                              .firstStartOfDeployment = options.firstStartOfDeployment},
+                   .buffers = options.forwarding->buffers})
 {
 }
 
@@ -416,6 +417,7 @@
         text.append("carawaymill_").append(name).append(" ").append(std::to_string(value)).append("\n");
     };
     gauge("requests_in_progress", m_forwarder.inProgress());
+    gauge("response_bytes_held", m_forwarder.buffers().held().value());
     gauge("targets_listed", m_directory.targets().size());
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
--- a/src/node/NodeOptions.h
+++ b/src/node/NodeOptions.h
@@ -3,6 +3,7 @@
 #include "forwarding/FleetRetryBudget.h"
 #include "forwarding/PublicationFormat.h"
 #include "forwarding/RelayedRangeAges.h"
+#include "forwarding/ResponseBuffers.h"
 #include "membership/MembershipOptions.h"
 #include "node/CompletionApi.h"
 #include "support/Identifiers.h"
@@ -27,6 +28,8 @@
     /// Time for which a draining host still accepts requests. Long enough for the balancer to stop sending them, and
     /// short enough that the streams accepted last end before the process is killed.
     Duration drainAcceptPeriod = 2800ms;
+    /// Memory for targets' responses that are not complete.
+    ResponseBuffersOptions buffers = {};
     /// Minimum fraction of an accelerator's memory that placement leaves to the KV cache, even when it assigns layers
     /// to fill a gap in a chain.
     double cacheShare = 0.12;
