--- a/src/platformstandin/DaemonProcess.cpp
+++ b/src/platformstandin/DaemonProcess.cpp
@@ -3,7 +3,10 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
+#include <string>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,6 +53,18 @@
     }
 }
 
+ByteCount DaemonProcess::peakMemory() const
+{
+    static constexpr std::string_view field = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            return ByteCount(std::stoull(line.substr(field.size())) << 10U);
+        }
+    }
+    return {};
+}
+
 bool DaemonProcess::hasEnded()
 {
     m_ended = m_ended || waitpid(m_process, &m_status, WNOHANG) == m_process;
--- a/src/platformstandin/DaemonProcess.h
+++ b/src/platformstandin/DaemonProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/Time.h"
+#include "support/Units.h"
 
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
     /// Sends SIGHUP, as after a change of the settings file.
     void reload() const;
 
+    /// The most memory that the process has had resident so far; 0 once it has ended.
+    [[nodiscard]] ByteCount peakMemory() const;
+
     /// Whether the process has ended.
     [[nodiscard]] bool hasEnded();
 
--- a/src/platformstandin/SilentFleet.h
+++ b/src/platformstandin/SilentFleet.h
@@ -48,8 +48,13 @@
 {
 };
 
+/// Targets whose answers never end join the sound ones for some seconds.
+struct EndlessAnswers
+{
+};
+
 using FleetTrouble =
-    std::variant<EnginesSilent, HostsKilled, HostsStopped, SettingsReloaded, StoreDown, TargetsCrashed>;
+    std::variant<EnginesSilent, HostsKilled, HostsStopped, SettingsReloaded, StoreDown, TargetsCrashed, EndlessAnswers>;
 
 struct SilentFleetOptions
 {
@@ -124,6 +129,7 @@
     void play(const SettingsReloaded &trouble, std::size_t round);
     void play(const StoreDown &trouble, std::size_t round);
     void play(const TargetsCrashed &trouble, std::size_t round);
+    void play(const EndlessAnswers &trouble, std::size_t round);
     void killHost(Host &host);
     void stopHost(Host &host);
     /// Starts hosts again that have ended after stopHost(), and takes hosts that are stopping out of rotation.
@@ -141,6 +147,7 @@
     void checkCrashingRequest(const ArrivalsByAttempt &arrivals);
     void checkCalls();
     void checkLostCalls();
+    void checkMemory();
     void check(bool holds, const std::string &promise);
 
     SilentFleetOptions m_options;
@@ -152,7 +159,7 @@
     std::map<TargetId, ServiceId> m_services;
     std::vector<std::unique_ptr<TargetProcess>> m_targets;
     /// Targets that were killed or have crashed, for their arrivals.
-    std::vector<std::pair<TargetId, std::vector<TargetArrival>>> m_pastTargets;
+    std::vector<std::unique_ptr<TargetProcess>> m_pastTargets;
     std::vector<TimePoint> m_crashes;
     std::size_t m_targetsStarted = 0;
     std::vector<Host> m_hosts;
--- a/src/platformstandin/SilentFleetMain.cpp
+++ b/src/platformstandin/SilentFleetMain.cpp
@@ -15,7 +15,8 @@
                                                               {"stopped-hosts", HostsStopped{}},
                                                               {"reloads", SettingsReloaded{}},
                                                               {"store-down", StoreDown{}},
-                                                              {"crashing-request", TargetsCrashed{}}};
+                                                              {"crashing-request", TargetsCrashed{}},
+                                                              {"endless-answers", EndlessAnswers{}}};
     const auto found = troubles.find(name);
     return found != troubles.end() ? std::optional(found->second) : std::nullopt;
 }
@@ -45,7 +46,8 @@
          POPT_ARG_STRING,
          &trouble,
          0,
-         "silent-engines (the default), killed-hosts, stopped-hosts, reloads, store-down or crashing-request",
+         "silent-engines (the default), killed-hosts, stopped-hosts, reloads, store-down, crashing-request or "
+         "endless-answers",
          "NAME"},
         {"rounds", 0, POPT_ARG_INT, &rounds, 0, "how often the trouble comes, every 6 s", "N"},
         {"serve-target",
--- a/src/platformstandin/TargetProcess.cpp
+++ b/src/platformstandin/TargetProcess.cpp
@@ -96,18 +96,25 @@
 
 TargetProcess::~TargetProcess()
 {
-    kill(m_process, SIGKILL);
-    waitpid(m_process, nullptr, 0);
+    kill();
+}
+
+void TargetProcess::kill()
+{
+    if (!std::exchange(m_killed, true)) {
+        ::kill(m_process, SIGKILL);
+        waitpid(m_process, nullptr, 0);
+    }
 }
 
 void TargetProcess::pause() const
 {
-    kill(m_process, SIGSTOP);
+    ::kill(m_process, SIGSTOP);
 }
 
 void TargetProcess::resume() const
 {
-    kill(m_process, SIGCONT);
+    ::kill(m_process, SIGCONT);
 }
 
 void TargetProcess::readLine()
@@ -115,7 +122,7 @@
     boost::asio::async_read_until(
         m_output, m_buffer, '\n', [this](const boost::system::error_code &error, std::size_t) {
             if (error) {
-                m_ended = error != boost::asio::error::operation_aborted;
+                m_ended = true;
                 return;
             }
             std::istream stream(&m_buffer);
--- a/src/platformstandin/TargetProcess.h
+++ b/src/platformstandin/TargetProcess.h
@@ -28,6 +28,9 @@
     TargetProcess &operator=(const TargetProcess &) = delete;
     ~TargetProcess();
 
+    /// Ends the process at once; what it has reported stays.
+    void kill();
+
     /// Stops the process until resume().
     void pause() const;
     void resume() const;
@@ -58,6 +61,7 @@
     nlohmann::json m_record;
     bool m_recordChanged = false;
     bool m_ended = false;
+    bool m_killed = false;
     std::vector<TargetArrival> m_arrivals;
 };
 
