CondemnedTraitRegister: Keep what condemns a request beyond the end of all hosts

Cause: condemned traits were known to running processes only. Hosts that were killed 0.5 s apart heard of them from the others within 145 ms; with all of them gone, three more crashes were needed.

The host that decides records the trait in the platform's store, bound to a lease of ten minutes; hosts read the records at their start, and go on asking the others. One read for each start, two writes for each decision.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -74,6 +74,12 @@
     return mayRunAgain() && !stalled && !isOtherResponse && dispatches < maximumDispatches;
 }
 
+bool ForwardCall::mustWaitFor(const ChosenTargets &targets) const
+{
+    // A stream whose caller has already received its head resumes at once, even on congested targets.
+    return targets.limited || (targets.congested && !streaming);
+}
+
 bool ForwardCall::uses(const TargetId &target) const
 {
     return chosen && std::ranges::any_of(chosen->path, [&](const PathStage &stage) { return stage.target == target; });
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -104,6 +104,9 @@
     /// Whether the request may be sent to further targets while its current attempt stays open.
     [[nodiscard]] bool mayMove(std::uint32_t maximumDispatches) const;
 
+    /// Whether the call has to wait until the targets have room.
+    [[nodiscard]] bool mustWaitFor(const ChosenTargets &targets) const;
+
     /// Whether the current attempt's path includes the target.
     [[nodiscard]] bool uses(const TargetId &target) const;
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -165,12 +165,6 @@
     dispatch(call, ForwardFailure::NoTarget, context);
 }
 
-bool Forwarder::mustWait(const ForwardCall &call, const ChosenTargets &chosen)
-{
-    // A stream whose caller has already received its head resumes at once, even on congested targets.
-    return chosen.limited || (chosen.congested && !call.streaming);
-}
-
 std::optional<ChosenTargets>
 Forwarder::choose(ForwardCall &call, const std::set<TargetId> &excluded, HandlerContext &context)
 {
@@ -181,12 +175,12 @@
         return m_limits.tryTake(chosen.target, isNew, context.now);
     };
     auto chosen = chooseWithout({.everywhere = excluded, .asFirst = {}});
-    if (!chosen || mustWait(call, *chosen) || takeRoom(*chosen)) {
+    if (!chosen || call.mustWaitFor(*chosen) || takeRoom(*chosen)) {
         return chosen;
     }
     call.wasLimited = true;
     auto other = chooseWithout({.everywhere = excluded, .asFirst = m_limits.withoutRoom(context.now)});
-    if (other && !mustWait(call, *other) && takeRoom(*other)) {
+    if (other && !call.mustWaitFor(*other) && takeRoom(*other)) {
         return other;
     }
     chosen->limited = true;
@@ -207,7 +201,7 @@
         refuse(call, fallbackReason, context);
         return;
     }
-    if (mustWait(call, *chosen)) {
+    if (call.mustWaitFor(*chosen)) {
         enqueue(call, context);
         return;
     }
@@ -241,7 +235,7 @@
             continue;
         }
         auto chosen = choose(call, call.tried, context);
-        if (chosen && mustWait(call, *chosen)) {
+        if (chosen && call.mustWaitFor(*chosen)) {
             // The service's calls behind it rarely need less capacity, and each choice of targets is expensive.
             withoutCapacity.insert(call.service);
             continue;
@@ -901,11 +895,14 @@
 void Forwarder::attribute(const CrashAttributionEvent &event, HandlerContext &context)
 {
     for (CrashAttributionAction &action : m_attribution.handle(event, context.now)) {
-        std::visit(
-            Overloaded{
-                [&](BroadcastAttributionMessage &broadcast) { context.actions.emplace_back(std::move(broadcast)); },
-                [&](const auto &decision) { context.actions.emplace_back(ForwardLogLine{describe(decision)}); }},
-            action);
+        std::visit(Overloaded{[&](BroadcastAttributionMessage &broadcast) {
+                                  context.actions.emplace_back(std::move(broadcast));
+                              },
+                              [&](const auto &decision) {
+                                  context.actions.emplace_back(ForwardLogLine{describe(decision)});
+                                  context.actions.emplace_back(decision);
+                              }},
+                   action);
     }
 }
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -68,6 +68,7 @@
                                     TargetResponseFailed,
                                     ProgressReported,
                                     AttributionMessageReceived,
+                                    CondemnedTraitsRestored,
                                     FleetChanged,
                                     ShareMessageReceived,
                                     TargetProbed,
@@ -101,6 +102,9 @@
                                      EndStream,
                                      AbortStream,
                                      BroadcastAttributionMessage,
+                                     CrashRecorded,
+                                     TraitCondemned,
+                                     TraitLifted,
                                      SendShareMessage,
                                      ForwardLogLine,
                                      ForwardEnded>;
@@ -192,6 +196,9 @@
     void on(const TargetResponseFailed &event, HandlerContext &context);
     void on(const ProgressReported &event, HandlerContext &context);
     void on(const AttributionMessageReceived &event, HandlerContext &context);
+
+    void on(const CondemnedTraitsRestored &event, HandlerContext &context) { attribute(event, context); }
+
     void on(const FleetChanged &event, HandlerContext &context);
     void on(const ShareMessageReceived &event, HandlerContext &context);
     void on(const TargetProbed &event, HandlerContext &context);
@@ -215,8 +222,6 @@
     /// wait for capacity.
     [[nodiscard]] std::optional<ChosenTargets>
     choose(ForwardCall &call, const std::set<TargetId> &excluded, HandlerContext &context);
-    /// Whether the call has to wait until the chosen targets have capacity.
-    [[nodiscard]] static bool mustWait(const ForwardCall &call, const ChosenTargets &chosen);
     void dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context);
     /// Sends the call to a target or queues it; refuses it with `fallbackReason` if no target is available.
     void dispatch(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -59,6 +59,7 @@
                            .region = options.region,
                            .relayAddress = options.forwarding->relayAddress},
                   .seed = stableHash("registry", options.seed)})
+    , m_condemnedTraits({.seed = stableHash("condemned", options.seed)})
     , m_watchClient({.maximumAges = agesOf(options)})
     , m_watchServer({.maximumAges = agesOf(options)})
     , m_loads({.self = options.host, .failureDomain = options.failureDomain})
@@ -79,6 +80,7 @@
     dispatchConfiguration(Tick{}, context);
     dispatchDirectory(Tick{}, context);
     dispatchRegistry(Tick{}, context);
+    dispatchCondemnedTraits(Tick{}, context);
     send(m_watchServer.tick(context.now), context);
     for (RelayedWatchFailed &timedOut : m_watchClient.takeTimedOut(context.now)) {
         context.output.log(describe(timedOut));
@@ -287,6 +289,24 @@
     dispatchRegistry(reply, context);
 }
 
+void ForwardingCoordinator::condemnedTraitsReply(const KeyValueReply &reply, NodeContext &context)
+{
+    dispatchCondemnedTraits(reply, context);
+}
+
+void ForwardingCoordinator::dispatchCondemnedTraits(const CondemnedTraitRegisterEvent &event, NodeContext &context)
+{
+    for (CondemnedTraitRegisterAction &action : m_condemnedTraits.handle(event, context.now)) {
+        std::visit(Overloaded{[&](KeyValueCall &call) {
+                                  m_metrics.count("service_calls");
+                                  context.keyValue.issue(
+                                      KeyValueCaller::CondemnedTraits, 0, std::move(call), context.output);
+                              },
+                              [&](const CondemnedTraitsRestored &restored) { forward(restored, context); }},
+                   action);
+    }
+}
+
 void ForwardingCoordinator::storeEraChanged(const StoreEraChanged &change, NodeContext &context)
 {
     m_storeEra = change.era;
@@ -298,6 +318,7 @@
     dispatchConfiguration(change, context);
     dispatchDirectory(change, context);
     dispatchRegistry(change, context);
+    dispatchCondemnedTraits(change, context);
 }
 
 void ForwardingCoordinator::configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
@@ -394,6 +415,9 @@
                                           host, PeerChannel::Quarantine, broadcast.message, context.output);
                                   }
                               },
+                              [](CrashRecorded &) {},
+                              [&](TraitCondemned &condemned) { dispatchCondemnedTraits(condemned, context); },
+                              [&](TraitLifted &lifted) { dispatchCondemnedTraits(lifted, context); },
                               [&](SendShareMessage &send) {
                                   context.fleet.send(send.to, PeerChannel::Limits, send.message, context.output);
                               },
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -12,6 +12,7 @@
 #include "node/NodeMessages.h"
 #include "node/NodeOptions.h"
 #include "node/PlacementCoordinator.h"
+#include "quarantine/CondemnedTraitRegister.h"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
     void configurationReply(const KeyValueReply &reply, NodeContext &context);
     void directoryReply(const KeyValueReply &reply, NodeContext &context);
     void registryReply(const KeyValueReply &reply, NodeContext &context);
+    void condemnedTraitsReply(const KeyValueReply &reply, NodeContext &context);
     void storeEraChanged(const StoreEraChanged &change, NodeContext &context);
     void configurationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
@@ -72,6 +74,7 @@
     void dispatchConfiguration(const ConfigurationReplicaEvent &event, NodeContext &context);
     void dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context);
     void dispatchRegistry(const HostRegistryEvent &event, NodeContext &context);
+    void dispatchCondemnedTraits(const CondemnedTraitRegisterEvent &event, NodeContext &context);
     void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
     /// The hosts other than this one that pass on requests.
     [[nodiscard]] std::vector<RelayHost> relayHosts(const std::vector<ListedHost> &hosts) const;
@@ -89,6 +92,7 @@
     ConfigurationReplica m_configuration;
     DirectoryReplica m_directory;
     HostRegistry m_registry;
+    CondemnedTraitRegister m_condemnedTraits;
     RelayedWatchClient m_watchClient;
     RelayedWatchServer m_watchServer;
     /// The latest call for each range that was sent to the key-value service.
--- a/src/node/KeyValueCalls.h
+++ b/src/node/KeyValueCalls.h
@@ -20,6 +20,7 @@
     Configuration,
     Directory,
     HostRegistry,
+    CondemnedTraits,
 };
 
 /// The slice that made a call.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -321,6 +321,9 @@
     case KeyValueCaller::HostRegistry:
         m_forwarding->registryReply(reply, context);
         break;
+    case KeyValueCaller::CondemnedTraits:
+        m_forwarding->condemnedTraitsReply(reply, context);
+        break;
     }
 }
 
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+void CrashAttribution::on(const CondemnedTraitsRestored &event, TimePoint now, Actions &actions)
+{
+    adopt(event.traits, now, actions);
+}
+
 void CrashAttribution::on(const AttributionMessageReceived &event, TimePoint now, Actions &actions)
 {
     std::visit([&](const auto &message) { received(message, now, actions); }, event.message);
@@ -129,21 +134,26 @@
     std::erase_if(m_outbox, [](const QueuedMessage &queued) {
         return std::holds_alternative<CondemnedTraitsRequested>(queued.message);
     });
+    const auto known = static_cast<std::size_t>(std::ranges::count_if(
+        condemned.traits, [&](const CondemnedTrait &trait) { return m_condemned.contains(trait.fingerprint); }));
+    adopt(condemned.traits, now, actions);
+    if (known == m_condemned.size()) {
+        m_nextAnnounce = now + m_options.announceInterval;
+    }
+}
+
+void CrashAttribution::adopt(const std::vector<CondemnedTrait> &traits, TimePoint now, Actions &actions)
+{
     std::vector<Fingerprint> sound;
-    std::size_t known = 0;
-    for (const CondemnedTrait &trait : condemned.traits) {
+    for (const CondemnedTrait &trait : traits) {
         if (isProven(trait.fingerprint, now)) {
             sound.push_back(trait.fingerprint);
             continue;
         }
-        known += m_condemned.contains(trait.fingerprint) ? 1 : 0;
         const Duration remaining =
             std::min<Duration>(std::chrono::milliseconds(trait.remainingMilliseconds), m_options.condemnationPeriod);
         condemn(trait.fingerprint, now + remaining, std::nullopt, actions);
     }
-    if (known == m_condemned.size()) {
-        m_nextAnnounce = now + m_options.announceInterval;
-    }
     markExplained();
     exonerate(std::move(sound), now, actions);
 }
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -32,13 +32,23 @@
     std::vector<RequestTrait> traits;
 };
 
+/// Event: traits that were condemned before this host has started. Other hosts may know of more.
+struct CondemnedTraitsRestored
+{
+    std::vector<CondemnedTrait> traits;
+};
+
 struct AttributionMessageReceived
 {
     AttributionMessage message;
 };
 
-using CrashAttributionEvent =
-    std::variant<TargetCrashObserved, TraitsProvenSound, CondemnedRequestRefused, AttributionMessageReceived, Tick>;
+using CrashAttributionEvent = std::variant<TargetCrashObserved,
+                                           TraitsProvenSound,
+                                           CondemnedRequestRefused,
+                                           CondemnedTraitsRestored,
+                                           AttributionMessageReceived,
+                                           Tick>;
 
 /// Action: send the message to every live host.
 struct BroadcastAttributionMessage
@@ -165,6 +175,7 @@
     void on(const TargetCrashObserved &event, TimePoint now, Actions &actions);
     void on(const TraitsProvenSound &event, TimePoint now, Actions &actions);
     void on(const CondemnedRequestRefused &event, TimePoint now, Actions &actions);
+    void on(const CondemnedTraitsRestored &event, TimePoint now, Actions &actions);
     void on(const AttributionMessageReceived &event, TimePoint now, Actions &actions);
     void on(const Tick &event, TimePoint now, Actions &actions);
     void received(const CrashTraitsReported &report, TimePoint now, Actions &actions);
@@ -188,6 +199,8 @@
     /// Condemns the traits that explain most of the unexplained crashes.
     void attribute(TimePoint now, Actions &actions);
     void markExplained();
+    /// Condemns those traits of other hosts' decisions that are not proven sound, and tells the others of the rest.
+    void adopt(const std::vector<CondemnedTrait> &traits, TimePoint now, Actions &actions);
     void condemn(const Fingerprint &trait,
                  TimePoint until,
                  const std::optional<CondemnationEvidence> &evidence,
