SilentFleet: Excuse no call that a running host refuses or a crash leaves unanswered

Found while reading the change: checkLostCalls() passed over every call whose connection was refused, and over the calls of the request that crashes targets. A refused connection is excused now only at a host that has been started again; calls of the crashing request count.

--- a/src/platformstandin/SilentFleet.cpp
+++ b/src/platformstandin/SilentFleet.cpp
@@ -158,6 +158,7 @@
 
 bool SilentFleet::startDaemon(Host &host) const
 {
+    ++host.starts;
     host.daemon = DaemonProcess::start({.program = m_options.daemon, .settings = host.settings, .log = host.log});
     return host.daemon != nullptr;
 }
@@ -583,9 +584,9 @@
             return exchange.sentAt <= killed + lossSlack
                    && (!exchange.ended() || killed <= exchange.endedAt + lossSlack);
         });
-        // A caller that is refused the connection tries another host.
-        if (exchange.complete || isExcused || exchange.notSent || call.path == crashingPath
-            || call.path == endlessPath) {
+        // A caller that is refused the connection by a host that starts again tries another one.
+        const bool isRefused = exchange.notSent && m_hosts[call.host].starts > 1;
+        if (exchange.complete || isExcused || isRefused || call.path == endlessPath) {
             continue;
         }
         const bool isPassedOn = arrived.contains(exchange.attempt);
--- a/src/platformstandin/SilentFleet.h
+++ b/src/platformstandin/SilentFleet.h
@@ -98,6 +98,7 @@
         std::string settings;
         std::string log;
         std::unique_ptr<DaemonProcess> daemon;
+        unsigned starts = 0;
         /// The balancer sends new connections.
         bool inRotation = true;
         std::optional<TimePoint> stoppedAt = std::nullopt;
