--- a/src/platformstandin/DaemonProcess.cpp
+++ b/src/platformstandin/DaemonProcess.cpp
@@ -3,7 +3,9 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <string>
 #include <string_view>
@@ -65,6 +67,13 @@
     return {};
 }
 
+std::size_t DaemonProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_process) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 bool DaemonProcess::hasEnded()
 {
     m_ended = m_ended || waitpid(m_process, &m_status, WNOHANG) == m_process;
--- a/src/platformstandin/DaemonProcess.h
+++ b/src/platformstandin/DaemonProcess.h
@@ -3,6 +3,7 @@
 #include "support/Time.h"
 #include "support/Units.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <sys/types.h>
@@ -39,6 +40,9 @@
     /// The most memory that the process has had resident so far; 0 once it has ended.
     [[nodiscard]] ByteCount peakMemory() const;
 
+    /// Number of descriptors that the process has open; 0 once it has ended.
+    [[nodiscard]] std::size_t openDescriptors() const;
+
     /// Whether the process has ended.
     [[nodiscard]] bool hasEnded();
 
