LoadExchange: Send each domain's load from all of its hosts in turn, and expect load of hosts without a digest

Cause: the collector alone sent its domain's sum to all hosts of other domains; with 97 hosts and 40 KB/s that took 3 s and more, as long as a digest is valid, so that the load of other domains was missing at times. A host without any digest, as after a restart of all hosts, took the others for idle, and all of them chose the same targets: 116 streams of the first second after a restart of 26 hosts had their first event after 0.5 to 2 s.

Change: each host knows the sum of its domain and sends it once a second to its partners in the other domains, with two senders in turn for each receiver. A host without a valid digest counts with the mean number of open layers of the known ones; nothing is assumed of its KV cache. The message is unchanged.

The test of the collector as the only sender is replaced by one of the partners, since no host is the only sender any more.

--- a/src/forwarding/LoadExchange.cpp
+++ b/src/forwarding/LoadExchange.cpp
@@ -1,12 +1,16 @@
 #include "forwarding/LoadExchange.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Carawaymill {
 
 /// A host whose last digest is older has terminated, and its streams with it, or is disconnected and will be counted
 /// again when its digests arrive.
 static constexpr Duration digestLifetime = 3s;
+/// Number of hosts that send a domain's sum to the same host of another domain, in turn. If one of them is lost, the
+/// next sum arrives before the last one has expired.
+static constexpr std::size_t sendersPerHost = 2;
 /// Approximate sizes of a digest's entries and of its frame.
 static constexpr std::size_t entryBytes = 20;
 static constexpr std::size_t frameBytes = 80;
@@ -33,33 +37,56 @@
     return std::max(minimum, std::chrono::duration_cast<Duration>(rateLimited));
 }
 
-std::vector<SendLoadDigest> LoadExchange::digestsDue(const LoadDigest &own,
-                                                     const std::vector<LoadExchangePeer> &peers,
-                                                     const HostId &collector,
-                                                     TimePoint now)
+std::vector<HostId> LoadExchange::partners(const std::vector<LoadExchangePeer> &peers) const
+{
+    std::set<HostId> ownDomain{m_options.self};
+    std::map<FailureDomainId, std::set<HostId>> otherDomains;
+    for (const LoadExchangePeer &peer : peers) {
+        (peer.failureDomain == m_options.failureDomain ? ownDomain : otherDomains[peer.failureDomain])
+            .insert(peer.host);
+    }
+    const auto position = std::distance(ownDomain.begin(), ownDomain.find(m_options.self));
+    const std::size_t sender = (static_cast<std::size_t>(position) + m_domainRound % sendersPerHost) % ownDomain.size();
+    std::vector<HostId> partners;
+    for (const auto &[domain, hosts] : otherDomains) {
+        std::size_t number = 0;
+        for (const HostId &host : hosts) {
+            if (number % ownDomain.size() == sender) {
+                partners.push_back(host);
+            }
+            ++number;
+        }
+    }
+    return partners;
+}
+
+LoadDigest LoadExchange::domainSum(const LoadDigest &own) const
+{
+    LoadDigest sum = own;
+    for (const auto &[host, received] : m_hosts) {
+        add(sum, received.digest);
+    }
+    return sum;
+}
+
+std::vector<SendLoadDigest>
+LoadExchange::digestsDue(const LoadDigest &own, const std::vector<LoadExchangePeer> &peers, TimePoint now)
 {
     dropExpired(now);
     std::vector<SendLoadDigest> digests;
-    const auto hosts = [&](bool inOwnDomain) {
-        std::vector<HostId> found;
+    if (now >= m_nextOwn) {
+        SendLoadDigest &digest = digests.emplace_back(SendLoadDigest{.to = {}, .digest = own});
         for (const LoadExchangePeer &peer : peers) {
-            if ((peer.failureDomain == m_options.failureDomain) == inOwnDomain) {
-                found.push_back(peer.host);
+            if (peer.failureDomain == m_options.failureDomain) {
+                digest.to.push_back(peer.host);
             }
         }
-        return found;
-    };
-    if (now >= m_nextOwn) {
-        digests.push_back({.to = hosts(true), .digest = own});
-        m_nextOwn = now + sendInterval(digests.back(), m_options.minimumInterval);
+        m_nextOwn = now + sendInterval(digest, m_options.minimumInterval);
     }
-    if (now >= m_nextDomain && collector == m_options.self) {
-        LoadDigest sum = own;
-        for (const auto &[host, received] : m_hosts) {
-            add(sum, received.digest);
-        }
-        digests.push_back({.to = hosts(false), .digest = std::move(sum)});
+    if (now >= m_nextDomain) {
+        digests.push_back({.to = partners(peers), .digest = domainSum(own)});
         m_nextDomain = now + sendInterval(digests.back(), m_options.minimumDomainInterval);
+        ++m_domainRound;
     }
     return digests;
 }
@@ -74,25 +101,38 @@
     }
 }
 
-LoadDigest LoadExchange::sums(TimePoint now)
+OtherHostsLoad
+LoadExchange::otherHostsLoad(const LoadDigest &own, const std::vector<LoadExchangePeer> &peers, TimePoint now)
 {
     dropExpired(now);
-    LoadDigest sums;
+    OtherHostsLoad load;
+    for (const LoadExchangePeer &peer : peers) {
+        const bool isKnown = peer.failureDomain == m_options.failureDomain ? m_hosts.contains(peer.host)
+                                                                           : m_domains.contains(peer.failureDomain);
+        load.estimatedHosts += isKnown ? 0 : 1;
+    }
+    if (load.estimatedHosts > 0) {
+        const auto knownHosts = static_cast<double>(m_hosts.size() + 1);
+        const double factor = static_cast<double>(load.estimatedHosts) / knownHosts;
+        for (const auto &[target, known] : domainSum(own)) {
+            load.sums[target].openLayers = known.openLayers * factor;
+        }
+    }
     for (const auto &[host, received] : m_hosts) {
-        add(sums, received.digest);
+        add(load.sums, received.digest);
     }
     for (const auto &[domain, received] : m_domains) {
-        add(sums, received.digest);
+        add(load.sums, received.digest);
     }
     std::set<TargetId> summed;
-    for (const auto &[target, load] : sums) {
+    for (const auto &[target, sum] : load.sums) {
         summed.insert(target);
     }
     for (const TargetId &target : m_summed) {
-        sums.try_emplace(target);
+        load.sums.try_emplace(target);
     }
     m_summed = std::move(summed);
-    return sums;
+    return load;
 }
 
 } // namespace Carawaymill
--- a/src/forwarding/tests/LoadExchangeTest.cpp
+++ b/src/forwarding/tests/LoadExchangeTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,33 +41,49 @@
     LoadExchange loads = exchange(peer("a", "1"));
     loads.recordDigest(peer("a", "2"), digest(3), start);
     loads.recordDigest(peer("b", "1"), digest(4), start + 2s);
-    CHECK(loads.sums(start + 2s).at(target).openLayers == 7);
-    CHECK(loads.sums(start + 4s).at(target).cacheLayerTokens == 40);
-    CHECK(loads.sums(start + 6s).at(target).openLayers == 0);
+    const auto sums = [&](TimePoint now) { return loads.otherHostsLoad({}, {}, now).sums; };
+    CHECK(sums(start + 2s).at(target).openLayers == 7);
+    CHECK(sums(start + 4s).at(target).cacheLayerTokens == 40);
+    CHECK(sums(start + 6s).at(target).openLayers == 0);
 }
 
-TEST_CASE("the load of another domain counts once when its collector changes")
+TEST_CASE("the load of another domain counts once when another of its hosts sends the sum")
 {
     LoadExchange loads = exchange(peer("a", "1"));
     loads.recordDigest(peer("b", "1"), digest(4), start);
     loads.recordDigest(peer("b", "2"), digest(5), start);
-    CHECK(loads.sums(start).at(target).openLayers == 5);
+    CHECK(loads.otherHostsLoad({}, {}, start).sums.at(target).openLayers == 5);
 }
 
-TEST_CASE("only the collector sends digests to other domains and sends the sum of its own domain")
+TEST_CASE("the own digest goes to the own domain and the sum of the domain to a partner in each other domain")
 {
-    const std::vector<LoadExchangePeer> peers = {peer("a", "2"), peer("b", "1")};
+    const std::vector<LoadExchangePeer> peers = {peer("a", "2"), peer("b", "1"), peer("b", "2"), peer("c", "1")};
     LoadExchange loads = exchange(peer("a", "1"));
     loads.recordDigest(peer("a", "2"), digest(3), start);
     loads.recordDigest(peer("b", "1"), digest(50), start);
-    const auto asMember = loads.digestsDue(digest(1), peers, HostId("a2"), start);
-    REQUIRE(asMember.size() == 1);
-    CHECK(asMember.front().to == std::vector{HostId("a2")});
-    CHECK(asMember.front().digest.at(target).openLayers == 1);
-    const auto asCollector = loads.digestsDue(digest(1), peers, HostId("a1"), start);
-    REQUIRE(asCollector.size() == 1);
-    CHECK(asCollector.front().to == std::vector{HostId("b1")});
-    CHECK(asCollector.front().digest.at(target).openLayers == 4);
+    const auto sent = loads.digestsDue(digest(1), peers, start);
+    REQUIRE(sent.size() == 2);
+    CHECK(sent.front().to == std::vector{HostId("a2")});
+    CHECK(sent.front().digest.at(target).openLayers == 1);
+    CHECK(sent.back().to == std::vector{HostId("b1"), HostId("c1")});
+    CHECK(sent.back().digest.at(target).openLayers == 4);
+}
+
+// After a restart of all hosts each one took the others for idle, and all chose the same few targets.
+TEST_CASE("hosts without a digest are expected to have the mean load of the known ones and to leave the KV cache free")
+{
+    const std::vector<LoadExchangePeer> peers = {peer("a", "2"), peer("a", "3"), peer("b", "1"), peer("b", "2")};
+    LoadExchange loads = exchange(peer("a", "1"));
+    const OtherHostsLoad alone = loads.otherHostsLoad(digest(2), peers, start);
+    CHECK(alone.estimatedHosts == 4);
+    CHECK(alone.sums.at(target).openLayers == 8);
+    CHECK(alone.sums.at(target).cacheLayerTokens == 0);
+    loads.recordDigest(peer("a", "2"), digest(4), start);
+    loads.recordDigest(peer("b", "2"), digest(10), start);
+    // Only a3 is unknown: the mean of a1 and a2 stands in for it.
+    const OtherHostsLoad known = loads.otherHostsLoad(digest(2), peers, start);
+    CHECK(known.estimatedHosts == 1);
+    CHECK(known.sums.at(target).openLayers == 4 + 10 + 3);
 }
 
 /// Hosts of several failure domains whose digests arrive at once.
@@ -97,11 +114,11 @@
         for (const LoadExchangePeer &host : m_hosts) {
             std::vector<LoadExchangePeer> peers = m_hosts;
             std::erase_if(peers, [&](const LoadExchangePeer &other) { return other.host == host.host; });
-            const HostId collector(host.failureDomain.value() + "1");
-            for (const SendLoadDigest &send :
-                 m_exchanges.at(host.host).digestsDue(m_own.at(host.host), peers, collector, now)) {
+            for (const SendLoadDigest &send : m_exchanges.at(host.host).digestsDue(m_own.at(host.host), peers, now)) {
                 for (const HostId &to : send.to) {
-                    m_exchanges.at(to).recordDigest(host, send.digest, now);
+                    if (!m_stopped.contains(host.host) && !m_stopped.contains(to)) {
+                        m_exchanges.at(to).recordDigest(host, send.digest, now);
+                    }
                 }
             }
         }
@@ -117,11 +134,26 @@
         return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&](const LoadExchangePeer &host) {
             LoadDigest unknown = total;
             add(m_own.at(host.host), -1, unknown);
-            add(m_exchanges.at(host.host).sums(now), -1, unknown);
-            return std::ranges::any_of(unknown, [](const auto &entry) { return entry.second.openLayers != 0; });
+            add(m_exchanges.at(host.host).otherHostsLoad({}, {}, now).sums, -1, unknown);
+            return !m_stopped.contains(host.host)
+                   && std::ranges::any_of(unknown, [](const auto &entry) { return entry.second.openLayers != 0; });
         }));
     }
 
+    /// The host sends and receives nothing from now on; the others have not noticed.
+    void stop(const LoadExchangePeer &host) { m_stopped.insert(host.host); }
+
+    /// Whether every running host has a valid sum of the load of the other domains.
+    [[nodiscard]] bool knowOtherDomains(TimePoint now)
+    {
+        return std::ranges::all_of(m_hosts, [&](const LoadExchangePeer &host) {
+            std::vector<LoadExchangePeer> others = m_hosts;
+            std::erase_if(others, [&](const auto &other) { return other.failureDomain == host.failureDomain; });
+            return m_stopped.contains(host.host)
+                   || m_exchanges.at(host.host).otherHostsLoad({}, others, now).estimatedHosts == 0;
+        });
+    }
+
 private:
     static void add(const LoadDigest &digest, double factor, LoadDigest &sum)
     {
@@ -133,6 +165,7 @@
     std::vector<LoadExchangePeer> m_hosts;
     std::map<HostId, LoadDigest> m_own;
     std::map<HostId, LoadExchange> m_exchanges;
+    std::set<HostId> m_stopped;
 };
 
 TEST_CASE("each of 24 hosts has received the load of all others within a second")
@@ -163,3 +196,19 @@
     }
     CHECK(without == 0);
 }
+
+TEST_CASE("the loss of a host in each domain leaves no other host without the sums of the other domains")
+{
+    ExchangingFleet fleet(5, 24, 216, 40);
+    for (const char *domain : {"a", "b", "c", "d", "e"}) {
+        fleet.stop(peer(domain, "7"));
+    }
+    TimePoint now = start;
+    for (; now < start + 3s; now += 100ms) {
+        fleet.tick(now);
+    }
+    for (; now < start + 10s; now += 100ms) {
+        fleet.tick(now);
+        CHECK(fleet.knowOtherDomains(now));
+    }
+}
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -114,13 +114,15 @@
                            + " hosts=" + std::to_string(ownDomain.size()));
     }
     const LoadDigest own = context.targets.router().ownLoads();
-    for (const SendLoadDigest &send : m_loads.digestsDue(own, peers, m_collector, context.now)) {
+    for (const SendLoadDigest &send : m_loads.digestsDue(own, peers, context.now)) {
         const nlohmann::json body = toJson(send.digest);
         for (const HostId &host : send.to) {
             context.fleet.send(host, PeerChannel::Load, body, context.output);
         }
     }
-    for (const auto &[target, load] : m_loads.sums(context.now)) {
+    const OtherHostsLoad others = m_loads.otherHostsLoad(own, peers, context.now);
+    m_estimatedHosts = others.estimatedHosts;
+    for (const auto &[target, load] : others.sums) {
         context.targets.router().setOtherHostsLoad(target, load);
     }
 }
@@ -442,6 +444,7 @@
     };
     gauge("requests_in_progress", m_forwarder.inProgress());
     gauge("response_bytes_held", m_forwarder.buffers().held().value());
+    gauge("load_estimated_hosts", m_estimatedHosts);
     gauge("targets_listed", m_directory.targets().size());
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -97,9 +97,11 @@
     RelayedWatchServer m_watchServer;
     /// The latest call for each range that was sent to the key-value service.
     std::map<RelayedRange, RangeCall> m_latestCalls;
-    /// The host that watches the ranges and sums up the loads for this failure domain; empty before any host is known.
+    /// The host that watches the ranges for this failure domain; empty before any host is known.
     HostId m_collector;
     LoadExchange m_loads;
+    /// Number of hosts whose load is estimated, for the metrics.
+    std::size_t m_estimatedHosts = 0;
     Forwarder m_forwarder;
     ForwardMetrics m_metrics;
     TimePoint m_nextLoadExchangeAt{};
