RetryLoans: Lend retry budget to hosts that need more than their share

Cause: the fleet's retry budget was split evenly; with 97 hosts a share is about 5 retries in 10 s, and the streams of a lost target are spread unevenly.

Change: a host that retries with less than two left asks three others; a lender counts a loan as its own retries before it sends it, for a window and a second, and a loan is valid for a second. Calls wait up to 0.2 s for one.

Result: in virtual time one of 16 hosts gets 30 or more of the fleet's 80 retries instead of 5; with every host retrying, and loans doubled or lost, no window exceeds the bound.

--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -54,28 +54,72 @@
     m_fewerSince.reset();
 }
 
+bool FleetRetryBudget::isSettled(TimePoint now) const
+{
+    return m_knownSince && now - *m_knownSince >= m_options.window;
+}
+
 double FleetRetryBudget::burstShare(TimePoint now) const
 {
-    const bool isSettled = m_knownSince && now - *m_knownSince >= m_options.window;
-    return isSettled && m_hosts > 0 ? m_options.burst * usedBurstShare / static_cast<double>(m_hosts) : 0;
+    return isSettled(now) && m_hosts > 0 ? m_options.burst * usedBurstShare / static_cast<double>(m_hosts) : 0;
 }
 
-bool FleetRetryBudget::tryRetry(const ServiceId &service, TimePoint now)
+double FleetRetryBudget::sumOf(std::deque<Loan> &loans, TimePoint now)
+{
+    std::erase_if(loans, [&](const Loan &loan) { return now >= loan.until || loan.count <= 0; });
+    double sum = 0;
+    for (const Loan &loan : loans) {
+        sum += loan.count;
+    }
+    return sum;
+}
+
+double FleetRetryBudget::ownRemaining(const ServiceId &service, TimePoint now)
 {
     updateHosts(now);
-    Slot &current = slot(service, now);
+    (void)slot(service, now);
     double requests = 0;
-    double retries = 1;
+    double retries = sumOf(m_lent[service], now);
     for (const Slot &counted : m_slots.at(service)) {
         requests += counted.requests;
         retries += counted.retries;
     }
-    if (retries > requests * m_options.ratio * usedRatioShare + burstShare(now)) {
+    return requests * m_options.ratio * usedRatioShare + burstShare(now) - retries;
+}
+
+double FleetRetryBudget::remaining(const ServiceId &service, TimePoint now)
+{
+    return ownRemaining(service, now) + sumOf(m_borrowed[service], now);
+}
+
+std::uint32_t FleetRetryBudget::lend(const ServiceId &service, std::uint32_t wanted, TimePoint now)
+{
+    const double half = ownRemaining(service, now) / 2;
+    if (!isSettled(now) || half < 1) {
+        return 0;
+    }
+    const auto lent = std::min(wanted, static_cast<std::uint32_t>(half));
+    // The borrower may send them as late as the loan is valid.
+    m_lent[service].push_back({.until = now + m_options.window + m_options.loanValidity, .count = double(lent)});
+    return lent;
+}
+
+void FleetRetryBudget::addLoan(const ServiceId &service, std::uint32_t count, TimePoint lentAt)
+{
+    m_borrowed[service].push_back({.until = lentAt + m_options.loanValidity, .count = double(count)});
+}
+
+bool FleetRetryBudget::tryRetry(const ServiceId &service, TimePoint now)
+{
+    if (ownRemaining(service, now) >= 1) {
+        slot(service, now).retries += 1;
+    } else if (sumOf(m_borrowed[service], now) >= 1) {
+        m_borrowed.at(service).front().count -= 1;
+    } else {
         ++m_refused;
         return false;
     }
     ++m_granted;
-    current.retries += 1;
     return true;
 }
 
--- a/src/forwarding/FleetRetryBudget.h
+++ b/src/forwarding/FleetRetryBudget.h
@@ -18,6 +18,8 @@
     double ratio = 0.2;
     /// Additional retries allowed per window, over all hosts together.
     double burst = 0;
+    /// A loan of another host has to be used within this time.
+    Duration loanValidity = 1s;
 };
 
 /// This host's share of the retries that all hosts may send to a service.
@@ -37,9 +39,20 @@
 
     void recordRequest(const ServiceId &service, TimePoint now);
 
-    /// Consumes one retry from the budget; returns false if none is left.
+    /// Consumes one retry from the budget, or from a loan; returns false if none is left.
     [[nodiscard]] bool tryRetry(const ServiceId &service, TimePoint now);
 
+    /// Number of retries that are left of the budget and of the valid loans. May be negative, since the budget shrinks
+    /// with the number of recent requests.
+    [[nodiscard]] double remaining(const ServiceId &service, TimePoint now);
+
+    /// Charges this host with retries that another host may send instead. Returns their number: at most `wanted` and
+    /// half of what is left of the own budget. A process without a share of the burst lends none.
+    [[nodiscard]] std::uint32_t lend(const ServiceId &service, std::uint32_t wanted, TimePoint now);
+
+    /// Adds retries that another host has lent since `lentAt`.
+    void addLoan(const ServiceId &service, std::uint32_t count, TimePoint lentAt);
+
     /// Number of hosts that share the burst; 0 while it is not known.
     [[nodiscard]] std::size_t hosts() const { return m_hosts; }
 
@@ -57,7 +70,20 @@
         double retries = 0;
     };
 
+    /// Retries that count, or are available, until a time.
+    struct Loan
+    {
+        TimePoint until;
+        double count = 0;
+    };
+
     [[nodiscard]] Slot &slot(const ServiceId &service, TimePoint now);
+    /// What is left of this host's own budget.
+    [[nodiscard]] double ownRemaining(const ServiceId &service, TimePoint now);
+    /// The sum of the loans after those that have expired are dropped.
+    [[nodiscard]] static double sumOf(std::deque<Loan> &loans, TimePoint now);
+    /// Whether this process has known the hosts for a whole window.
+    [[nodiscard]] bool isSettled(TimePoint now) const;
     void updateHosts(TimePoint now);
     /// This host's share of the burst.
     [[nodiscard]] double burstShare(TimePoint now) const;
@@ -72,6 +98,9 @@
     std::uint64_t m_granted = 0;
     std::uint64_t m_refused = 0;
     std::map<ServiceId, std::deque<Slot>> m_slots;
+    /// Lent to other hosts, and borrowed from them.
+    std::map<ServiceId, std::deque<Loan>> m_lent;
+    std::map<ServiceId, std::deque<Loan>> m_borrowed;
 };
 
 } // namespace Carawaymill
--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -24,6 +24,25 @@
     sentAt = now;
 }
 
+ForwardToTarget ForwardCall::dispatchTo(const ChosenTargets &targets, TimePoint now) const
+{
+    ForwardToTarget action{.id = id,
+                           .attempt = attempt,
+                           .target = targets.target,
+                           .address = targets.address,
+                           .path = targets.path,
+                           .organisation = organisation,
+                           .timeLeft = {},
+                           .resumeAfter = relay.last(),
+                           .request = request,
+                           .freshConnection = needsFreshConnection(targets.target),
+                           .via = via};
+    if (callerDeadline) {
+        action.timeLeft = *callerDeadline - now;
+    }
+    return action;
+}
+
 void ForwardCall::stall()
 {
     lastAttemptEnd = "moved";
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -89,6 +89,9 @@
     /// Counts a new attempt at the targets and clears what belongs to the one before.
     void beginAttempt(const ChosenTargets &targets, TimePoint now);
 
+    /// The action that sends the current attempt to the targets.
+    [[nodiscard]] ForwardToTarget dispatchTo(const ChosenTargets &targets, TimePoint now) const;
+
     /// Keeps the current attempt open as the stalled one.
     void stall();
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -1,6 +1,9 @@
 #include "forwarding/Forwarder.h"
 
+#include "forwarding/RetryAfter.h"
+#include "forwarding/TargetStatements.h"
 #include "support/Hash.h"
+#include "support/Seconds.h"
 
 #include <algorithm>
 
@@ -10,23 +13,17 @@
 static constexpr unsigned firstErrorStatus = 400;
 static constexpr unsigned firstFailureStatus = 500;
 static constexpr unsigned statusOk = 200;
-/// A Retry-After is at most this fraction of the caller's remaining time, so that a retry can still succeed.
-static constexpr double retryAfterShare = 0.25;
 /// A stream with an event this recent is not moved, although one of its targets is unresponsive.
 static constexpr Duration recentProgress = 150ms;
 /// Our deadline is this much before the caller's, so that the caller receives our response before it gives up.
 static constexpr Duration responseMargin = 20ms;
 
-static std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 Forwarder::Forwarder(ForwarderOptions options)
     : m_options(std::move(options))
     , m_random(stableHash("forwarder", m_options.targets.seed))
     , m_targets(m_options.targets)
     , m_retries(m_options.retries)
+    , m_loans({.seed = stableHash("loans", m_options.targets.seed)})
     , m_attribution(m_options.attribution)
     , m_limits(m_options.limits)
     , m_links({.reach = m_options.reach,
@@ -256,22 +253,8 @@
     call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
     m_queue.started(context.now);
-    ForwardToTarget action{.id = call.id,
-                           .attempt = call.attempt,
-                           .target = chosen.target,
-                           .address = chosen.address,
-                           .path = chosen.path,
-                           .organisation = call.organisation,
-                           .timeLeft = {},
-                           .resumeAfter = call.relay.last(),
-                           .request = call.request,
-                           .freshConnection = call.needsFreshConnection(chosen.target),
-                           .via = call.via};
-    if (call.callerDeadline) {
-        action.timeLeft = *call.callerDeadline - context.now;
-    }
+    context.actions.emplace_back(call.dispatchTo(chosen, context.now));
     call.chosen = std::move(chosen);
-    context.actions.emplace_back(std::move(action));
 }
 
 void Forwarder::dispatchAgain(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context)
@@ -283,8 +266,11 @@
         refuse(call, fallbackReason, context);
         return;
     }
-    if (!m_retries.tryRetry(call.service, context.now)) {
-        refuse(call, ForwardFailure::RetryBudgetSpent, context);
+    if (!takeRetry(call.service, context)) {
+        if (!m_loans.await(
+                {.id = call.id, .service = call.service, .fallbackReason = fallbackReason, .since = context.now})) {
+            refuse(call, ForwardFailure::RetryBudgetSpent, context);
+        }
         return;
     }
     context.actions.emplace_back(ForwardLogLine{
@@ -293,6 +279,33 @@
     dispatch(call, fallbackReason, context);
 }
 
+bool Forwarder::takeRetry(const ServiceId &service, HandlerContext &context)
+{
+    const bool granted = m_retries.tryRetry(service, context.now);
+    for (SendRetryLoanMessage &send : m_loans.replenish(service, m_retries, context.now)) {
+        context.actions.emplace_back(std::move(send));
+    }
+    return granted;
+}
+
+void Forwarder::serveLoans(HandlerContext &context)
+{
+    for (const CallAwaitingLoan &funded : m_loans.takeFunded(m_retries, context.now)) {
+        dispatchAgain(m_calls.at(funded.id), funded.fallbackReason, context);
+    }
+    for (const CallAwaitingLoan &overdue : m_loans.takeOverdue(context.now)) {
+        refuse(m_calls.at(overdue.id), ForwardFailure::RetryBudgetSpent, context);
+    }
+}
+
+void Forwarder::on(const RetryLoanMessageReceived &event, HandlerContext &context)
+{
+    for (SendRetryLoanMessage &send : m_loans.handle(event, m_retries, context.now)) {
+        context.actions.emplace_back(std::move(send));
+    }
+    serveLoans(context);
+}
+
 void Forwarder::dispatchUnsent(ForwardCall &call, HandlerContext &context)
 {
     call.waitsSince = context.now;
@@ -476,22 +489,8 @@
 
 void Forwarder::recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context)
 {
-    if (head.leaving && !m_targets.isLeaving(target)) {
-        context.actions.emplace_back(ForwardLogLine{"Forward: event=leaving target=" + target.value()});
-        m_targets.recordLeaving(target, context.router, context.now);
-    }
-    if (head.restFor) {
-        context.actions.emplace_back(ForwardLogLine{"Forward: event=resting target=" + target.value()
-                                                    + " for_ms=" + milliseconds(*head.restFor)});
-        m_targets.recordRest(target, *head.restFor, context.router, context.now);
-    }
-    const bool isAuthentic = head.sealed || (head.notRun && !head.misdirected);
-    if (const auto listed = m_targets.targets().find(target);
-        listed != m_targets.targets().end() && isAuthentic
-        && m_limits.recordStatement(target, listed->second.incarnation, head.requestsPerSecond, context.now)) {
-        context.actions.emplace_back(
-            ForwardLogLine{"Forward: event=limit target=" + target.value() + " requests_per_s="
-                           + (head.requestsPerSecond ? std::to_string(*head.requestsPerSecond) : "none")});
+    for (std::string &line : applyStatements(target, head, m_targets, m_limits, context.router, context.now)) {
+        context.actions.emplace_back(ForwardLogLine{std::move(line)});
     }
 }
 
@@ -788,6 +787,7 @@
     dispatchLimits(Tick{}, context);
     acceptEarlyRequests(context);
     moveWaitingStreams(context);
+    serveLoans(context);
     serveQueue(context);
     std::vector<RequestId> due;
     for (const auto &[id, call] : m_calls) {
@@ -1000,15 +1000,14 @@
         requestSigns({stopped}, context);
         return;
     }
-    if (!m_limits.tryTake(chosen->target, !call.wasLimited, context.now)
-        || !m_retries.tryRetry(call.service, context.now)) {
+    if (!m_limits.tryTake(chosen->target, !call.wasLimited, context.now) || !takeRetry(call.service, context)) {
         return;
     }
     const auto lastSign = m_liveness.longestSilence(chosen->path, context.now);
-    context.actions.emplace_back(ForwardLogLine{"Forward: event=moved request=" + call.request->attempt
-                                                + " from=" + stopped.value() + " to=" + chosen->target.value()
-                                                + " silent_ms=" + milliseconds(context.now - call.progressAt)
-                                                + " sign_age_ms=" + (lastSign ? milliseconds(*lastSign) : "none")});
+    context.actions.emplace_back(ForwardLogLine{
+        "Forward: event=moved request=" + call.request->attempt + " from=" + stopped.value() + " to="
+        + chosen->target.value() + " silent_ms=" + std::to_string(wholeMilliseconds(context.now - call.progressAt))
+        + " sign_age_ms=" + (lastSign ? std::to_string(wholeMilliseconds(*lastSign)) : "none")});
     ++m_moves.moved;
     call.tried.insert(stopped);
     call.stall();
@@ -1062,21 +1061,16 @@
         const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
         return std::min(condemned, m_options.condemnedRetryAfter);
     }
-    Duration longest = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter;
-    Duration shortest{};
+    RetryAfterBounds bounds{.spread = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter
+                                                                         : m_options.retryAfter};
     const bool lacksTarget = reason == ForwardFailure::NoTarget || reason == ForwardFailure::TargetsRefused;
     if (const auto restEnd = lacksTarget ? m_targets.firstRestEnd(call.service) : std::nullopt) {
-        shortest = std::max(*restEnd - context.now, Duration::zero());
+        bounds.shortest = std::max(*restEnd - context.now, Duration::zero());
     }
     if (call.callerDeadline) {
-        const Duration left = std::max(*call.callerDeadline - context.now, Duration::zero());
-        const auto limit = std::chrono::duration_cast<Duration>(left * retryAfterShare);
-        longest = std::min(longest, limit);
-        shortest = std::min(shortest, limit);
+        bounds.timeLeft = *call.callerDeadline - context.now;
     }
-    // Jitter spreads the retries of callers that are refused at the same time.
-    const double spread = 0.5 + m_random.fraction() / 2;
-    return shortest + std::chrono::duration_cast<Duration>(longest * spread);
+    return Carawaymill::retryAfter(bounds, m_random);
 }
 
 void Forwarder::refuse(ForwardCall &call, ForwardFailure reason, HandlerContext &context)
@@ -1105,6 +1099,7 @@
     context.actions.emplace_back(ForwardLogLine{std::move(line)});
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
     m_queue.remove(call.id);
+    m_loans.remove(call.id);
     m_buffers.hold(call.id, 0);
     m_calls.erase(call.id);
 }
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -6,6 +6,7 @@
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/ResponseBuffers.h"
+#include "forwarding/RetryLoans.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
 #include "forwarding/TargetLinks.h"
@@ -72,6 +73,7 @@
                                     FleetChanged,
                                     ShareMessageReceived,
                                     TargetProbed,
+                                    RetryLoanMessageReceived,
                                     RelayRequested,
                                     RelayedResponseStarted,
                                     RelayedRequestNotSent>;
@@ -106,6 +108,7 @@
                                      TraitCondemned,
                                      TraitLifted,
                                      SendShareMessage,
+                                     SendRetryLoanMessage,
                                      ForwardLogLine,
                                      ForwardEnded>;
 
@@ -140,6 +143,9 @@
 
     void setHosts(std::size_t hosts, TimePoint now) { m_retries.setHosts(hosts, now); }
 
+    /// Replaces the other hosts that can be asked for retry budget.
+    void setLenders(std::vector<HostId> others) { m_loans.setHosts(std::move(others)); }
+
     /// Replaces the other hosts that pass on requests while this one has lost its links to all targets.
     void setRelayHosts(std::vector<RelayHost> hosts) { m_links.setRelayHosts(std::move(hosts)); }
 
@@ -161,6 +167,8 @@
 
     [[nodiscard]] const FleetRetryBudget &retries() const { return m_retries; }
 
+    [[nodiscard]] const RetryLoans &loans() const { return m_loans; }
+
     [[nodiscard]] const StreamMoveCounts &moves() const { return m_moves; }
 
     [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
@@ -202,6 +210,7 @@
     void on(const FleetChanged &event, HandlerContext &context);
     void on(const ShareMessageReceived &event, HandlerContext &context);
     void on(const TargetProbed &event, HandlerContext &context);
+    void on(const RetryLoanMessageReceived &event, HandlerContext &context);
     void on(const RelayRequested &event, HandlerContext &context);
     void on(const RelayedResponseStarted &event, HandlerContext &context);
     void on(const RelayedRequestNotSent &event, HandlerContext &context);
@@ -232,7 +241,13 @@
     void serveQueue(HandlerContext &context);
     /// Like dispatch(), within the limits on repeats.
     void dispatchAgain(ForwardCall &call, ForwardFailure fallbackReason, HandlerContext &context);
-    /// The same for a call whose last attempt has not reached a target, which takes nothing from the retry budget.
+    /// Consumes one retry from the budget, and asks other hosts for more if little is left. Returns false if none was
+    /// left.
+    [[nodiscard]] bool takeRetry(const ServiceId &service, HandlerContext &context);
+    /// Goes on with the calls that wait for retry budget, and refuses those that have waited too long.
+    void serveLoans(HandlerContext &context);
+    /// The same as dispatchAgain() for a call whose last attempt has not reached a target, which takes nothing from the
+    /// retry budget.
     void dispatchUnsent(ForwardCall &call, HandlerContext &context);
     /// Ends the current attempt; `abandon` closes its connection.
     void endAttempt(ForwardCall &call, bool abandon, HandlerContext &context);
@@ -304,6 +319,7 @@
     Random m_random;
     ForwardTargets m_targets;
     FleetRetryBudget m_retries;
+    RetryLoans m_loans;
     CrashAttribution m_attribution;
     TargetRequestLimits m_limits;
     TargetLinks m_links;
--- a/src/node/Fleet.h
+++ b/src/node/Fleet.h
@@ -22,6 +22,7 @@
     Configuration = 5,
     Load = 6,
     Range = 7,
+    RetryLoans = 8,
 };
 
 /// A peer's message and the channel it was sent on.
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -154,6 +154,16 @@
     forward(AttributionMessageReceived{std::get<AttributionMessage>(std::move(message))}, context);
 }
 
+void ForwardingCoordinator::retryLoanReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
+{
+    auto message = decode<RetryLoanMessage>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&message)) {
+        logUnreadable(from, *failure, context);
+        return;
+    }
+    forward(RetryLoanMessageReceived{.from = from, .message = std::get<RetryLoanMessage>(std::move(message))}, context);
+}
+
 void ForwardingCoordinator::limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
     auto message = decode<ShareMessage>(body);
@@ -169,6 +179,9 @@
     forward(FleetChanged{.knownHosts = context.fleet.members().size(),
                          .aliveHosts = context.fleet.membership().aliveHosts()},
             context);
+    std::vector<HostId> lenders = context.fleet.membership().aliveHosts();
+    std::erase(lenders, m_options.host);
+    m_forwarder.setLenders(std::move(lenders));
     OtherHostsChanged others;
     for (const Member &member : context.fleet.members()) {
         if (member.host != m_options.host) {
@@ -423,6 +436,9 @@
                               [&](SendShareMessage &send) {
                                   context.fleet.send(send.to, PeerChannel::Limits, send.message, context.output);
                               },
+                              [&](SendRetryLoanMessage &send) {
+                                  context.fleet.send(send.to, PeerChannel::RetryLoans, send.message, context.output);
+                              },
                               [&](ForwardToTarget &dispatch) {
                                   m_metrics.count(dispatch.via ? "relayed_dispatches" : "dispatches");
                                   context.output.add(std::move(dispatch));
@@ -449,6 +465,8 @@
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
     gauge("retries_granted_total", m_forwarder.retries().granted());
     gauge("retries_refused_total", m_forwarder.retries().refused());
+    gauge("retries_borrowed_total", m_forwarder.loans().borrowed());
+    gauge("retries_lent_total", m_forwarder.loans().lent());
     gauge("streams_moved_total", m_forwarder.moves().moved);
     gauge("streams_returned_total", m_forwarder.moves().returned);
     gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -37,6 +37,7 @@
     void loadReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void attributionReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    void retryLoanReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     /// Informs the forwarder that the state of a host changed.
     void membersChanged(NodeContext &context);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -414,6 +414,11 @@
             m_forwarding->rangeReceived(event.from, message->body, context);
         }
         break;
+    case PeerChannel::RetryLoans:
+        if (m_forwarding) {
+            m_forwarding->retryLoanReceived(event.from, message->body, context);
+        }
+        break;
     }
 }
 
