HttpServer, Daemon: Bound what callers may hold, whatever they send

Cause: only the head and the body of one request were bounded. Trailers, chunk extensions and single lines had no bound, and neither had the sum of unfinished requests over all connections; callers could use every descriptor, also those that requests need towards targets.

Change: CallerConnectionTable, one for all listeners of a host, knows what each connection holds and when it last sent. Over the limit (an eighth of the memory) the connection that has stopped and holds most is refused with 503, which is true since nothing of it was handed on; a request that has been read is refused if none can be evicted. Framing and trailers are bounded for each request. Callers have three eighths of the descriptors; a stopped connection is replaced by a new one, and crowded listeners close connections after their response. A failed accept is repeated after 0.1 s. The memory comes from the command line, so that settings templates that do not know it work again.

--- a/src/daemon/CarawaymilldMain.cpp
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -38,6 +38,8 @@
     /// Bounds of the deployment, in place of those of the settings file; 0 leaves these.
     std::chrono::milliseconds drainPeriod{};
     std::chrono::milliseconds configurationApplyPeriod{};
+    /// Memory of the host, in place of that of the settings file; 0 leaves it.
+    int memoryMegabytes = 0;
 };
 
 /// Reads the command line; exits when it is wrong.
@@ -47,6 +49,7 @@
     int checkOnly = 0;
     int drainMilliseconds = 0;
     int applyMilliseconds = 0;
+    int memoryMegabytes = 0;
     const char *const fromEnvironment = std::getenv(settingsVariable);
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settings, 0, "JSON file with the daemon's settings", "FILE"},
@@ -65,6 +68,7 @@
          0,
          "time within which a configuration is in force",
          "N"},
+        {"memory-megabytes", 0, POPT_ARG_INT, &memoryMegabytes, 0, "memory of the host", "N"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(nullptr, argc, argv, static_cast<const poptOption *>(options), 0);
     if (poptGetNextOpt(context) < -1 || (settings == nullptr && fromEnvironment == nullptr)) {
@@ -74,7 +78,8 @@
     CommandLine line{.settingsFile = settings != nullptr ? settings : fromEnvironment,
                      .checkOnly = checkOnly != 0,
                      .drainPeriod = std::chrono::milliseconds(drainMilliseconds),
-                     .configurationApplyPeriod = std::chrono::milliseconds(applyMilliseconds)};
+                     .configurationApplyPeriod = std::chrono::milliseconds(applyMilliseconds),
+                     .memoryMegabytes = memoryMegabytes};
     std::free(settings);
     poptFreeContext(context);
     return line;
@@ -103,6 +108,9 @@
     if (valid.forwarding && line.configurationApplyPeriod > Duration::zero()) {
         valid.forwarding->propagation.configurationApplyPeriod = line.configurationApplyPeriod;
     }
+    if (line.memoryMegabytes > 0) {
+        valid.memory = ByteCount(static_cast<std::uint64_t>(line.memoryMegabytes) << 20U);
+    }
     return valid;
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -45,6 +45,24 @@
     return ByteCount(settings.memory.value() / responseMemoryDivisor);
 }
 
+/// The same for requests, unless the settings state another limit.
+static CallerConnectionTableOptions requestLimit(const DaemonSettings &settings)
+{
+    const bool isStated = settings.requestMemory.value() > 0;
+    return {.memoryLimit = isStated ? settings.requestMemory : responseMemory(settings)};
+}
+
+/// Parts of the descriptors, in eighths, for the connections of callers and of hosts whose requests are passed on. Each
+/// request of a caller may need one more for its target; the rest is for other hosts, the service and reports.
+static constexpr std::uint32_t descriptorParts = 8;
+static constexpr std::uint32_t callerDescriptorParts = 3;
+static constexpr std::uint32_t relayDescriptorParts = 1;
+/// Each of the other listeners has this part of the descriptors.
+static constexpr std::uint32_t otherDescriptorDivisor = 16;
+
+/// Log lines on callers that were limited are at least this far apart.
+static constexpr Duration limitLogInterval = 1s;
+
 /// One host to hold a scope and one to take over from it.
 static constexpr std::uint32_t forwardingScopeCandidates = 2;
 
@@ -65,6 +83,7 @@
         , m_relay(m_client, m_settings.peerKey, [this](const NodeEvent &event) { feed(event); })
         , m_tickInterval(m_settings.forwarding ? forwardingTickInterval : tickInterval)
         , m_loop({.tickInterval = m_tickInterval})
+        , m_connections(std::make_shared<CallerConnections>(requestLimit(m_settings)))
         , m_tick(context)
     {
     }
@@ -143,8 +162,9 @@
                                          {.address = listen.address,
                                           .port = listen.port,
                                           .limits = {.bodyBytes = m_settings.bodyLimit},
-                                          .connectionLimit = m_settings.connectionLimit,
-                                          .unsentLimit = responseMemory(m_settings)},
+                                          .connectionLimit = connectionLimit(taker),
+                                          .unsentLimit = responseMemory(m_settings),
+                                          .connections = m_connections},
                                          [this, taker](HttpRequest request, Responder responder) {
                                              (this->*taker)(std::move(request), std::move(responder));
                                          });
@@ -155,6 +175,17 @@
         return std::nullopt;
     }
 
+    [[nodiscard]] std::size_t connectionLimit(RequestTaker taker) const
+    {
+        std::uint32_t limit = m_settings.connectionLimit / otherDescriptorDivisor;
+        if (taker == &Implementation::takeCallerRequest) {
+            limit = m_settings.connectionLimit / descriptorParts * callerDescriptorParts;
+        } else if (taker == &Implementation::takeRelayedRequest) {
+            limit = m_settings.connectionLimit / descriptorParts * relayDescriptorParts;
+        }
+        return std::max(1U, limit);
+    }
+
     /// Gives the request an id and keeps its responder.
     [[nodiscard]] RequestId admit(Responder responder)
     {
@@ -206,7 +237,41 @@
     {
         responder->send({.status = 200,
                          .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                         .body = m_node->metrics(readBootClock())});
+                         .body = m_node->metrics(readBootClock()) + connectionMetrics()});
+    }
+
+    [[nodiscard]] std::string connectionMetrics() const
+    {
+        const CallerConnectionCounts &counts = m_connections->counts;
+        std::string text;
+        const auto add = [&text](const char *name, std::uint64_t value) {
+            text.append("carawaymill_").append(name).append(" ").append(std::to_string(value)).append("\n");
+        };
+        add("request_bytes_held", m_connections->table.held().value());
+        add("requests_evicted_total", counts.evicted);
+        add("requests_refused_for_memory_total", counts.refused);
+        add("requests_with_overlong_framing_total", counts.overlongFraming);
+        add("connections_replaced_total", counts.replaced);
+        add("connections_turned_away_total", counts.turnedAway);
+        return text;
+    }
+
+    /// Logs that callers were limited, once in `limitLogInterval` at most.
+    void logLimitedCallers()
+    {
+        const TimePoint now = readBootClock();
+        const CallerConnectionCounts &counts = m_connections->counts;
+        if (counts == m_loggedCounts || now < m_nextLimitLog) {
+            return;
+        }
+        m_nextLimitLog = now + limitLogInterval;
+        LOG(WARNING) << "Callers: event=limited evicted=" << counts.evicted - m_loggedCounts.evicted
+                     << " refused=" << counts.refused - m_loggedCounts.refused
+                     << " overlong_framing=" << counts.overlongFraming - m_loggedCounts.overlongFraming
+                     << " replaced=" << counts.replaced - m_loggedCounts.replaced
+                     << " turned_away=" << counts.turnedAway - m_loggedCounts.turnedAway
+                     << " held=" << m_connections->table.held().value();
+        m_loggedCounts = counts;
     }
 
     void feed(const NodeEvent &event)
@@ -226,6 +291,7 @@
                          << " in_progress=" << m_responders.size();
         }
         feed(Tick{});
+        logLimitedCallers();
         if (m_drainUntil) {
             finishDrain();
         }
@@ -437,6 +503,10 @@
     LogLimiter m_log{LogLimiterOptions{}};
     std::chrono::milliseconds m_tickInterval;
     LoopMonitor m_loop;
+    /// Before the listeners, which use it.
+    std::shared_ptr<CallerConnections> m_connections;
+    CallerConnectionCounts m_loggedCounts;
+    TimePoint m_nextLimitLog{};
     boost::asio::steady_timer m_tick;
     std::unique_ptr<PeerLink> m_peers;
     std::unique_ptr<HostListHttpClient> m_hostList;
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -280,6 +280,7 @@
     if (settings.memory.value() == 0) {
         reader.note("memoryMegabytes", "A number above 0 is needed.");
     }
+    settings.requestMemory = ByteCount(reader.number("requestMemoryMegabytes", 0, 1U << 20U) << 20U);
     settings.connectionLimit =
         static_cast<std::uint32_t>(reader.number("connectionLimit", settings.connectionLimit, 1U << 20U));
     if (std::vector<SettingFault> faults = reader.finish(); !faults.empty()) {
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -63,10 +63,15 @@
     /// once, since no earlier process can have lent a part of them.
     bool firstStartOfDeployment = false;
     ByteCount bodyLimit = ByteCount(1U << 20U);
+    /// Descriptors for connections. Callers may use three eighths of them, since each request in progress needs another
+    /// one to its target; other hosts an eighth for requests that are passed on, and each other listener a sixteenth.
     std::uint32_t connectionLimit = 4096;
     /// Memory of this host. An eighth of it at most is held for targets' responses that are not complete, and as much
     /// for those that callers, or other hosts, have not received yet.
     ByteCount memory = ByteCount(256U << 20U);
+    /// Bytes of callers' and other hosts' requests that are held until they are answered, with their copies; 0: an
+    /// eighth of `memory`.
+    ByteCount requestMemory;
     /// How long a shutdown waits for requests in progress.
     Duration drainTimeout = 300s;
     /// A shutdown takes at least so long, since callers are still sent here until the balancer has noticed.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,24 +1,38 @@
 #include "http/HttpServer.h"
 
 #include "http/HttpSession.h"
+#include "support/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace Carawaymill {
 
 using boost::asio::ip::tcp;
 
+/// Bytes of requests that a listener holds which shares no limit with others.
+static constexpr ByteCount ownRequestLimit(32U << 20U);
+/// Time until the next connection is accepted after a failure, for example for lack of descriptors.
+static constexpr std::chrono::milliseconds acceptRetryDelay(100);
+
 /// Accepts connections and owns the state that the sessions share.
 class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
 {
 public:
     Implementation(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
         : m_acceptor(context)
+        , m_acceptRetry(context)
         , m_state(std::make_shared<HttpServerState>())
     {
         m_state->options = std::move(options);
         m_state->handler = std::move(handler);
+        m_state->connections = m_state->options.connections;
+        if (!m_state->connections) {
+            m_state->connections =
+                std::make_shared<CallerConnections>(CallerConnectionTableOptions{.memoryLimit = ownRequestLimit});
+        }
+        m_state->listener = m_state->connections->table.addListener();
     }
 
     [[nodiscard]] boost::system::error_code listen()
@@ -46,10 +60,16 @@
             if (error == boost::asio::error::operation_aborted) {
                 return;
             }
-            if (!error && self->m_state->sessions.size() < self->m_state->options.connectionLimit) {
+            if (error) {
+                self->acceptLater();
+                return;
+            }
+            if (self->makeRoom()) {
                 boost::system::error_code ignored;
                 socket.set_option(tcp::no_delay(true), ignored);
                 HttpSession::start(std::move(socket), self->m_state);
+            } else {
+                ++self->m_state->connections->counts.turnedAway;
             }
             self->accept();
         });
@@ -59,6 +79,7 @@
     {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
+        m_acceptRetry.cancel();
         closeConnections();
         forEachSession([](HttpSession &session) { session.closeUnlessBusy(); });
     }
@@ -81,6 +102,32 @@
     [[nodiscard]] ByteCount unsentBytes() const { return ByteCount(m_state->unsentBytes); }
 
 private:
+    /// Whether there is room for one more connection, if need be in place of one that has stopped sending.
+    [[nodiscard]] bool makeRoom()
+    {
+        if (m_state->sessions.size() < m_state->options.connectionLimit) {
+            return true;
+        }
+        CallerConnections &connections = *m_state->connections;
+        const auto replaced = connections.table.replaceable(m_state->listener, readBootClock());
+        if (!replaced) {
+            return false;
+        }
+        ++connections.counts.replaced;
+        connections.sessions.at(*replaced)->close();
+        return true;
+    }
+
+    void acceptLater()
+    {
+        m_acceptRetry.expires_after(acceptRetryDelay);
+        m_acceptRetry.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error && self->m_acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    }
+
     template<typename Function>
     void forEachSession(Function function)
     {
@@ -91,6 +138,7 @@
     }
 
     tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptRetry;
     std::shared_ptr<HttpServerState> m_state;
 };
 
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/CallerConnections.h"
 #include "http/CallerLimits.h"
 #include "http/HttpMessages.h"
 #include "http/HttpResponder.h"
@@ -29,6 +30,9 @@
     /// Bytes of responses that callers have not received yet, over all connections. Beyond it, the connection with most
     /// of them is closed.
     ByteCount unsentLimit = ByteCount(32U << 20U);
+    /// Shared by all listeners of a host, so that the requests of all of them stay within one limit. A listener without
+    /// it has a limit of its own.
+    std::shared_ptr<CallerConnections> connections = nullptr;
 };
 
 /// The server cannot listen on its address and port.
@@ -43,7 +47,8 @@
 /// HTTP/1.1 server on Asio and Beast. Runs in the thread that runs the `io_context`.
 ///
 /// Oversized or malformed requests do not reach the handler. They are rejected with a 4xx response whose body is a
-/// problem document in JSON.
+/// problem document in JSON. So are, with 503, requests that have to give way since the host holds too many bytes of
+/// requests; see `CallerConnectionTable`.
 class HttpServer
 {
 public:
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -1,11 +1,14 @@
 #include "http/HttpSession.h"
 
+#include "support/BootClock.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <charconv>
@@ -16,6 +19,12 @@
 using boost::system::error_code;
 
 static constexpr std::size_t firstReadSize = 4096;
+static constexpr std::size_t readSize = 16384;
+/// Framing of a chunked body for each of its bytes, beside the size of a head: one byte in a chunk of its own takes
+/// five, or more with leading zeros.
+static constexpr std::size_t framingPerBodyByte = 16;
+/// Copies of a request in progress: one to send it to further targets, and one that is being sent.
+static constexpr std::size_t requestCopies = 2;
 /// Bytes of further requests that are read while a request is in progress. A caller that has sent more is only found to
 /// have left when its response is written.
 static constexpr std::size_t readAheadLimit = 64U << 10U;
@@ -88,6 +97,8 @@
     , m_server(std::move(server))
 {
     m_server->sessions.insert(this);
+    m_number = m_server->connections->table.add(m_server->listener, readBootClock());
+    m_server->connections->sessions.emplace(m_number, this);
 }
 
 HttpSession::~HttpSession()
@@ -96,6 +107,8 @@
         m_server->unsentBytes -= unsentBytes();
     }
     m_server->sessions.erase(this);
+    m_server->connections->sessions.erase(m_number);
+    m_server->connections->table.remove(m_number);
 }
 
 void HttpSession::closeIfIdle()
@@ -119,13 +132,6 @@
     return m_buffer.size() > 0 || m_stream.socket().available(ignored) > 0;
 }
 
-/// Whether the caller sent malformed HTTP, as opposed to a connection that was closed or timed out.
-static bool isMalformed(error_code error)
-{
-    const bool isHttpError = error.category() == http::make_error_code(http::error::bad_method).category();
-    return error && isHttpError && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 void HttpSession::readRequest()
 {
     if (m_buffer.size() == 0) {
@@ -138,6 +144,10 @@
 void HttpSession::awaitRequest()
 {
     m_awaitingRequest = true;
+    m_buffer.shrink_to_fit();
+    if (m_hasResponded) {
+        recordPhase(ConnectionPhase::Idle);
+    }
     m_stream.expires_after(m_server->options.limits.idleTimeout);
     m_stream.async_read_some(m_buffer.prepare(firstReadSize),
                              [self = shared_from_this()](error_code error, std::size_t received) {
@@ -154,23 +164,130 @@
 void HttpSession::readMessage()
 {
     const CallerLimits &limits = m_server->options.limits;
+    m_parsedBytes = 0;
+    m_headBytes = 0;
+    m_bytesBeforeTrailer.reset();
     m_parser.emplace();
+    m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes.value()));
     m_parser->body_limit(limits.bodyBytes.value());
+    m_chunkHeader = [this](std::uint64_t size, boost::beast::string_view, error_code &) {
+        if (size == 0) {
+            m_bytesBeforeTrailer = m_parsedBytes;
+        }
+    };
+    m_parser->on_chunk_header(m_chunkHeader);
     m_stream.expires_after(limits.readTimeout);
-    http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-        if (error == http::error::body_limit) {
-            self->rejectRequest(413, "body-too-large", "The request body is larger than the limit.");
-        } else if (error == http::error::header_limit) {
-            self->rejectRequest(431, "header-too-large", "The request header is larger than the limit.");
-        } else if (isMalformed(error)) {
-            self->rejectRequest(400, "malformed-request", error.message());
-        } else if (error) {
-            self->close();
-        } else {
-            self->dispatchRequest();
+    parse();
+}
+
+void HttpSession::readMore()
+{
+    m_stream.async_read_some(m_buffer.prepare(readSize),
+                             [self = shared_from_this()](error_code error, std::size_t received) {
+                                 self->m_buffer.commit(received);
+                                 if (self->m_evicted || self->m_closed) {
+                                     return;
+                                 }
+                                 if (error) {
+                                     self->close();
+                                 } else {
+                                     self->parse();
+                                 }
+                             });
+}
+
+void HttpSession::parse()
+{
+    error_code error;
+    while (!error && m_buffer.size() > 0 && !m_parser->is_done()) {
+        const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(parsed);
+        m_parsedBytes += parsed;
+        if (m_parser->is_header_done() && m_headBytes == 0) {
+            m_headBytes = m_parsedBytes - m_parser->get().body().size();
         }
-    });
+    }
+    if (error != http::error::need_more && rejectFaulty(error)) {
+        return;
+    }
+    if (!isFramingBounded()) {
+        ++m_server->connections->counts.overlongFraming;
+        rejectRequest(
+            400, "malformed-request", "The chunk lines or trailers of the request are larger than the limit.");
+        return;
+    }
+    if (m_parser->is_done()) {
+        dispatchRequest();
+        return;
+    }
+    recordPhase(ConnectionPhase::Reading);
+    limitRequestBytes();
+    if (!m_evicted) {
+        readMore();
+    }
+}
+
+bool HttpSession::rejectFaulty(error_code error)
+{
+    if (error == http::error::body_limit) {
+        rejectRequest(413, "body-too-large", "The request body is larger than the limit.");
+    } else if (error == http::error::header_limit) {
+        rejectRequest(431, "header-too-large", "The request header is larger than the limit.");
+    } else if (error) {
+        rejectRequest(400, "malformed-request", error.message());
+    }
+    return error.failed();
+}
+
+bool HttpSession::isFramingBounded() const
+{
+    if (!m_parser->is_header_done()) {
+        return true;
+    }
+    const std::size_t limit = m_server->options.limits.headerBytes.value();
+    const std::size_t bodyBytes = m_parser->get().body().size();
+    const std::size_t framing = m_parsedBytes - m_headBytes - std::min(bodyBytes, m_parsedBytes - m_headBytes);
+    const bool isFraming = framing <= limit + framingPerBodyByte * bodyBytes;
+    if (m_parser->is_done()) {
+        return isFraming;
+    }
+    const std::size_t trailer = m_bytesBeforeTrailer ? m_parsedBytes - *m_bytesBeforeTrailer : 0;
+    // Bytes that are not parsed yet belong to a line whose end has not arrived.
+    return isFraming && m_buffer.size() <= limit && trailer <= limit + readSize;
+}
+
+void HttpSession::recordPhase(ConnectionPhase phase)
+{
+    std::size_t bytes = m_buffer.size();
+    if (phase == ConnectionPhase::Reading) {
+        const std::string &body = m_parser->get().body();
+        // A body that grows has a capacity of up to twice its size; one whose length was announced is not in use yet.
+        bytes += m_headBytes + std::min(body.capacity(), 2 * body.size());
+    } else if (phase == ConnectionPhase::InProgress) {
+        bytes += requestCopies * m_requestBytes;
+    }
+    m_server->connections->table.update(m_number, phase, bytes, readBootClock());
+}
+
+void HttpSession::limitRequestBytes()
+{
+    CallerConnections &connections = *m_server->connections;
+    while (const auto largest = connections.table.excess(readBootClock())) {
+        ++connections.counts.evicted;
+        connections.sessions.at(*largest)->evict();
+    }
+}
+
+void HttpSession::evict()
+{
+    m_evicted = true;
+    // The read in progress still uses the buffer, which is small; the body is freed at once.
+    m_parser.reset();
+    m_requestBytes = 0;
+    recordPhase(ConnectionPhase::InProgress);
+    rejectRequest(
+        503, "request-memory-used-up", "The host holds too many unfinished requests. The request has not run.");
 }
 
 void HttpSession::rejectRequest(unsigned status, const std::string &type, const std::string &detail)
@@ -185,6 +302,14 @@
 
 void HttpSession::dispatchRequest()
 {
+    m_requestBytes = m_parsedBytes;
+    recordPhase(ConnectionPhase::InProgress);
+    limitRequestBytes();
+    if (m_server->connections->table.isOverLimit()) {
+        ++m_server->connections->counts.refused;
+        evict();
+        return;
+    }
     m_stream.expires_never();
     m_requestInProgress = true;
     m_responseComplete = false;
@@ -204,7 +329,9 @@
 
 void HttpSession::watchForDisconnect()
 {
-    if (m_readingAhead || m_buffer.size() >= readAheadLimit) {
+    const bool hasReadAhead = m_buffer.size() > 0;
+    if (m_readingAhead || m_buffer.size() >= readAheadLimit
+        || (hasReadAhead && !m_server->connections->table.mayReadAhead())) {
         return;
     }
     m_readingAhead = true;
@@ -223,6 +350,7 @@
         if (error) {
             fail();
         } else {
+            recordPhase(ConnectionPhase::InProgress);
             watchForDisconnect();
         }
         return;
@@ -262,7 +390,7 @@
 void HttpSession::beginResponse()
 {
     m_hasResponded = true;
-    m_keepAlive = m_keepAlive && !m_server->announcesClose;
+    m_keepAlive = m_keepAlive && !m_server->announcesClose && !m_server->isCrowded();
 }
 
 void HttpSession::sendResponse(const HttpResponse &response)
@@ -366,6 +494,7 @@
 {
     assert(m_requestInProgress);
     m_requestInProgress = false;
+    m_requestBytes = 0;
     m_disconnectCallback = nullptr;
     --m_server->requestsInProgress;
     if (!m_keepAlive) {
@@ -404,6 +533,7 @@
     if (std::exchange(m_closed, true)) {
         return;
     }
+    m_server->connections->table.remove(m_number);
     error_code ignored;
     m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.socket().close(ignored);
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -22,6 +22,8 @@
     HttpServerOptions options;
     HttpHandler handler;
     std::set<HttpSession *> sessions;
+    std::shared_ptr<CallerConnections> connections;
+    ListenerNumber listener;
     std::size_t requestsInProgress = 0;
     /// Bytes of responses that are queued on all connections but those that are given up.
     std::size_t unsentBytes = 0;
@@ -29,6 +31,13 @@
     bool announcesClose = false;
     /// Connections are also closed after responses that have not announced it, unless a request has arrived.
     bool closesIdle = false;
+
+    /// Whether nearly all connections are in use. Each response then closes its connection, so that callers that keep
+    /// theirs busy leave room for others.
+    [[nodiscard]] bool isCrowded() const
+    {
+        return sessions.size() >= options.connectionLimit - options.connectionLimit / 8;
+    }
 };
 
 /// One connection of a caller: reads a request, passes it to the handler, writes the response, and repeats.
@@ -46,6 +55,9 @@
     void closeIfIdle();
     /// Closes the connection unless a request is in progress.
     void closeUnlessBusy();
+    void close();
+    /// Refuses the request that is being read, which has not run, and closes the connection.
+    void evict();
 
     // The responder of the request in progress calls these functions, see `HttpResponder`.
     void sendResponse(const HttpResponse &response);
@@ -63,6 +75,18 @@
     void awaitRequest();
     /// Reads a request of which the first bytes have arrived, for at most the read timeout.
     void readMessage();
+    /// Reads more bytes of the request.
+    void readMore();
+    /// Parses the bytes that have arrived, and goes on with the request once it is complete.
+    void parse();
+    /// Rejects the request if it is malformed or larger than its limits. Returns whether it did.
+    [[nodiscard]] bool rejectFaulty(boost::system::error_code error);
+    /// Whether the framing of the request, beside its body, is within its limits.
+    [[nodiscard]] bool isFramingBounded() const;
+    /// Refuses requests until the host holds no more bytes of requests than its limit allows.
+    void limitRequestBytes();
+    /// Records the phase of the connection and the bytes of requests that it holds.
+    void recordPhase(ConnectionPhase phase);
     void dispatchRequest();
     void rejectRequest(unsigned status, const std::string &type, const std::string &detail);
     /// Reads ahead while a request is in progress, to notice when the caller closes its connection.
@@ -83,7 +107,6 @@
     void awaitNextRequest();
     /// Closes the connection, ends the request in progress and runs the disconnect callback.
     void fail();
-    void close();
     [[nodiscard]] bool hasUnreadBytes() const;
     void beginResponse();
     /// Serialises status and headers; `framing` is the header that states where the body ends.
@@ -93,6 +116,15 @@
     std::shared_ptr<HttpServerState> m_server;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    /// Notes the chunk of size 0, behind which only trailers follow.
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)> m_chunkHeader;
+    ConnectionNumber m_number;
+    /// Bytes of the request that have been parsed, of its head, and before what follows its last chunk.
+    std::size_t m_parsedBytes = 0;
+    std::size_t m_headBytes = 0;
+    std::optional<std::size_t> m_bytesBeforeTrailer;
+    /// Bytes of the request in progress.
+    std::size_t m_requestBytes = 0;
     /// Bytes to write after the write in progress has ended.
     std::string m_queuedBytes;
     /// Bytes of the write in progress.
@@ -111,6 +143,8 @@
     bool m_closed = false;
     /// The caller receives too slowly; the connection is about to be closed.
     bool m_givenUp = false;
+    /// The request that was being read has been refused.
+    bool m_evicted = false;
 };
 
 } // namespace Carawaymill
