HttpSession, RetryLoans, LoadExchange: Mend what the review of the three parts found

Waiting calls ask for loans again, and a negative own budget hides no loan. A host that knows little of its domain sends no sum, and one that lacks a few hosts sends the next one sooner.

--- a/src/daemon/CarawaymilldMain.cpp
+++ b/src/daemon/CarawaymilldMain.cpp
@@ -49,7 +49,7 @@
     int checkOnly = 0;
     int drainMilliseconds = 0;
     int applyMilliseconds = 0;
-    int memoryMegabytes = 0;
+    char *memoryMegabytes = nullptr;
     const char *const fromEnvironment = std::getenv(settingsVariable);
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settings, 0, "JSON file with the daemon's settings", "FILE"},
@@ -68,7 +68,7 @@
          0,
          "time within which a configuration is in force",
          "N"},
-        {"memory-megabytes", 0, POPT_ARG_INT, &memoryMegabytes, 0, "memory of the host", "N"},
+        {"memory-megabytes", 0, POPT_ARG_STRING, &memoryMegabytes, 0, "memory of the host", "N"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(nullptr, argc, argv, static_cast<const poptOption *>(options), 0);
     if (poptGetNextOpt(context) < -1 || (settings == nullptr && fromEnvironment == nullptr)) {
@@ -79,8 +79,12 @@
                      .checkOnly = checkOnly != 0,
                      .drainPeriod = std::chrono::milliseconds(drainMilliseconds),
                      .configurationApplyPeriod = std::chrono::milliseconds(applyMilliseconds),
-                     .memoryMegabytes = memoryMegabytes};
+                     .memoryMegabytes = memoryMegabytes != nullptr ? std::atoi(memoryMegabytes) : 0};
+    if (memoryMegabytes != nullptr && line.memoryMegabytes <= 0) {
+        LOG(WARNING) << "Daemon: --memory-megabytes is no number above 0 and ignored.";
+    }
     std::free(settings);
+    std::free(memoryMegabytes);
     poptFreeContext(context);
     return line;
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -60,6 +60,9 @@
 /// Each of the other listeners has this part of the descriptors.
 static constexpr std::uint32_t otherDescriptorDivisor = 16;
 
+/// Bytes of requests that the listeners for readiness and for metrics hold, each.
+static constexpr ByteCount questionMemory(1U << 20U);
+
 /// Log lines on callers that were limited are at least this far apart.
 static constexpr Duration limitLogInterval = 1s;
 
@@ -164,7 +167,7 @@
                                           .limits = {.bodyBytes = m_settings.bodyLimit},
                                           .connectionLimit = connectionLimit(taker),
                                           .unsentLimit = responseMemory(m_settings),
-                                          .connections = m_connections},
+                                          .connections = connectionsFor(taker)},
                                          [this, taker](HttpRequest request, Responder responder) {
                                              (this->*taker)(std::move(request), std::move(responder));
                                          });
@@ -175,6 +178,17 @@
         return std::nullopt;
     }
 
+    /// Questions for readiness and metrics are answered at once, also while the requests of callers and hosts fill the
+    /// memory: they share no limit with these.
+    [[nodiscard]] std::shared_ptr<CallerConnections> connectionsFor(RequestTaker taker) const
+    {
+        const bool isAnsweredAtOnce =
+            taker == &Implementation::answerReadiness || taker == &Implementation::answerMetrics;
+        return isAnsweredAtOnce
+                   ? std::make_shared<CallerConnections>(CallerConnectionTableOptions{.memoryLimit = questionMemory})
+                   : m_connections;
+    }
+
     [[nodiscard]] std::size_t connectionLimit(RequestTaker taker) const
     {
         std::uint32_t limit = m_settings.connectionLimit / otherDescriptorDivisor;
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -51,7 +51,7 @@
     [[nodiscard]] std::uint64_t number(const std::string &name, std::uint64_t otherwise, std::uint64_t maximum)
     {
         m_known.insert(name);
-        if (!has(name)) {
+        if (!has(name) || m_object[name].is_null()) {
             return otherwise;
         }
         if (!m_object[name].is_number_unsigned() || m_object[name] > maximum) {
--- a/src/forwarding/FleetRetryBudget.cpp
+++ b/src/forwarding/FleetRetryBudget.cpp
@@ -89,7 +89,7 @@
 
 double FleetRetryBudget::remaining(const ServiceId &service, TimePoint now)
 {
-    return ownRemaining(service, now) + sumOf(m_borrowed[service], now);
+    return std::max(0.0, ownRemaining(service, now)) + sumOf(m_borrowed[service], now);
 }
 
 std::uint32_t FleetRetryBudget::lend(const ServiceId &service, std::uint32_t wanted, TimePoint now)
--- a/src/forwarding/FleetRetryBudget.h
+++ b/src/forwarding/FleetRetryBudget.h
@@ -42,8 +42,7 @@
     /// Consumes one retry from the budget, or from a loan; returns false if none is left.
     [[nodiscard]] bool tryRetry(const ServiceId &service, TimePoint now);
 
-    /// Number of retries that are left of the budget and of the valid loans. May be negative, since the budget shrinks
-    /// with the number of recent requests.
+    /// Number of retries that are left of the budget and of the valid loans.
     [[nodiscard]] double remaining(const ServiceId &service, TimePoint now);
 
     /// Charges this host with retries that another host may send instead. Returns their number: at most `wanted` and
@@ -78,7 +77,7 @@
     };
 
     [[nodiscard]] Slot &slot(const ServiceId &service, TimePoint now);
-    /// What is left of this host's own budget.
+    /// What is left of this host's own budget. May be negative, since the budget shrinks with the recent requests.
     [[nodiscard]] double ownRemaining(const ServiceId &service, TimePoint now);
     /// The sum of the loans after those that have expired are dropped.
     [[nodiscard]] static double sumOf(std::deque<Loan> &loans, TimePoint now);
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -267,7 +267,7 @@
         return;
     }
     if (!takeRetry(call.service, context)) {
-        if (!m_loans.await(
+        if (!m_loans.enqueue(
                 {.id = call.id, .service = call.service, .fallbackReason = fallbackReason, .since = context.now})) {
             refuse(call, ForwardFailure::RetryBudgetSpent, context);
         }
@@ -296,6 +296,9 @@
     for (const CallAwaitingLoan &overdue : m_loans.takeOverdue(context.now)) {
         refuse(m_calls.at(overdue.id), ForwardFailure::RetryBudgetSpent, context);
     }
+    for (SendRetryLoanMessage &send : m_loans.replenishWaiting(m_retries, context.now)) {
+        context.actions.emplace_back(std::move(send));
+    }
 }
 
 void Forwarder::on(const RetryLoanMessageReceived &event, HandlerContext &context)
--- a/src/forwarding/LoadExchange.cpp
+++ b/src/forwarding/LoadExchange.cpp
@@ -11,6 +11,9 @@
 /// Number of hosts that send a domain's sum to the same host of another domain, in turn. If one of them is lost, the
 /// next sum arrives before the last one has expired.
 static constexpr std::size_t sendersPerHost = 2;
+/// A host that knows a smaller part of its domain than this sends no sum: it has just started, or is disconnected, and
+/// its sum would replace a complete one.
+static constexpr double completeSumShare = 0.75;
 /// Approximate sizes of a digest's entries and of its frame.
 static constexpr std::size_t entryBytes = 20;
 static constexpr std::size_t frameBytes = 80;
@@ -69,6 +72,13 @@
     return sum;
 }
 
+double LoadExchange::knownShare(const std::vector<LoadExchangePeer> &peers) const
+{
+    const auto others = std::ranges::count_if(
+        peers, [&](const LoadExchangePeer &peer) { return peer.failureDomain == m_options.failureDomain; });
+    return others == 0 ? 1 : static_cast<double>(m_hosts.size()) / static_cast<double>(others);
+}
+
 std::vector<SendLoadDigest>
 LoadExchange::digestsDue(const LoadDigest &own, const std::vector<LoadExchangePeer> &peers, TimePoint now)
 {
@@ -83,10 +93,13 @@
         }
         m_nextOwn = now + sendInterval(digest, m_options.minimumInterval);
     }
-    if (now >= m_nextDomain) {
+    if (now >= m_nextDomain && knownShare(peers) >= completeSumShare) {
         digests.push_back({.to = partners(peers), .digest = domainSum(own)});
-        m_nextDomain = now + sendInterval(digests.back(), m_options.minimumDomainInterval);
-        ++m_domainRound;
+        // A sum that lacks hosts is replaced soon, at the same hosts.
+        const bool isComplete = knownShare(peers) >= 1;
+        const Duration interval = isComplete ? m_options.minimumDomainInterval : m_options.minimumInterval;
+        m_nextDomain = now + sendInterval(digests.back(), interval);
+        m_domainRound += isComplete ? 1 : 0;
     }
     return digests;
 }
--- a/src/forwarding/LoadExchange.h
+++ b/src/forwarding/LoadExchange.h
@@ -84,6 +84,8 @@
     void dropExpired(TimePoint now);
     /// The hosts of other domains that this host sends the next sum to.
     [[nodiscard]] std::vector<HostId> partners(const std::vector<LoadExchangePeer> &peers) const;
+    /// Fraction of the other hosts of the own domain of which a valid digest is known.
+    [[nodiscard]] double knownShare(const std::vector<LoadExchangePeer> &peers) const;
     /// The load of this host and of all known hosts of its domain.
     [[nodiscard]] LoadDigest domainSum(const LoadDigest &own) const;
     /// Time until the next digest may be sent: at least `minimum`, and long enough to stay within `bytesPerSecond`.
--- a/src/forwarding/RetryLoans.cpp
+++ b/src/forwarding/RetryLoans.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/RetryLoans.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace Carawaymill {
 
@@ -57,7 +59,7 @@
     return {};
 }
 
-bool RetryLoans::await(CallAwaitingLoan call)
+bool RetryLoans::enqueue(CallAwaitingLoan call)
 {
     if (m_others.empty()) {
         return false;
@@ -66,6 +68,19 @@
     return true;
 }
 
+std::vector<SendRetryLoanMessage> RetryLoans::replenishWaiting(FleetRetryBudget &budget, TimePoint now)
+{
+    std::set<ServiceId> services;
+    for (const CallAwaitingLoan &call : m_waiting) {
+        services.insert(call.service);
+    }
+    std::vector<SendRetryLoanMessage> messages;
+    for (const ServiceId &service : services) {
+        std::ranges::move(replenish(service, budget, now), std::back_inserter(messages));
+    }
+    return messages;
+}
+
 std::vector<CallAwaitingLoan> RetryLoans::takeFunded(FleetRetryBudget &budget, TimePoint now)
 {
     std::map<ServiceId, double> left;
--- a/src/forwarding/RetryLoans.h
+++ b/src/forwarding/RetryLoans.h
@@ -72,7 +72,11 @@
     handle(const RetryLoanMessageReceived &event, FleetRetryBudget &budget, TimePoint now);
 
     /// Lets a call wait that lacks budget. Returns false if no loan can be expected.
-    [[nodiscard]] bool await(CallAwaitingLoan call);
+    [[nodiscard]] bool enqueue(CallAwaitingLoan call);
+
+    /// Asks again for the services that calls wait for: a tick may bring more of them than one request covers, and the
+    /// hosts that were asked may have none left.
+    [[nodiscard]] std::vector<SendRetryLoanMessage> replenishWaiting(FleetRetryBudget &budget, TimePoint now);
 
     /// Removes and returns the calls that can go on with the present budget, oldest first.
     [[nodiscard]] std::vector<CallAwaitingLoan> takeFunded(FleetRetryBudget &budget, TimePoint now);
--- a/src/forwarding/tests/LoadExchangeTest.cpp
+++ b/src/forwarding/tests/LoadExchangeTest.cpp
@@ -69,6 +69,20 @@
     CHECK(sent.back().digest.at(target).openLayers == 4);
 }
 
+TEST_CASE("a host that knows little of its domain sends no sum in place of a complete one")
+{
+    std::vector<LoadExchangePeer> peers = {peer("b", "1")};
+    LoadExchange loads = exchange(peer("a", "1"));
+    for (const char *host : {"2", "3", "4", "5"}) {
+        peers.push_back(peer("a", host));
+    }
+    loads.recordDigest(peer("a", "2"), digest(3), start);
+    loads.recordDigest(peer("a", "3"), digest(3), start);
+    CHECK(loads.digestsDue(digest(1), peers, start).size() == 1);
+    loads.recordDigest(peer("a", "4"), digest(3), start);
+    CHECK(loads.digestsDue(digest(1), peers, start + 20ms).size() == 1);
+}
+
 // After a restart of all hosts each one took the others for idle, and all chose the same few targets.
 TEST_CASE("hosts without a digest are expected to have the mean load of the known ones and to leave the KV cache free")
 {
--- a/src/http/CallerConnectionTable.cpp
+++ b/src/http/CallerConnectionTable.cpp
@@ -45,6 +45,7 @@
     m_held += connection.bytes;
     if (connection.phase == ConnectionPhase::Reading) {
         m_reading.emplace(connection.bytes, number);
+        m_readingBytes += connection.bytes;
     }
     if (connection.phase == ConnectionPhase::Reading || connection.phase == ConnectionPhase::Unused) {
         m_replaceable[connection.listener].emplace(connection.changedAt, number);
@@ -54,7 +55,9 @@
 void CallerConnectionTable::leaveIndexes(ConnectionNumber number, const Connection &connection)
 {
     m_held -= connection.bytes;
-    m_reading.erase({connection.bytes, number});
+    if (m_reading.erase({connection.bytes, number}) > 0) {
+        m_readingBytes -= connection.bytes;
+    }
     m_replaceable[connection.listener].erase({connection.changedAt, number});
 }
 
--- a/src/http/CallerConnectionTable.h
+++ b/src/http/CallerConnectionTable.h
@@ -40,9 +40,9 @@
 
 /// The connections of callers on all listeners of a host, and the bytes of requests that they hold.
 ///
-/// Decides which connection gives way when the bytes or the number of connections reach their limit, under callers
+/// Decides which connection is evicted when the bytes or the number of connections reach their limit, under callers
 /// that send without end or stop just short of the end of their request. An ordinary request holds little and arrives
-/// quickly, so that others give way first. A request that has been read is never given up for another one.
+/// quickly, so that others are evicted first. A request that has been read is never evicted for another one.
 class CallerConnectionTable
 {
 public:
@@ -60,7 +60,7 @@
     /// Records what the connection holds after bytes have arrived or its phase has changed.
     void update(ConnectionNumber connection, ConnectionPhase phase, std::size_t bytes, TimePoint now);
 
-    /// The connection that has to give way while more bytes are held than the limit allows; std::nullopt if none can.
+    /// The connection to evict while more bytes are held than the limit allows; std::nullopt if none can.
     [[nodiscard]] std::optional<ConnectionNumber> excess(TimePoint now) const;
 
     /// The connection that may be closed in favour of a new one of the listener: the one that has stopped sending for
@@ -68,11 +68,17 @@
     [[nodiscard]] std::optional<ConnectionNumber> replaceable(ListenerNumber listener, TimePoint now) const;
 
     /// Whether a connection may read ahead while its request is in progress. Only half of the limit is used for that,
-    /// since connections with a request in progress do not give way.
+    /// since connections with a request in progress are not evicted.
     [[nodiscard]] bool mayReadAhead() const { return m_held < m_options.memoryLimit.value() / 2; }
 
     [[nodiscard]] bool isOverLimit() const { return m_held > m_options.memoryLimit.value(); }
 
+    /// Whether more bytes than the limit would be held if every request that is being read were given up.
+    [[nodiscard]] bool isFilledByRequestsInProgress() const
+    {
+        return m_held - m_readingBytes > m_options.memoryLimit.value();
+    }
+
     /// Bytes that all connections hold.
     [[nodiscard]] ByteCount held() const { return ByteCount(m_held); }
 
@@ -94,6 +100,8 @@
     ConnectionNumber m_lastConnection;
     std::map<ConnectionNumber, Connection> m_connections;
     std::size_t m_held = 0;
+    /// The part of `m_held` of requests that are being read.
+    std::size_t m_readingBytes = 0;
     /// The connections that read a request, by the bytes that they hold.
     std::set<std::pair<std::size_t, ConnectionNumber>> m_reading;
     /// The connections that a new one may replace, by the time of their last byte.
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -47,7 +47,7 @@
 /// HTTP/1.1 server on Asio and Beast. Runs in the thread that runs the `io_context`.
 ///
 /// Oversized or malformed requests do not reach the handler. They are rejected with a 4xx response whose body is a
-/// problem document in JSON. So are, with 503, requests that have to give way since the host holds too many bytes of
+/// problem document in JSON. So are, with 503, requests that are evicted since the host holds too many bytes of
 /// requests; see `CallerConnectionTable`.
 class HttpServer
 {
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -153,7 +153,7 @@
                              [self = shared_from_this()](error_code error, std::size_t received) {
                                  self->m_awaitingRequest = false;
                                  self->m_buffer.commit(received);
-                                 if (error) {
+                                 if (error || self->m_closed) {
                                      self->close();
                                  } else {
                                      self->readMessage();
@@ -166,17 +166,10 @@
     const CallerLimits &limits = m_server->options.limits;
     m_parsedBytes = 0;
     m_headBytes = 0;
-    m_bytesBeforeTrailer.reset();
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes.value()));
     m_parser->body_limit(limits.bodyBytes.value());
-    m_chunkHeader = [this](std::uint64_t size, boost::beast::string_view, error_code &) {
-        if (size == 0) {
-            m_bytesBeforeTrailer = m_parsedBytes;
-        }
-    };
-    m_parser->on_chunk_header(m_chunkHeader);
     m_stream.expires_after(limits.readTimeout);
     parse();
 }
@@ -248,18 +241,14 @@
     const std::size_t limit = m_server->options.limits.headerBytes.value();
     const std::size_t bodyBytes = m_parser->get().body().size();
     const std::size_t framing = m_parsedBytes - m_headBytes - std::min(bodyBytes, m_parsedBytes - m_headBytes);
-    const bool isFraming = framing <= limit + framingPerBodyByte * bodyBytes;
-    if (m_parser->is_done()) {
-        return isFraming;
-    }
-    const std::size_t trailer = m_bytesBeforeTrailer ? m_parsedBytes - *m_bytesBeforeTrailer : 0;
-    // Bytes that are not parsed yet belong to a line whose end has not arrived.
-    return isFraming && m_buffer.size() <= limit && trailer <= limit + readSize;
+    // Bytes that are not parsed yet belong to a line, or to trailers, whose end has not arrived.
+    const bool isLineBounded = m_parser->is_done() || m_buffer.size() <= limit;
+    return isLineBounded && framing <= limit + framingPerBodyByte * bodyBytes;
 }
 
 void HttpSession::recordPhase(ConnectionPhase phase)
 {
-    std::size_t bytes = m_buffer.size();
+    std::size_t bytes = m_buffer.capacity();
     if (phase == ConnectionPhase::Reading) {
         const std::string &body = m_parser->get().body();
         // A body that grows has a capacity of up to twice its size; one whose length was announced is not in use yet.
@@ -294,6 +283,10 @@
 {
     const nlohmann::json problem = {
         {"type", "urn:carawaymill:problem:" + type}, {"status", status}, {"detail", detail}, {"ran", "no"}};
+    // Frees the body at once; the read in progress, if any, still uses the buffer, which is small.
+    m_parser.reset();
+    m_requestBytes = 0;
+    recordPhase(ConnectionPhase::InProgress);
     m_keepAlive = false;
     m_requestInProgress = true;
     ++m_server->requestsInProgress;
@@ -302,14 +295,17 @@
 
 void HttpSession::dispatchRequest()
 {
-    m_requestBytes = m_parsedBytes;
+    m_requestBytes = m_headBytes + m_parser->get().body().size();
+    if (m_buffer.size() == 0) {
+        m_buffer.shrink_to_fit();
+    }
     recordPhase(ConnectionPhase::InProgress);
-    limitRequestBytes();
-    if (m_server->connections->table.isOverLimit()) {
+    if (m_server->connections->table.isFilledByRequestsInProgress()) {
         ++m_server->connections->counts.refused;
         evict();
         return;
     }
+    limitRequestBytes();
     m_stream.expires_never();
     m_requestInProgress = true;
     m_responseComplete = false;
@@ -390,7 +386,7 @@
 void HttpSession::beginResponse()
 {
     m_hasResponded = true;
-    m_keepAlive = m_keepAlive && !m_server->announcesClose && !m_server->isCrowded();
+    m_keepAlive = m_keepAlive && !m_server->announcesClose && !m_server->isNearConnectionLimit();
 }
 
 void HttpSession::sendResponse(const HttpResponse &response)
@@ -473,9 +469,12 @@
 {
     m_writing = true;
     m_writeBuffer = std::exchange(m_queuedBytes, {});
+    // A caller that does not receive must not keep its connection for good.
+    m_stream.expires_after(m_server->options.limits.idleTimeout);
     boost::asio::async_write(
         m_stream, boost::asio::buffer(m_writeBuffer), [self = shared_from_this()](error_code error, std::size_t) {
             self->m_writing = false;
+            self->m_stream.expires_never();
             if (!self->m_givenUp) {
                 self->m_server->unsentBytes -= self->m_writeBuffer.size();
             }
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -34,7 +34,7 @@
 
     /// Whether nearly all connections are in use. Each response then closes its connection, so that callers that keep
     /// theirs busy leave room for others.
-    [[nodiscard]] bool isCrowded() const
+    [[nodiscard]] bool isNearConnectionLimit() const
     {
         return sessions.size() >= options.connectionLimit - options.connectionLimit / 8;
     }
@@ -116,13 +116,10 @@
     std::shared_ptr<HttpServerState> m_server;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
-    /// Notes the chunk of size 0, behind which only trailers follow.
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)> m_chunkHeader;
     ConnectionNumber m_number;
-    /// Bytes of the request that have been parsed, of its head, and before what follows its last chunk.
+    /// Bytes of the request that have been parsed, and those of its head.
     std::size_t m_parsedBytes = 0;
     std::size_t m_headBytes = 0;
-    std::optional<std::size_t> m_bytesBeforeTrailer;
     /// Bytes of the request in progress.
     std::size_t m_requestBytes = 0;
     /// Bytes to write after the write in progress has ended.
--- a/src/http/tests/CallerConnectionTableTest.cpp
+++ b/src/http/tests/CallerConnectionTableTest.cpp
@@ -20,8 +20,8 @@
     ListenerNumber listener = table.addListener();
 };
 
-// A crowd that stops short of the end of its bodies must not cost an ordinary caller its request.
-TEST_CASE("a connection that has stopped gives way before a larger one that is still sending")
+// Many callers that stop short of the end of its bodies must not cost an ordinary caller its request.
+TEST_CASE("a connection that has stopped is evicted before a larger one that is still sending")
 {
     TableFixture fixture;
     const ConnectionNumber stopped = fixture.reading(400, start);
@@ -35,12 +35,12 @@
     CHECK(fixture.table.excess(start + 1s) == sending);
 }
 
-TEST_CASE("a request that has been read never gives way to another one")
+TEST_CASE("a request that has been read is never evicted for another one")
 {
     TableFixture fixture;
     const ConnectionNumber busy = fixture.reading(900, start);
     fixture.table.update(busy, ConnectionPhase::InProgress, 1800, start);
-    CHECK(fixture.table.isOverLimit());
+    CHECK(fixture.table.isFilledByRequestsInProgress());
     CHECK(!fixture.table.excess(start + 10s));
     CHECK(!fixture.table.mayReadAhead());
     const ConnectionNumber next = fixture.reading(10, start + 10s);
