TargetObservations: Tell all hosts at once of targets that fail or have no room

Cause: each host found out by requests of its own that a target had crashed, was silent or had no room.

Change: a host tells all living hosts (channel 9) the target, its process, the cause and the age; receivers use the target only where no other one can be used, for 0.2 to 0.6 s (no room) or up to 2 s, a sign of life or a new process. A broken response is told only after a probe of the target failed, since another target of the chain may be at fault. One host is believed for three targets at a time. The beginning of a response now counts as a sign of life.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -43,6 +43,20 @@
     return action;
 }
 
+QueryProgress ForwardCall::progressQuery(AttemptNumber queried,
+                                         const ChosenTargets &targets,
+                                         const std::optional<RelayHost> &passedOnBy,
+                                         Duration timeout) const
+{
+    return {.id = id,
+            .attempt = queried,
+            .address = targets.address,
+            .callerAttempt = request->attempt,
+            .timeout = timeout,
+            .target = targets.target,
+            .via = passedOnBy};
+}
+
 void ForwardCall::stall()
 {
     lastAttemptEnd = "moved";
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -92,6 +92,12 @@
     /// The action that sends the current attempt to the targets.
     [[nodiscard]] ForwardToTarget dispatchTo(const ChosenTargets &targets, TimePoint now) const;
 
+    /// The action that queries the progress of an attempt, the current one or an earlier one.
+    [[nodiscard]] QueryProgress progressQuery(AttemptNumber queried,
+                                              const ChosenTargets &targets,
+                                              const std::optional<RelayHost> &passedOnBy,
+                                              Duration timeout) const;
+
     /// Keeps the current attempt open as the stalled one.
     void stall();
 
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Carawaymill {
 
@@ -117,6 +118,9 @@
     const auto known = m_targets.find(target.id);
     const bool isNewProcess = known != m_targets.end() && known->second.incarnation != target.incarnation;
     const bool holdsOtherLayers = known != m_targets.end() && known->second.held != target.held;
+    if (isNewProcess) {
+        m_avoided.erase(target.id);
+    }
     if (isNewProcess || (holdsOtherLayers && !isUnresponsive(target.id))) {
         m_suspectedUntil.erase(target.id);
         m_unresponsive.erase(target.id);
@@ -138,6 +142,7 @@
     m_targets.erase(target);
     m_suspectedUntil.erase(target);
     m_unresponsive.erase(target);
+    m_avoided.erase(target);
     m_loads.erase(target);
     router.removeTarget(target);
 }
@@ -204,6 +209,16 @@
     }
 }
 
+void ForwardTargets::setAvoided(const TargetId &target, bool isAvoided, ChainRouter &router)
+{
+    if (!m_targets.contains(target)) {
+        return;
+    }
+    if (isAvoided ? m_avoided.insert(target).second : m_avoided.erase(target) > 0) {
+        updateAvailability(target, router);
+    }
+}
+
 bool ForwardTargets::isLost(const TargetId &target) const
 {
     const auto found = m_unresponsive.find(target);
@@ -309,6 +324,8 @@
         availability = TargetAvailability::Leaving;
     } else if (isSuspected(target) || isResting(target)) {
         availability = TargetAvailability::Dead;
+    } else if (isAvoided(target)) {
+        availability = TargetAvailability::Suspect;
     }
     router.setAvailability(target, availability);
 }
@@ -372,7 +389,8 @@
 ForwardTargets::choosePlain(const ServiceId &service, const ExcludedTargets &excluded, TimePoint now)
 {
     const DirectoryTarget *best = nullptr;
-    double lowest = 0;
+    // Avoided targets come after all others.
+    std::pair<bool, double> lowest;
     for (const auto &[id, target] : m_targets) {
         if (target.service != service || !isUsable(id) || excluded.everywhere.contains(id)
             || excluded.asFirst.contains(id)) {
@@ -383,9 +401,10 @@
         const double weight = (load.inProgress + m_random.fraction()) / std::max(1U, target.concurrency)
                               + failureWeight * recentFailures(load, now)
                               + (target.failureDomain == m_options.ownFailureDomain ? 0 : otherDomainWeight);
-        if (best == nullptr || weight < lowest) {
+        const std::pair rank(isAvoided(id), weight);
+        if (best == nullptr || rank < lowest) {
             best = &target;
-            lowest = weight;
+            lowest = rank;
         }
     }
     if (best == nullptr) {
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -114,6 +114,12 @@
     /// Records that the target reported its state.
     void recordReport(const TargetId &target, ChainRouter &router);
 
+    /// Avoids the target, or ends that: it is used only where no other one can be. Nothing but the choice depends on
+    /// it. Ends by itself if the target starts again as a new process.
+    void setAvoided(const TargetId &target, bool isAvoided, ChainRouter &router);
+
+    [[nodiscard]] bool isAvoided(const TargetId &target) const { return m_avoided.contains(target); }
+
     [[nodiscard]] bool isUnresponsive(const TargetId &target) const { return m_unresponsive.contains(target); }
 
     /// Whether the target is unresponsive for longer than a sound target may be silent.
@@ -202,6 +208,7 @@
     std::map<TargetId, TimePoint> m_suspectedUntil;
     /// The targets that did not respond.
     std::map<TargetId, Unresponsive> m_unresponsive;
+    std::set<TargetId> m_avoided;
     /// Time of the last tick.
     TimePoint m_now{};
     /// The services of all configurations, so that requests of a service that is no longer configured can be completed.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -32,6 +32,7 @@
                .probeTimeout = m_options.progressQueryTimeout,
                .suspicionPeriod = m_options.suspicionPeriod})
     , m_liveness(m_options.liveness)
+    , m_observations({.seed = stableHash("observations", m_options.targets.seed)})
     , m_buffers(m_options.buffers)
     , m_queue(m_options.queue)
 {
@@ -47,6 +48,12 @@
     for (std::string &line : m_links.takeLog()) {
         context.actions.emplace_back(ForwardLogLine{std::move(line)});
     }
+    for (std::string &line : m_observations.takeLog()) {
+        context.actions.emplace_back(ForwardLogLine{std::move(line)});
+    }
+    for (BroadcastTargetObservation &message : m_observations.takeMessages()) {
+        context.actions.emplace_back(std::move(message));
+    }
     return std::move(context.actions);
 }
 
@@ -61,12 +68,14 @@
     m_targets.listed(target, router);
     m_limits.listed(target.id, target.incarnation);
     m_liveness.listed(target.id);
+    m_observations.listed(target.id, target.incarnation);
 }
 
 void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
 {
     m_targets.unlisted(target, router);
     m_liveness.unlisted(target);
+    m_observations.unlisted(target);
 }
 
 ForwardCall *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
@@ -443,6 +452,7 @@
     endStalled(*call, false, context);
     if (event.sent) {
         m_targets.recordFailure(target, context.now);
+        requestSigns({target}, context);
     } else if (event.relayFailure == RelayFailure::HostUnavailable && via) {
         call->discountRun(target);
         m_links.recordRelayUnavailable(*via, context.now);
@@ -492,6 +502,10 @@
 
 void Forwarder::recordStatements(const TargetId &target, const TargetResponseStarted &head, HandlerContext &context)
 {
+    if (!head.misdirected) {
+        m_liveness.recordSign(target, context.now);
+        m_observations.recordSign(target, m_targets, context.router);
+    }
     for (std::string &line : applyStatements(target, head, m_targets, m_limits, context.router, context.now)) {
         context.actions.emplace_back(ForwardLogLine{std::move(line)});
     }
@@ -563,6 +577,7 @@
 void Forwarder::recordEvents(const ChosenTargets &chosen, HandlerContext &context)
 {
     m_liveness.recordSigns(chosen.path, context.now);
+    m_observations.recordSigns(chosen.path, m_targets, context.router);
     m_targets.recordResponse(chosen, context.router);
 }
 
@@ -603,6 +618,9 @@
     m_targets.recordFailure(atFault, context.now);
     const RejectionKind kind = head.misdirected ? RejectionKind::Outdated : RejectionKind::Busy;
     m_targets.recordRejection(atFault, kind, context.router, context.now);
+    if (statesNoRoom(head)) {
+        tell(atFault, ObservationCause::NoRoom, {}, context);
+    }
     context.actions.emplace_back(ForwardLogLine{"Forward: event=turned-down request=" + call.request->attempt
                                                 + " target=" + atFault.value()
                                                 + " status=" + std::to_string(head.head.status)});
@@ -627,17 +645,32 @@
     }
     call.tried.insert(target);
     m_targets.recordFailure(target, context.now);
+    if (!via) {
+        tell(target, ObservationCause::Unreachable, {}, context);
+    }
     // The other host may have found the target silent, which ends as soon as it sends anything.
     const UnresponsiveCause cause = via ? UnresponsiveCause::Silent : UnresponsiveCause::Unreachable;
     m_links.suspect(target, cause, m_targets, context.router, context.now);
 }
 
+void Forwarder::tell(const TargetId &target, ObservationCause cause, Duration age, const HandlerContext &context)
+{
+    if (!m_links.reach().isDoubtful(context.now)) {
+        m_observations.observe(target, cause, age, context.now);
+    }
+}
+
 void Forwarder::on(const TargetProbed &event, HandlerContext &context)
 {
     if (event.reached) {
         m_liveness.recordSign(event.target, context.now);
         m_targets.recordReport(event.target, context.router);
     }
+    // The reply may be lost or late: events that arrived since the probe show that the target works.
+    const bool works =
+        event.connected && m_liveness.hasShownSignSince(event.target, context.now - m_options.progressQueryTimeout);
+    const bool mayBlame = !works && !m_links.reach().isDoubtful(context.now);
+    m_observations.recordProbe(event, mayBlame, m_targets, context.router, context.now);
     switch (event.purpose) {
     case ProbePurpose::Links:
         m_links.recordProbe(event, m_targets, context.router, context.now);
@@ -761,6 +794,7 @@
     call.tried.insert(call.chosen->target);
     m_targets.recordFailure(call.chosen->target, context.now);
     call.lastAttemptEnd = "lost";
+    requestSigns({call.chosen->target}, context);
     endAttempt(call, true, context);
     if (returnToStalled(call, context)) {
         return;
@@ -775,6 +809,7 @@
 void Forwarder::on(const Tick &, HandlerContext &context)
 {
     m_targets.tick(context.router, context.now);
+    m_observations.tick(m_targets, context.router, context.now);
     if (const auto probe = m_links.nextProbe(m_targets, context.now)) {
         context.actions.emplace_back(*probe);
     }
@@ -830,13 +865,8 @@
         }
         return;
     }
-    context.actions.emplace_back(QueryProgress{.id = call.id,
-                                               .attempt = call.attempt,
-                                               .address = call.chosen->address,
-                                               .callerAttempt = call.request->attempt,
-                                               .timeout = m_options.progressQueryTimeout,
-                                               .target = call.chosen->target,
-                                               .via = call.via});
+    context.actions.emplace_back(
+        call.progressQuery(call.attempt, *call.chosen, call.via, m_options.progressQueryTimeout));
 }
 
 void Forwarder::on(const ProgressReported &event, HandlerContext &context)
@@ -859,6 +889,7 @@
     } else {
         m_liveness.recordSign(call->chosen->target, context.now);
         m_targets.recordReport(call->chosen->target, context.router);
+        m_observations.recordSign(call->chosen->target, m_targets, context.router);
         if (event.blockedAtAddress) {
             atFault = m_targets.targetAt(*event.blockedAtAddress);
         }
@@ -870,24 +901,13 @@
         ForwardLogLine{"Forward: event=stopped request=" + call->request->attempt + " target=" + atFault->value()});
     m_targets.markUnresponsive(
         *atFault, UnresponsiveCause::Silent, m_options.suspicionPeriod, context.router, context.now);
+    if (!call->via) {
+        const Duration age = event.answered ? Duration::zero() : context.now - *call->progressQueriedAt;
+        tell(*atFault, ObservationCause::Silent, age, context);
+    }
     moveStreams(*atFault, context);
 }
 
-void Forwarder::on(const AttributionMessageReceived &event, HandlerContext &context)
-{
-    attribute(event, context);
-}
-
-void Forwarder::on(const FleetChanged &event, HandlerContext &context)
-{
-    dispatchLimits(event, context);
-}
-
-void Forwarder::on(const ShareMessageReceived &event, HandlerContext &context)
-{
-    dispatchLimits(event, context);
-}
-
 void Forwarder::dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context)
 {
     for (SharedLimitsAction &action : m_limits.handle(event, context.now)) {
@@ -929,13 +949,7 @@
     if (traits.empty() || !m_crashObserver.recordLoss(chosen.target, call.id, attempt, traits, context.now)) {
         return;
     }
-    context.actions.emplace_back(QueryProgress{.id = call.id,
-                                               .attempt = attempt,
-                                               .address = chosen.address,
-                                               .callerAttempt = call.request->attempt,
-                                               .timeout = m_options.progressQueryTimeout,
-                                               .target = chosen.target,
-                                               .via = via});
+    context.actions.emplace_back(call.progressQuery(attempt, chosen, via, m_options.progressQueryTimeout));
 }
 
 void Forwarder::recordSurvival(ForwardCall &call, HandlerContext &context)
@@ -1019,15 +1033,9 @@
 
 void Forwarder::requestSigns(const std::vector<TargetId> &targets, HandlerContext &context)
 {
-    for (const TargetId &target : targets) {
-        const auto listed = m_targets.targets().find(target);
-        if (listed != m_targets.targets().end() && m_liveness.beginQuery(target)) {
-            context.actions.emplace_back(ProbeTarget{.target = target,
-                                                     .address = listed->second.address,
-                                                     .timeout = m_options.progressQueryTimeout,
-                                                     .purpose = ProbePurpose::Liveness,
-                                                     .via = m_links.chooseRelay(context.now)});
-        }
+    for (ProbeTarget &probe : m_liveness.beginQueries(targets, m_targets.targets(), m_options.progressQueryTimeout)) {
+        probe.via = m_links.chooseRelay(context.now);
+        context.actions.emplace_back(std::move(probe));
     }
 }
 
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -11,6 +11,7 @@
 #include "forwarding/StartQueue.h"
 #include "forwarding/TargetLinks.h"
 #include "forwarding/TargetLiveness.h"
+#include "forwarding/TargetObservations.h"
 #include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
@@ -74,6 +75,7 @@
                                     ShareMessageReceived,
                                     TargetProbed,
                                     RetryLoanMessageReceived,
+                                    TargetObservationReceived,
                                     RelayRequested,
                                     RelayedResponseStarted,
                                     RelayedRequestNotSent>;
@@ -109,6 +111,7 @@
                                      TraitLifted,
                                      SendShareMessage,
                                      SendRetryLoanMessage,
+                                     BroadcastTargetObservation,
                                      ForwardLogLine,
                                      ForwardEnded>;
 
@@ -169,6 +172,8 @@
 
     [[nodiscard]] const RetryLoans &loans() const { return m_loans; }
 
+    [[nodiscard]] const TargetObservations &observations() const { return m_observations; }
+
     [[nodiscard]] const StreamMoveCounts &moves() const { return m_moves; }
 
     [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
@@ -203,12 +208,20 @@
     void on(const TargetResponseCompleted &event, HandlerContext &context);
     void on(const TargetResponseFailed &event, HandlerContext &context);
     void on(const ProgressReported &event, HandlerContext &context);
-    void on(const AttributionMessageReceived &event, HandlerContext &context);
+
+    void on(const AttributionMessageReceived &event, HandlerContext &context) { attribute(event, context); }
 
     void on(const CondemnedTraitsRestored &event, HandlerContext &context) { attribute(event, context); }
 
-    void on(const FleetChanged &event, HandlerContext &context);
-    void on(const ShareMessageReceived &event, HandlerContext &context);
+    void on(const FleetChanged &event, HandlerContext &context) { dispatchLimits(event, context); }
+
+    void on(const ShareMessageReceived &event, HandlerContext &context) { dispatchLimits(event, context); }
+
+    void on(const TargetObservationReceived &event, HandlerContext &context)
+    {
+        m_observations.receive(event, m_liveness, m_targets, context.router, context.now);
+    }
+
     void on(const TargetProbed &event, HandlerContext &context);
     void on(const RetryLoanMessageReceived &event, HandlerContext &context);
     void on(const RelayRequested &event, HandlerContext &context);
@@ -276,6 +289,8 @@
                            const TargetId &target,
                            const std::optional<RelayHost> &via,
                            HandlerContext &context);
+    /// Tells the other hosts what this one observed of the target, unless its own links may be the cause.
+    void tell(const TargetId &target, ObservationCause cause, Duration age, const HandlerContext &context);
     void targetRejected(ForwardCall &call, HandlerContext &context);
     /// Retries or refuses a call whose response was lost, incomplete or unsigned.
     void responseLost(ForwardCall &call, HandlerContext &context);
@@ -324,6 +339,7 @@
     TargetRequestLimits m_limits;
     TargetLinks m_links;
     TargetLiveness m_liveness;
+    TargetObservations m_observations;
     ResponseBuffers m_buffers;
     StreamMoveCounts m_moves;
     /// Whether a probe has ended since the streams that wait for one were last looked at.
--- a/src/forwarding/TargetLiveness.cpp
+++ b/src/forwarding/TargetLiveness.cpp
@@ -56,6 +56,23 @@
     return found != m_targets.end() && !std::exchange(found->second.queryIsOpen, true);
 }
 
+std::vector<ProbeTarget> TargetLiveness::beginQueries(const std::vector<TargetId> &targets,
+                                                      const std::map<TargetId, DirectoryTarget> &listed,
+                                                      Duration timeout)
+{
+    std::vector<ProbeTarget> probes;
+    for (const TargetId &target : targets) {
+        const auto found = listed.find(target);
+        if (found != listed.end() && beginQuery(target)) {
+            probes.push_back({.target = target,
+                              .address = found->second.address,
+                              .timeout = timeout,
+                              .purpose = ProbePurpose::Liveness});
+        }
+    }
+    return probes;
+}
+
 void TargetLiveness::endQuery(const TargetId &target, bool answered, TimePoint now)
 {
     if (const auto found = m_targets.find(target); found != m_targets.end()) {
--- a/src/forwarding/TargetLiveness.h
+++ b/src/forwarding/TargetLiveness.h
@@ -34,7 +34,7 @@
 
     void unlisted(const TargetId &target) { m_targets.erase(target); }
 
-    /// Records that the target replied.
+    /// Records that the target replied, or that it began a response.
     void recordSign(const TargetId &target, TimePoint now);
 
     /// Records that events of a response arrived, for which every target on its path has worked.
@@ -53,6 +53,12 @@
     /// targets that are not listed.
     [[nodiscard]] bool beginQuery(const TargetId &target);
 
+    /// The probes that query those of the targets for which beginQuery() returns true. `listed`: targets with
+    /// addresses.
+    [[nodiscard]] std::vector<ProbeTarget> beginQueries(const std::vector<TargetId> &targets,
+                                                        const std::map<TargetId, DirectoryTarget> &listed,
+                                                        Duration timeout);
+
     /// Records the end of a query. A reply is recorded with recordSign().
     void endQuery(const TargetId &target, bool answered, TimePoint now);
 
--- a/src/forwarding/TargetStatements.cpp
+++ b/src/forwarding/TargetStatements.cpp
@@ -31,4 +31,10 @@
     return lines;
 }
 
+bool statesNoRoom(const TargetResponseStarted &head)
+{
+    static constexpr unsigned statusServiceUnavailable = 503;
+    return head.head.status == statusServiceUnavailable && !head.misdirected && !head.restFor;
+}
+
 } // namespace Carawaymill
--- a/src/forwarding/TargetStatements.h
+++ b/src/forwarding/TargetStatements.h
@@ -17,4 +17,8 @@
                                                        ChainRouter &router,
                                                        TimePoint now);
 
+/// Whether a target that has not run a request states by it that it, or the target that it names, has no room for any
+/// host. A refusal with 429 or with a time to rest concerns this host alone.
+[[nodiscard]] bool statesNoRoom(const TargetResponseStarted &head);
+
 } // namespace Carawaymill
--- a/src/node/Fleet.cpp
+++ b/src/node/Fleet.cpp
@@ -12,7 +12,7 @@
 std::optional<ChannelMessage> readEnvelope(const nlohmann::json &message)
 {
     if (!message.is_array() || message.size() != 2 || !message[0].is_number_unsigned()
-        || message[0] > static_cast<unsigned>(PeerChannel::RetryLoans)) {
+        || message[0] > static_cast<unsigned>(PeerChannel::TargetObservations)) {
         return std::nullopt;
     }
     return ChannelMessage{.channel = static_cast<PeerChannel>(message[0].get<unsigned>()), .body = message[1]};
--- a/src/node/Fleet.h
+++ b/src/node/Fleet.h
@@ -23,6 +23,7 @@
     Load = 6,
     Range = 7,
     RetryLoans = 8,
+    TargetObservations = 9,
 };
 
 /// A peer's message and the channel it was sent on.
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -164,6 +164,19 @@
     forward(RetryLoanMessageReceived{.from = from, .message = std::get<RetryLoanMessage>(std::move(message))}, context);
 }
 
+void ForwardingCoordinator::targetObservationReceived(const HostId &from,
+                                                      const nlohmann::json &body,
+                                                      NodeContext &context)
+{
+    auto observation = decode<TargetObservation>(body);
+    if (const auto *failure = std::get_if<DecodeFailure>(&observation)) {
+        logUnreadable(from, *failure, context);
+        return;
+    }
+    forward(TargetObservationReceived{.from = from, .observation = std::get<TargetObservation>(std::move(observation))},
+            context);
+}
+
 void ForwardingCoordinator::limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context)
 {
     auto message = decode<ShareMessage>(body);
@@ -439,6 +452,12 @@
                               [&](SendRetryLoanMessage &send) {
                                   context.fleet.send(send.to, PeerChannel::RetryLoans, send.message, context.output);
                               },
+                              [&](BroadcastTargetObservation &broadcast) {
+                                  for (const HostId &host : context.fleet.membership().aliveHosts()) {
+                                      context.fleet.send(
+                                          host, PeerChannel::TargetObservations, broadcast.observation, context.output);
+                                  }
+                              },
                               [&](ForwardToTarget &dispatch) {
                                   m_metrics.count(dispatch.via ? "relayed_dispatches" : "dispatches");
                                   context.output.add(std::move(dispatch));
@@ -467,6 +486,10 @@
     gauge("retries_refused_total", m_forwarder.retries().refused());
     gauge("retries_borrowed_total", m_forwarder.loans().borrowed());
     gauge("retries_lent_total", m_forwarder.loans().lent());
+    gauge("target_observations_told_total", m_forwarder.observations().counts().told);
+    gauge("target_observations_heard_total", m_forwarder.observations().counts().heard);
+    gauge("target_observations_contradicted_total", m_forwarder.observations().counts().contradicted);
+    gauge("targets_avoided", m_forwarder.observations().avoided());
     gauge("streams_moved_total", m_forwarder.moves().moved);
     gauge("streams_returned_total", m_forwarder.moves().returned);
     gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -38,6 +38,7 @@
     void rangeReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void attributionReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void retryLoanReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
+    void targetObservationReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     void limitsReceived(const HostId &from, const nlohmann::json &body, NodeContext &context);
     /// Informs the forwarder that the state of a host changed.
     void membersChanged(NodeContext &context);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -419,6 +419,11 @@
             m_forwarding->retryLoanReceived(event.from, message->body, context);
         }
         break;
+    case PeerChannel::TargetObservations:
+        if (m_forwarding) {
+            m_forwarding->targetObservationReceived(event.from, message->body, context);
+        }
+        break;
     }
 }
 
