Forwarder: Collect the actions of its parts by one function

The loops that pass on actions and log lines of collaborators are one template beside ForwarderAction.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -45,15 +45,9 @@
     m_now = now;
     HandlerContext context{.router = router, .now = now, .fresh = fresh, .actions = {}};
     std::visit([&](const auto &concrete) { on(concrete, context); }, event);
-    for (std::string &line : m_links.takeLog()) {
-        context.actions.emplace_back(ForwardLogLine{std::move(line)});
-    }
-    for (std::string &line : m_observations.takeLog()) {
-        context.actions.emplace_back(ForwardLogLine{std::move(line)});
-    }
-    for (BroadcastTargetObservation &message : m_observations.takeMessages()) {
-        context.actions.emplace_back(std::move(message));
-    }
+    append(m_links.takeLog(), context.actions);
+    append(m_observations.takeLog(), context.actions);
+    append(m_observations.takeMessages(), context.actions);
     return std::move(context.actions);
 }
 
@@ -291,9 +285,7 @@
 bool Forwarder::takeRetry(const ServiceId &service, HandlerContext &context)
 {
     const bool granted = m_retries.tryRetry(service, context.now);
-    for (SendRetryLoanMessage &send : m_loans.replenish(service, m_retries, context.now)) {
-        context.actions.emplace_back(std::move(send));
-    }
+    append(m_loans.replenish(service, m_retries, context.now), context.actions);
     return granted;
 }
 
@@ -305,16 +297,12 @@
     for (const CallAwaitingLoan &overdue : m_loans.takeOverdue(context.now)) {
         refuse(m_calls.at(overdue.id), ForwardFailure::RetryBudgetSpent, context);
     }
-    for (SendRetryLoanMessage &send : m_loans.replenishWaiting(m_retries, context.now)) {
-        context.actions.emplace_back(std::move(send));
-    }
+    append(m_loans.replenishWaiting(m_retries, context.now), context.actions);
 }
 
 void Forwarder::on(const RetryLoanMessageReceived &event, HandlerContext &context)
 {
-    for (SendRetryLoanMessage &send : m_loans.handle(event, m_retries, context.now)) {
-        context.actions.emplace_back(std::move(send));
-    }
+    append(m_loans.handle(event, m_retries, context.now), context.actions);
     serveLoans(context);
 }
 
@@ -506,9 +494,7 @@
         m_liveness.recordSign(target, context.now);
         m_observations.recordSign(target, m_targets, context.router);
     }
-    for (std::string &line : applyStatements(target, head, m_targets, m_limits, context.router, context.now)) {
-        context.actions.emplace_back(ForwardLogLine{std::move(line)});
-    }
+    append(applyStatements(target, head, m_targets, m_limits, context.router, context.now), context.actions);
 }
 
 void Forwarder::on(const TargetResponseData &event, HandlerContext &context)
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -115,6 +116,19 @@
                                      ForwardLogLine,
                                      ForwardEnded>;
 
+/// Adds actions, or log lines, to the actions of an event.
+template<typename Entry>
+void append(std::vector<Entry> entries, std::vector<ForwarderAction> &actions)
+{
+    for (Entry &entry : entries) {
+        if constexpr (std::is_same_v<Entry, std::string>) {
+            actions.emplace_back(ForwardLogLine{std::move(entry)});
+        } else {
+            actions.emplace_back(std::move(entry));
+        }
+    }
+}
+
 /// Numbers of streams since the start of the process.
 struct StreamMoveCounts
 {
