WatchSources: Ask the next host of the domain instead of the service

Cause: when a collector, its link or its link to the service was lost, every host of its failure domain called the service for 2 s.

Change: WatchSources ranks the living hosts of the domain by rendezvous hash. The first that was not skipped in the last 2 s is asked; the service only by the host whose turn it is, after two failures, or when the view would become too old. A host whose own call is in progress holds requests until its result. Responses of other hosts are kept as well, so that a successor has the history. A host that is silent for one range is skipped for all ranges at once, where its other requests used to wait for their own timeouts; the test of the retry delay checks the skipping of silent hosts and of hosts that lack a range instead. Service calls are counted by range and kind.

--- a/src/forwarding/ForwardMetrics.cpp
+++ b/src/forwarding/ForwardMetrics.cpp
@@ -56,6 +56,22 @@
     m_latencies->add(took);
 }
 
+static const char *kindOf(const KeyValueRequest &request)
+{
+    if (std::holds_alternative<ReadRange>(request)) {
+        return "read";
+    }
+    if (std::holds_alternative<WatchRange>(request)) {
+        return "watch";
+    }
+    return std::holds_alternative<Commit>(request) ? "commit" : "lease";
+}
+
+void ForwardMetrics::serviceCall(const std::string &range, const KeyValueRequest &request)
+{
+    m_serviceCalls[{range, kindOf(request)}] += 1;
+}
+
 std::string ForwardMetrics::text() const
 {
     std::string text;
@@ -66,6 +82,10 @@
     for (const auto &[event, count] : m_counters) {
         text.append("carawaymill_").append(event).append("_total ").append(std::to_string(count)).append("\n");
     }
+    for (const auto &[call, count] : m_serviceCalls) {
+        text.append("carawaymill_service_calls_total{range=\"").append(call.first);
+        text.append("\",kind=\"").append(call.second).append("\"} ").append(std::to_string(count)).append("\n");
+    }
     m_latencies->write(text);
     return text;
 }
--- a/src/forwarding/ForwardMetrics.h
+++ b/src/forwarding/ForwardMetrics.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "keyvalue/KeyValueMessages.h"
 #include "support/Time.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace Carawaymill {
 
@@ -24,6 +26,9 @@
     /// Increments a counter, for example `dispatches`.
     void count(const std::string &event) { m_counters[event] += 1; }
 
+    /// Records a call to the key-value service. `range`: for example `directory`.
+    void serviceCall(const std::string &range, const KeyValueRequest &request);
+
     /// Lines in the Prometheus text exposition format, for example `carawaymill_requests_total{outcome="streamed"} 7`.
     [[nodiscard]] std::string text() const;
 
@@ -32,6 +37,8 @@
 
     std::map<std::string, std::uint64_t> m_outcomes;
     std::map<std::string, std::uint64_t> m_counters;
+    /// By range and kind of the call.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_serviceCalls;
     std::unique_ptr<Latencies> m_latencies;
 };
 
--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -1,55 +1,47 @@
 #include "forwarding/RelayedWatchClient.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Carawaymill {
 
-static const char *rangeName(RelayedRange range)
-{
-    switch (range) {
-    case RelayedRange::Configuration:
-        return "configuration";
-    case RelayedRange::Directory:
-        return "directory";
-    case RelayedRange::Hosts:
-        break;
-    }
-    return "hosts";
-}
-
 std::string describe(const RelayedWatchFailed &failed)
 {
     return "Relay: event=passed-over host=" + failed.host.value() + " range=" + rangeName(failed.range)
            + " reason=" + (failed.timedOut ? "silent" : "not-known");
 }
 
-std::optional<SendRangeWatchMessage> RelayedWatchClient::relay(RelayedRange range,
-                                                               const KeyValueCall &call,
-                                                               const std::optional<HostId> &host,
-                                                               TimePoint now)
+std::optional<SendRangeWatchMessage> RelayedWatchClient::relay(
+    RelayedRange range, const KeyValueCall &call, const HostId &host, TimePoint now, const RelayTerms &terms)
 {
     const auto *watch = std::get_if<WatchRange>(&call.request);
     const auto confirmedAt = m_confirmedAt.find(range);
-    std::erase_if(m_retryAt, [&](const auto &entry) { return now >= entry.second; });
-    if (watch == nullptr || !host || m_retryAt.contains({*host, range}) || confirmedAt == m_confirmedAt.end()) {
+    if (watch == nullptr || confirmedAt == m_confirmedAt.end()) {
         return std::nullopt;
     }
     const Duration longest = range == RelayedRange::Configuration ? m_options.configurationWait : m_options.defaultWait;
     // If the host stops responding, the request times out before the confirmation is too old.
     const Duration remaining = confirmedAt->second + m_options.maximumAges.of(range) - m_options.responseTimeout - now;
-    const Duration wait = std::min({watch->wait, longest, remaining});
+    Duration wait = std::min({watch->wait, longest, remaining});
+    if (terms.hasSuccessor) {
+        wait = std::min(wait, std::max(remaining - m_options.successorReserve, m_options.waitBeforeSuccessor));
+    }
+    if (terms.atAnyAge) {
+        wait = std::max(wait, m_options.minimumWait);
+    }
     if (wait < m_options.minimumWait) {
         return std::nullopt;
     }
     ++m_last;
     m_pending.emplace(m_last,
-                      PendingRequest{.host = *host,
+                      PendingRequest{.host = host,
                                      .range = range,
                                      .call = call,
+                                     .failures = terms.failures,
                                      .sentAt = now,
                                      .deadline = now + wait + m_options.responseTimeout});
     return SendRangeWatchMessage{
-        .to = *host,
+        .to = host,
         .message =
             RangeWatchRequest{.number = m_last, .range = range, .after = watch->after, .wait = wait, .era = m_era}};
 }
@@ -84,35 +76,50 @@
                                                                    .storeRevision = response.revision},
                                             .age = response.age,
                                             .era = response.era}};
-    recordConfirmed(response.range, pending->second.sentAt - response.age);
+    answered.answered = {.range = response.range,
+                         .id = pending->second.call.id,
+                         .after = std::get<WatchRange>(pending->second.call.request).after,
+                         .sentAt = pending->second.sentAt - response.age};
+    recordConfirmed(response.range, answered.answered.sentAt);
     m_pending.erase(pending);
     return answered;
 }
 
-std::optional<RelayedWatchFailed>
-RelayedWatchClient::handleUnavailable(const HostId &from, const RangeWatchUnavailable &unavailable, TimePoint now)
+std::optional<RelayedWatchFailed> RelayedWatchClient::handleUnavailable(const HostId &from,
+                                                                        const RangeWatchUnavailable &unavailable)
 {
     const auto pending = m_pending.find(unavailable.number);
     if (pending == m_pending.end() || pending->second.host != from) {
         return std::nullopt;
     }
-    m_retryAt[{from, pending->second.range}] = now + m_options.retryDelay;
-    RelayedWatchFailed failed{
-        .host = from, .timedOut = false, .range = pending->second.range, .call = std::move(pending->second.call)};
+    RelayedWatchFailed failed{.host = from,
+                              .timedOut = false,
+                              .range = pending->second.range,
+                              .call = std::move(pending->second.call),
+                              .failures = pending->second.failures + 1};
     m_pending.erase(pending);
     return failed;
 }
 
 std::vector<RelayedWatchFailed> RelayedWatchClient::takeTimedOut(TimePoint now)
 {
+    std::set<HostId> silent;
+    for (const auto &[number, request] : m_pending) {
+        if (now >= request.deadline) {
+            silent.insert(request.host);
+        }
+    }
     std::vector<RelayedWatchFailed> overdue;
     std::erase_if(m_pending, [&](const auto &entry) {
         const PendingRequest &request = entry.second;
-        if (now < request.deadline) {
+        if (!silent.contains(request.host)) {
             return false;
         }
-        m_retryAt[{request.host, request.range}] = now + m_options.retryDelay;
-        overdue.push_back({.host = request.host, .timedOut = true, .range = request.range, .call = request.call});
+        overdue.push_back({.host = request.host,
+                           .timedOut = true,
+                           .range = request.range,
+                           .call = request.call,
+                           .failures = request.failures + 1});
         return true;
     });
     return overdue;
--- a/src/forwarding/RelayedWatchClient.h
+++ b/src/forwarding/RelayedWatchClient.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "forwarding/RelayedRangeAges.h"
+#include "forwarding/RelayedWatchServer.h"
 #include "support/Time.h"
 
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Carawaymill {
@@ -21,28 +21,46 @@
     Duration minimumWait = 50ms;
     /// Response timeout in addition to the wait: some round trips between hosts of one failure domain.
     Duration responseTimeout = 200ms;
-    /// Delay until a host that did not respond, or could not serve a range, gets requests for that range again.
-    Duration retryDelay = 2s;
+    /// Time that a request leaves for a further host if the asked one stays silent: its response timeout, and a wait
+    /// for its own call to the service.
+    Duration successorReserve = 500ms;
+    /// The reserve does not make the wait shorter than this. Shorter waits would multiply the messages between hosts
+    /// where the maximum ages are small.
+    Duration waitBeforeSuccessor = 200ms;
     /// A range must be confirmed again before its last confirmation is older, by the other host or by the service.
     RelayedRangeAges maximumAges;
 };
 
+/// Under which conditions a watch is relayed.
+struct RelayTerms
+{
+    /// Number of hosts that have failed to answer this watch.
+    std::size_t failures = 0;
+    /// Whether another host is asked if this one fails.
+    bool hasSuccessor = false;
+    /// Also if the response may come after the view is too old, since the service cannot be asked either.
+    bool atAnyAge = false;
+};
+
 /// Reply to a watch of this host that another host has answered.
 struct RelayedWatchAnswered
 {
     RelayedRange range = RelayedRange::Configuration;
     KeyValueReply reply;
+    /// The answered call. `sentAt` is the latest time at which the service is known to have confirmed the response.
+    RangeCall answered = {};
 };
 
-/// A relayed watch that failed and has to be sent to the service.
+/// A relayed watch that failed and has to be sent to another host or the service.
 struct RelayedWatchFailed
 {
-    /// The host that failed; it gets no requests for this range during `retryDelay`.
     HostId host;
     /// Whether the host did not respond; false if it responded that it cannot serve the range.
     bool timedOut = false;
     RelayedRange range = RelayedRange::Configuration;
     KeyValueCall call;
+    /// Number of hosts that have failed to answer this watch.
+    std::size_t failures = 0;
 };
 
 /// Log line of the failure.
@@ -61,17 +79,17 @@
     void recordConfirmed(RelayedRange range, TimePoint at);
 
     /// The request to send to `host` instead of the call; std::nullopt if the call has to be sent to the service.
-    [[nodiscard]] std::optional<SendRangeWatchMessage>
-    relay(RelayedRange range, const KeyValueCall &call, const std::optional<HostId> &host, TimePoint now);
+    [[nodiscard]] std::optional<SendRangeWatchMessage> relay(
+        RelayedRange range, const KeyValueCall &call, const HostId &host, TimePoint now, const RelayTerms &terms = {});
 
     void storeEraChanged(const StoreEraChanged &change);
 
     /// Both return std::nullopt if the message belongs to no pending request.
     [[nodiscard]] std::optional<RelayedWatchAnswered> handleResponse(const HostId &from, RangeWatchResponse response);
-    [[nodiscard]] std::optional<RelayedWatchFailed>
-    handleUnavailable(const HostId &from, const RangeWatchUnavailable &unavailable, TimePoint now);
+    [[nodiscard]] std::optional<RelayedWatchFailed> handleUnavailable(const HostId &from,
+                                                                      const RangeWatchUnavailable &unavailable);
 
-    /// Removes and returns the requests whose timeout has passed.
+    /// Removes and returns all requests to hosts that did not respond to one of them before its timeout.
     [[nodiscard]] std::vector<RelayedWatchFailed> takeTimedOut(TimePoint now);
 
 private:
@@ -80,6 +98,7 @@
         HostId host;
         RelayedRange range = RelayedRange::Configuration;
         KeyValueCall call;
+        std::size_t failures = 0;
         TimePoint sentAt;
         TimePoint deadline;
     };
@@ -89,8 +108,6 @@
     std::map<std::uint64_t, PendingRequest> m_pending;
     /// When the service last confirmed each range, as far as this host knows.
     std::map<RelayedRange, TimePoint> m_confirmedAt;
-    /// End of the retry delay of a host that failed to serve a range.
-    std::map<std::pair<HostId, RelayedRange>, TimePoint> m_retryAt;
     /// Number of the last request.
     std::uint64_t m_last = 0;
     std::optional<StoreEra> m_era;
--- a/src/forwarding/RelayedWatchMessages.cpp
+++ b/src/forwarding/RelayedWatchMessages.cpp
@@ -9,6 +9,19 @@
 static constexpr std::size_t requestEraPosition = 5;
 static constexpr std::size_t responseEraPosition = 7;
 
+const char *rangeName(RelayedRange range)
+{
+    switch (range) {
+    case RelayedRange::Configuration:
+        return "configuration";
+    case RelayedRange::Directory:
+        return "directory";
+    case RelayedRange::Hosts:
+        break;
+    }
+    return "hosts";
+}
+
 static RelayedRange rangeOf(const nlohmann::json &json)
 {
     const auto number = json.get<std::uint8_t>();
--- a/src/forwarding/RelayedWatchMessages.h
+++ b/src/forwarding/RelayedWatchMessages.h
@@ -19,6 +19,9 @@
     Hosts = 2,
 };
 
+/// Name of the range in log lines and metrics.
+[[nodiscard]] const char *rangeName(RelayedRange range);
+
 /// Requests the changes of a range after a revision.
 struct RangeWatchRequest
 {
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -7,6 +7,7 @@
 std::vector<SendRangeWatchMessage>
 RelayedWatchServer::recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now)
 {
+    m_inProgress.erase(call.range);
     if (const auto *read = std::get_if<RangeRead>(&result)) {
         m_ranges[call.range] = {
             .begin = read->storeRevision, .revision = read->storeRevision, .confirmedAt = call.sentAt, .changes = {}};
@@ -18,6 +19,24 @@
     return respondDue(now);
 }
 
+std::vector<SendRangeWatchMessage> RelayedWatchServer::recordFailure(RelayedRange range, TimePoint now)
+{
+    m_inProgress.erase(range);
+    return respondDue(now);
+}
+
+std::vector<SendRangeWatchMessage>
+RelayedWatchServer::recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now)
+{
+    m_inProgress.erase(call.range);
+    const auto cached = m_ranges.find(call.range);
+    // Changes that are older than the known ones must not replace them.
+    if (cached == m_ranges.end() || changed.storeRevision >= cached->second.revision) {
+        apply(call, changed, now);
+    }
+    return respondDue(now);
+}
+
 void RelayedWatchServer::apply(const RangeCall &call, const RangeChanged &changed, TimePoint now)
 {
     const Revision after = call.after.value_or(Revision());
@@ -26,7 +45,7 @@
         // This host received the changes up to `after` from another host and does not keep them.
         cached = {.begin = after, .revision = after, .confirmedAt = call.sentAt, .changes = {}};
     }
-    cached.confirmedAt = call.sentAt;
+    cached.confirmedAt = std::max(cached.confirmedAt, call.sentAt);
     cached.revision = std::max(cached.revision, changed.storeRevision);
     if (!changed.written.empty() || !changed.deletedKeys.empty()) {
         cached.changes.push_back(
@@ -50,6 +69,7 @@
     m_era = change.era;
     if (change.restored) {
         m_ranges.clear();
+        m_inProgress.clear();
     }
     return respondDue(now);
 }
@@ -72,15 +92,25 @@
     return responses;
 }
 
+bool RelayedWatchServer::waitsForCall(const PendingRequest &pending, TimePoint now) const
+{
+    const auto call = m_inProgress.find(pending.request.range);
+    // Two hosts that ask each other would both wait in vain.
+    return call != m_inProgress.end() && call->second != pending.from && now - pending.arrivedAt < pending.request.wait;
+}
+
 std::optional<RangeWatchMessage> RelayedWatchServer::respond(const PendingRequest &pending, TimePoint now) const
 {
     const RangeWatchRequest &request = pending.request;
     const auto found = m_ranges.find(request.range);
-    if (request.era != m_era || found == m_ranges.end()
-        || now - found->second.confirmedAt > m_options.maximumAges.of(request.range)
-        || request.after < found->second.begin) {
+    const bool isKnown = found != m_ranges.end();
+    if (request.era != m_era || (isKnown && request.after < found->second.begin)) {
         return RangeWatchUnavailable{.number = request.number};
     }
+    if (!isKnown || now - found->second.confirmedAt > m_options.maximumAges.of(request.range)) {
+        return waitsForCall(pending, now) ? std::nullopt
+                                          : std::optional<RangeWatchMessage>(RangeWatchUnavailable{request.number});
+    }
     const CachedRange &cached = found->second;
     // Later changes of a key replace earlier ones.
     std::map<std::string, std::optional<KeyValueRecord>> latest;
--- a/src/forwarding/RelayedWatchServer.h
+++ b/src/forwarding/RelayedWatchServer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace Carawaymill {
@@ -33,7 +34,7 @@
 };
 
 /// Answers the watches of other hosts from the results of this host's own watches, so that one host's watches serve a
-/// whole failure domain.
+/// whole failure domain. Requests that it cannot answer wait while its own call for the range is in progress.
 class RelayedWatchServer
 {
 public:
@@ -43,6 +44,19 @@
     }
 
     /// Records the service's reply to this host's own call; returns responses to waiting requests.
+    /// Records that this host has sent a call for the range to the service, or to another host `via`.
+    void setCallInProgress(RelayedRange range, std::optional<HostId> via)
+    {
+        m_inProgress.insert_or_assign(range, std::move(via));
+    }
+
+    /// Records that the call failed; returns responses to the requests that waited for its result.
+    [[nodiscard]] std::vector<SendRangeWatchMessage> recordFailure(RelayedRange range, TimePoint now);
+
+    /// Records another host's response to this host's own call. `call.sentAt` is when the service confirmed it.
+    [[nodiscard]] std::vector<SendRangeWatchMessage>
+    recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
+
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now);
 
@@ -81,6 +95,8 @@
         TimePoint arrivedAt;
     };
 
+    /// Whether a request that cannot be answered yet waits for the call in progress.
+    [[nodiscard]] bool waitsForCall(const PendingRequest &pending, TimePoint now) const;
     void apply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
     [[nodiscard]] std::vector<SendRangeWatchMessage> respondDue(TimePoint now);
     /// Returns std::nullopt while the request has to wait for a change.
@@ -88,6 +104,8 @@
 
     RelayedWatchServerOptions m_options;
     std::map<RelayedRange, CachedRange> m_ranges;
+    /// The ranges for which a call of this host is in progress: the host that was asked, std::nullopt for the service.
+    std::map<RelayedRange, std::optional<HostId>> m_inProgress;
     std::vector<PendingRequest> m_pending;
     std::optional<StoreEra> m_era;
 };
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -19,6 +19,9 @@
 static constexpr Duration longestConfigurationWait = 800ms;
 static constexpr Duration longestDirectoryWait = 1200ms;
 
+/// Wait of this host's own watch after another host has failed to answer it.
+static constexpr Duration waitAfterFailure = 100ms;
+
 static RelayedRangeAges agesOf(const NodeOptions &options)
 {
     return relayedRangeAges(options.forwarding->propagation);
@@ -62,6 +65,7 @@
     , m_condemnedTraits({.seed = stableHash("condemned", options.seed)})
     , m_watchClient({.maximumAges = agesOf(options)})
     , m_watchServer({.maximumAges = agesOf(options)})
+    , m_sources({.self = options.host, .failureDomain = options.failureDomain})
     , m_loads({.self = options.host, .failureDomain = options.failureDomain})
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
@@ -82,37 +86,43 @@
     dispatchRegistry(Tick{}, context);
     dispatchCondemnedTraits(Tick{}, context);
     send(m_watchServer.tick(context.now), context);
-    for (RelayedWatchFailed &timedOut : m_watchClient.takeTimedOut(context.now)) {
-        context.output.log(describe(timedOut));
-        issueToKeyValueService(timedOut.range, std::move(timedOut.call), context);
+    std::vector<RelayedWatchFailed> overdue = m_watchClient.takeTimedOut(context.now);
+    for (const RelayedWatchFailed &timedOut : overdue) {
+        m_sources.skip(timedOut.host, context.now);
+    }
+    for (RelayedWatchFailed &timedOut : overdue) {
+        relayFailed(std::move(timedOut), context);
     }
     if (context.now >= m_nextLoadExchangeAt) {
         m_nextLoadExchangeAt = context.now + loadExchangeInterval;
+        setWatchSources(context);
         exchangeLoads(context);
     }
     forward(Tick{}, context);
 }
 
-void ForwardingCoordinator::exchangeLoads(NodeContext &context)
+void ForwardingCoordinator::setWatchSources(NodeContext &context)
 {
-    std::vector<LoadExchangePeer> peers;
     std::vector<HostId> ownDomain;
     for (const Member &member : context.fleet.members()) {
-        if (member.state == MemberState::Dead) {
-            continue;
-        }
         if (member.state == MemberState::Alive && member.profile.failureDomain == m_options.failureDomain) {
             ownDomain.push_back(member.host);
         }
-        if (member.host != m_options.host) {
-            peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
-        }
     }
-    if (const HostId collector = firstRanked(m_options.failureDomain.value(), ownDomain); collector != m_collector) {
-        m_collector = collector;
-        context.output.log("Relay: event=collector host=" + m_collector.value()
+    if (m_sources.setHosts(ownDomain)) {
+        context.output.log("Relay: event=collector host=" + m_sources.collector().value()
                            + " hosts=" + std::to_string(ownDomain.size()));
     }
+}
+
+void ForwardingCoordinator::exchangeLoads(NodeContext &context)
+{
+    std::vector<LoadExchangePeer> peers;
+    for (const Member &member : context.fleet.members()) {
+        if (member.state != MemberState::Dead && member.host != m_options.host) {
+            peers.push_back({.host = member.host, .failureDomain = member.profile.failureDomain});
+        }
+    }
     const LoadDigest own = context.targets.router().ownLoads();
     for (const SendLoadDigest &send : m_loads.digestsDue(own, peers, context.now)) {
         const nlohmann::json body = toJson(send.digest);
@@ -202,27 +212,65 @@
     return m_configuration.fresh(now) && m_directory.isLoaded();
 }
 
-void ForwardingCoordinator::issue(RelayedRange range, KeyValueCall call, NodeContext &context)
+void ForwardingCoordinator::issue(RelayedRange range, KeyValueCall call, std::size_t failures, NodeContext &context)
 {
-    const bool isCollector = m_collector == m_options.host || m_collector == HostId();
-    if (const auto request =
-            m_watchClient.relay(range, call, isCollector ? std::nullopt : std::optional(m_collector), context.now)) {
-        m_metrics.count("relayed_watches");
-        send({*request}, context);
-    } else {
+    if (!std::holds_alternative<WatchRange>(call.request)) {
         issueToKeyValueService(range, std::move(call), context);
+        return;
+    }
+    WatchSource source = m_sources.choose(range, failures, context.now);
+    if (source.host) {
+        if (relay(range, call, *source.host, {.failures = failures, .hasSuccessor = failures == 0}, context)) {
+            recordSource(range, source, context);
+            return;
+        }
+        source = {.host = std::nullopt, .reason = WatchSourceReason::Age};
+    }
+    recordSource(range, source, context);
+    if (failures > 0) {
+        // Other hosts of the domain may wait for this call after the failure of the host that was asked.
+        auto &watch = std::get<WatchRange>(call.request);
+        watch.wait = std::min(watch.wait, waitAfterFailure);
+    }
+    issueToKeyValueService(range, std::move(call), context);
+}
+
+bool ForwardingCoordinator::relay(
+    RelayedRange range, const KeyValueCall &call, const HostId &host, const RelayTerms &terms, NodeContext &context)
+{
+    const auto request = m_watchClient.relay(range, call, host, context.now, terms);
+    if (!request) {
+        return false;
+    }
+    m_metrics.count("relayed_watches");
+    m_watchServer.setCallInProgress(range, host);
+    send({*request}, context);
+    return true;
+}
+
+void ForwardingCoordinator::relayFailed(RelayedWatchFailed failed, NodeContext &context)
+{
+    context.output.log(describe(failed));
+    issue(failed.range, std::move(failed.call), failed.failures, context);
+}
+
+void ForwardingCoordinator::recordSource(RelayedRange range, const WatchSource &source, NodeContext &context)
+{
+    if (auto line = m_sources.recordSource(range, source, context.now)) {
+        context.output.log(std::move(*line));
     }
 }
 
 void ForwardingCoordinator::issueToKeyValueService(RelayedRange range, KeyValueCall call, NodeContext &context)
 {
-    m_metrics.count("service_calls");
+    m_metrics.serviceCall(rangeName(range), call.request);
     const auto *watch = std::get_if<WatchRange>(&call.request);
     if (watch != nullptr || std::holds_alternative<ReadRange>(call.request)) {
         m_latestCalls[range] = {.range = range,
                                 .id = call.id,
                                 .after = watch != nullptr ? std::optional(watch->after) : std::nullopt,
                                 .sentAt = context.now};
+        m_watchServer.setCallInProgress(range, std::nullopt);
     }
     context.keyValue.issue(callerOf(range), 0, std::move(call), context.output);
 }
@@ -256,13 +304,17 @@
                           },
                           [&](RangeWatchResponse &response) {
                               if (const auto answered = m_watchClient.handleResponse(from, std::move(response))) {
+                                  if (const auto *changed = std::get_if<RangeChanged>(&answered->reply.result)) {
+                                      send(m_watchServer.recordRelayedReply(answered->answered, *changed, context.now),
+                                           context);
+                                  }
                                   watchAnswered(answered->range, answered->reply, context);
                               }
                           },
                           [&](const RangeWatchUnavailable &unavailable) {
-                              if (auto failed = m_watchClient.handleUnavailable(from, unavailable, context.now)) {
-                                  context.output.log(describe(*failed));
-                                  issueToKeyValueService(failed->range, std::move(failed->call), context);
+                              if (auto failed = m_watchClient.handleUnavailable(from, unavailable)) {
+                                  m_sources.skip(failed->host, failed->range, context.now);
+                                  relayFailed(std::move(*failed), context);
                               }
                           }},
                std::get<RangeWatchMessage>(read));
@@ -313,7 +365,7 @@
 {
     for (CondemnedTraitRegisterAction &action : m_condemnedTraits.handle(event, context.now)) {
         std::visit(Overloaded{[&](KeyValueCall &call) {
-                                  m_metrics.count("service_calls");
+                                  m_metrics.serviceCall("condemned-traits", call.request);
                                   context.keyValue.issue(
                                       KeyValueCaller::CondemnedTraits, 0, std::move(call), context.output);
                               },
@@ -352,7 +404,7 @@
 {
     for (ConfigurationReplicaAction &action : m_configuration.handle(event, context.now)) {
         std::visit(
-            Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Configuration, std::move(call), context); },
+            Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Configuration, std::move(call), 0, context); },
                        [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
                        [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
                        [&](const ConfigurationFreshnessChanged &changed) { context.output.log(describe(changed)); },
@@ -377,7 +429,7 @@
 void ForwardingCoordinator::dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context)
 {
     for (DirectoryReplicaAction &action : m_directory.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), context); },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), 0, context); },
                               [&](const TargetListed &listed) {
                                   context.output.log(describe(listed));
                                   m_forwarder.targetListed(listed.target, context.targets.router());
@@ -397,7 +449,7 @@
 void ForwardingCoordinator::dispatchRegistry(const HostRegistryEvent &event, NodeContext &context)
 {
     for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), context); },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), 0, context); },
                               [&](RegisteredHostsChanged &registered) {
                                   m_forwarder.setHosts(registered.hosts.size(), context.now);
                                   m_forwarder.setRelayHosts(relayHosts(registered.hosts));
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -8,6 +8,7 @@
 #include "forwarding/LoadExchange.h"
 #include "forwarding/RelayedWatchClient.h"
 #include "forwarding/RelayedWatchServer.h"
+#include "forwarding/WatchSources.h"
 #include "node/NodeContext.h"
 #include "node/NodeMessages.h"
 #include "node/NodeOptions.h"
@@ -79,8 +80,20 @@
     void configurationChanged(const ConfigurationChanged &changed, NodeContext &context);
     /// The hosts other than this one that pass on requests.
     [[nodiscard]] std::vector<RelayHost> relayHosts(const std::vector<ListedHost> &hosts) const;
-    /// Sends a call for a range to the collector of this failure domain, or to the key-value service.
-    void issue(RelayedRange range, KeyValueCall call, NodeContext &context);
+    /// Updates the candidates of `m_sources`.
+    void setWatchSources(NodeContext &context);
+    /// Sends a call for a range to another host of this failure domain, or to the key-value service. `failures`: number
+    /// of hosts that have failed to answer it.
+    void issue(RelayedRange range, KeyValueCall call, std::size_t failures, NodeContext &context);
+    /// Whether the call was sent to the host.
+    [[nodiscard]] bool relay(RelayedRange range,
+                             const KeyValueCall &call,
+                             const HostId &host,
+                             const RelayTerms &terms,
+                             NodeContext &context);
+    /// Skips the host that failed, and sends the call elsewhere.
+    void relayFailed(RelayedWatchFailed failed, NodeContext &context);
+    void recordSource(RelayedRange range, const WatchSource &source, NodeContext &context);
     void issueToKeyValueService(RelayedRange range, KeyValueCall call, NodeContext &context);
     /// Records a reply of the key-value service for the hosts that relay their watches through this one.
     void recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
@@ -98,8 +111,7 @@
     RelayedWatchServer m_watchServer;
     /// The latest call for each range that was sent to the key-value service.
     std::map<RelayedRange, RangeCall> m_latestCalls;
-    /// The host that watches the ranges for this failure domain; empty before any host is known.
-    HostId m_collector;
+    WatchSources m_sources;
     LoadExchange m_loads;
     /// Number of hosts whose load is estimated, for the metrics.
     std::size_t m_estimatedHosts = 0;
--- a/src/node/tests/StoreAndHosts.h
+++ b/src/node/tests/StoreAndHosts.h
@@ -14,14 +14,16 @@
 
 struct StoreAndHostsOptions
 {
+    std::size_t hosts = 2;
     /// Changes that the store keeps for watches.
     std::size_t keptChanges = 100'000;
-    /// Whether both hosts are of one failure domain, so that one of them relays the watches of the other.
+    /// Whether all hosts are of one failure domain, so that one of them relays the watches of the others.
     bool sameDomain = false;
     PropagationBounds bounds = {};
 };
 
-/// Two hosts on one store, in virtual time. The store's configuration is its version, a target's record is its address.
+/// Some hosts on one store, in virtual time. The store's configuration is its version, a target's record is its
+/// address.
 ///
 /// While a host is cut off, its calls to the store get no answer; those that were sent in the cut get none afterwards
 /// either. A frozen host does nothing, and messages to it are lost.
