RelayedWatchClient, TargetObservations: Mend what the review of both found

A relayed watch whose replica is about to give it up is not passed on, and a new call drops the pending one: a late reply counted as a confirmation of a view that had not received it. Older replies of the service replace no newer changes.

--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -26,9 +26,6 @@
     if (terms.hasSuccessor) {
         wait = std::min(wait, std::max(remaining - m_options.successorReserve, m_options.waitBeforeSuccessor));
     }
-    if (terms.atAnyAge) {
-        wait = std::max(wait, m_options.minimumWait);
-    }
     if (wait < m_options.minimumWait) {
         return std::nullopt;
     }
@@ -38,6 +35,7 @@
                                      .range = range,
                                      .call = call,
                                      .failures = terms.failures,
+                                     .firstSentAt = terms.firstSentAt.value_or(now),
                                      .sentAt = now,
                                      .deadline = now + wait + m_options.responseTimeout});
     return SendRangeWatchMessage{
@@ -52,6 +50,17 @@
     known->second = std::max(known->second, at);
 }
 
+void RelayedWatchClient::dropPending(RelayedRange range)
+{
+    std::erase_if(m_pending, [&](const auto &entry) { return entry.second.range == range; });
+}
+
+bool RelayedWatchFailed::isObsolete(TimePoint now) const
+{
+    const auto *watch = std::get_if<WatchRange>(&call.request);
+    return watch != nullptr && now - firstSentAt >= watch->wait + call.timeout;
+}
+
 void RelayedWatchClient::storeEraChanged(const StoreEraChanged &change)
 {
     m_era = change.era;
@@ -96,7 +105,8 @@
                               .timedOut = false,
                               .range = pending->second.range,
                               .call = std::move(pending->second.call),
-                              .failures = pending->second.failures + 1};
+                              .failures = pending->second.failures + 1,
+                              .firstSentAt = pending->second.firstSentAt};
     m_pending.erase(pending);
     return failed;
 }
@@ -119,7 +129,8 @@
                            .timedOut = true,
                            .range = request.range,
                            .call = request.call,
-                           .failures = request.failures + 1});
+                           .failures = request.failures + 1,
+                           .firstSentAt = request.firstSentAt});
         return true;
     });
     return overdue;
--- a/src/forwarding/RelayedWatchClient.h
+++ b/src/forwarding/RelayedWatchClient.h
@@ -38,8 +38,8 @@
     std::size_t failures = 0;
     /// Whether another host is asked if this one fails.
     bool hasSuccessor = false;
-    /// Also if the response may come after the view is too old, since the service cannot be asked either.
-    bool atAnyAge = false;
+    /// When the watch was first sent to a host; std::nullopt if it is sent now.
+    std::optional<TimePoint> firstSentAt = std::nullopt;
 };
 
 /// Reply to a watch of this host that another host has answered.
@@ -61,6 +61,12 @@
     KeyValueCall call;
     /// Number of hosts that have failed to answer this watch.
     std::size_t failures = 0;
+    /// When the watch was first sent to a host.
+    TimePoint firstSentAt{};
+
+    /// Whether the replica that made the call is about to give it up: a later reply would be ignored, although it
+    /// would count as a confirmation of the view.
+    [[nodiscard]] bool isObsolete(TimePoint now) const;
 };
 
 /// Log line of the failure.
@@ -82,6 +88,9 @@
     [[nodiscard]] std::optional<SendRangeWatchMessage> relay(
         RelayedRange range, const KeyValueCall &call, const HostId &host, TimePoint now, const RelayTerms &terms = {});
 
+    /// Forgets the pending requests for the range, since its replica has made a new call.
+    void dropPending(RelayedRange range);
+
     void storeEraChanged(const StoreEraChanged &change);
 
     /// Both return std::nullopt if the message belongs to no pending request.
@@ -99,6 +108,7 @@
         RelayedRange range = RelayedRange::Configuration;
         KeyValueCall call;
         std::size_t failures = 0;
+        TimePoint firstSentAt;
         TimePoint sentAt;
         TimePoint deadline;
     };
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -12,7 +12,7 @@
         m_ranges[call.range] = {
             .begin = read->storeRevision, .revision = read->storeRevision, .confirmedAt = call.sentAt, .changes = {}};
     } else if (const auto *changed = std::get_if<RangeChanged>(&result)) {
-        apply(call, *changed, now);
+        applyUnlessOlder(call, *changed, now);
     } else if (std::holds_alternative<WatchCompacted>(result)) {
         m_ranges.erase(call.range);
     }
@@ -29,12 +29,16 @@
 RelayedWatchServer::recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now)
 {
     m_inProgress.erase(call.range);
+    applyUnlessOlder(call, changed, now);
+    return respondDue(now);
+}
+
+void RelayedWatchServer::applyUnlessOlder(const RangeCall &call, const RangeChanged &changed, TimePoint now)
+{
     const auto cached = m_ranges.find(call.range);
-    // Changes that are older than the known ones must not replace them.
     if (cached == m_ranges.end() || changed.storeRevision >= cached->second.revision) {
         apply(call, changed, now);
     }
-    return respondDue(now);
 }
 
 void RelayedWatchServer::apply(const RangeCall &call, const RangeChanged &changed, TimePoint now)
--- a/src/forwarding/RelayedWatchServer.h
+++ b/src/forwarding/RelayedWatchServer.h
@@ -43,7 +43,6 @@
     {
     }
 
-    /// Records the service's reply to this host's own call; returns responses to waiting requests.
     /// Records that this host has sent a call for the range to the service, or to another host `via`.
     void setCallInProgress(RelayedRange range, std::optional<HostId> via)
     {
@@ -57,6 +56,7 @@
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
 
+    /// Records the service's reply to this host's own call; returns responses to waiting requests.
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now);
 
@@ -98,6 +98,8 @@
     /// Whether a request that cannot be answered yet waits for the call in progress.
     [[nodiscard]] bool waitsForCall(const PendingRequest &pending, TimePoint now) const;
     void apply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
+    /// The same unless newer changes are known, which older ones must not replace.
+    void applyUnlessOlder(const RangeCall &call, const RangeChanged &changed, TimePoint now);
     [[nodiscard]] std::vector<SendRangeWatchMessage> respondDue(TimePoint now);
     /// Returns std::nullopt while the request has to wait for a change.
     [[nodiscard]] std::optional<RangeWatchMessage> respond(const PendingRequest &pending, TimePoint now) const;
--- a/src/forwarding/TargetObservations.cpp
+++ b/src/forwarding/TargetObservations.cpp
@@ -18,7 +18,8 @@
 {
     const auto [entry, isNew] = m_targets.try_emplace(target);
     if (isNew || entry->second.incarnation != incarnation) {
-        entry->second = State{.incarnation = incarnation, .toldAt = {}, .noRoomUntil = {}, .failure = {}};
+        entry->second =
+            State{.incarnation = incarnation, .toldAt = {}, .noRoomUntil = {}, .failure = {}, .lastFailure = {}};
         m_avoided.erase(target);
     }
 }
@@ -61,19 +62,20 @@
     if (found == m_targets.end() || found->second.incarnation != told.incarnation) {
         return;
     }
-    std::optional<TimePoint> &toldAt = found->second.toldAt.at(static_cast<std::size_t>(told.cause));
-    const TimePoint asIfToldAt = now - (m_options.tellInterval - reportedByOthersPeriod);
-    toldAt = std::max(toldAt.value_or(asIfToldAt), asIfToldAt);
     if (told.cause != ObservationCause::NoRoom) {
         const Duration tolerated = std::max(told.age, m_options.signLifetime);
         if (liveness.hasShownSignSince(told.target, now - tolerated)) {
             ++m_counts.contradicted;
             return;
         }
-        if (hasToldEnough(event.from, told.target)) {
+        if (hasToldEnough(event.from, told.target) || hasToldBefore(event.from, found->second, now)) {
             return;
         }
+        found->second.lastFailure = {event.from, now};
     }
+    std::optional<TimePoint> &toldAt = found->second.toldAt.at(static_cast<std::size_t>(told.cause));
+    const TimePoint asIfToldAt = now - (m_options.tellInterval - reportedByOthersPeriod);
+    toldAt = std::max(toldAt.value_or(asIfToldAt), asIfToldAt);
     believe(event.from, told, targets, router, now);
 }
 
@@ -108,6 +110,12 @@
     update(observation.target, state, targets, router);
 }
 
+bool TargetObservations::hasToldBefore(const HostId &from, const State &state, TimePoint now) const
+{
+    return state.lastFailure && state.lastFailure->first == from
+           && now - state.lastFailure->second < m_options.repeatedFailurePeriod;
+}
+
 bool TargetObservations::hasToldEnough(const HostId &from, const TargetId &target) const
 {
     const auto count = std::ranges::count_if(m_avoided, [&](const TargetId &avoided) {
--- a/src/forwarding/TargetObservations.h
+++ b/src/forwarding/TargetObservations.h
@@ -36,6 +36,9 @@
     /// Number of targets that are avoided on the word of one host. A host with bad links loses connections to targets
     /// that work; others confirm the failure of a target that does not.
     std::size_t failuresPerHost = 3;
+    /// A host that has told the failure of a target's process is not believed again for this time, unless another host
+    /// has told it meanwhile: otherwise one host with a bad link could keep the target from all others.
+    Duration repeatedFailurePeriod = 10s;
 };
 
 /// Action: send the observation to all other hosts.
@@ -123,6 +126,8 @@
         std::array<std::optional<TimePoint>, 4> toldAt;
         std::optional<TimePoint> noRoomUntil;
         std::optional<Failure> failure;
+        /// The last host whose report of a failure was believed, and when.
+        std::optional<std::pair<HostId, TimePoint>> lastFailure;
     };
 
     /// A random time within the bounds.
@@ -135,6 +140,8 @@
                  TimePoint now);
     /// Whether as many targets as allowed are avoided on the word of this host, without the given one.
     [[nodiscard]] bool hasToldEnough(const HostId &from, const TargetId &target) const;
+    /// Whether the last failure of the target that was believed came from this host, a short time ago.
+    [[nodiscard]] bool hasToldBefore(const HostId &from, const State &state, TimePoint now) const;
     void endFailure(const TargetId &target, bool isReply, ForwardTargets &targets, ChainRouter &router);
     /// Updates whether the target is avoided.
     void update(const TargetId &target, const State &state, ForwardTargets &targets, ChainRouter &router);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -225,15 +225,21 @@
     return m_configuration.fresh(now) && m_directory.isLoaded();
 }
 
-void ForwardingCoordinator::issue(RelayedRange range, KeyValueCall call, std::size_t failures, NodeContext &context)
+void ForwardingCoordinator::issue(RelayedRange range, KeyValueCall call, const RelayTerms &terms, NodeContext &context)
 {
+    const std::size_t failures = terms.failures;
+    if (failures == 0) {
+        m_watchClient.dropPending(range);
+    }
     if (!std::holds_alternative<WatchRange>(call.request)) {
         issueToKeyValueService(range, std::move(call), context);
         return;
     }
     WatchSource source = m_sources.choose(range, failures, context.now);
     if (source.host) {
-        if (relay(range, call, *source.host, {.failures = failures, .hasSuccessor = failures == 0}, context)) {
+        const RelayTerms withSuccessor{
+            .failures = failures, .hasSuccessor = failures == 0, .firstSentAt = terms.firstSentAt};
+        if (relay(range, call, *source.host, withSuccessor, context)) {
             recordSource(range, source, context);
             return;
         }
@@ -264,7 +270,12 @@
 void ForwardingCoordinator::relayFailed(RelayedWatchFailed failed, NodeContext &context)
 {
     context.output.log(describe(failed));
-    issue(failed.range, std::move(failed.call), failed.failures, context);
+    if (!failed.isObsolete(context.now)) {
+        issue(failed.range,
+              std::move(failed.call),
+              {.failures = failed.failures, .firstSentAt = failed.firstSentAt},
+              context);
+    }
 }
 
 void ForwardingCoordinator::recordSource(RelayedRange range, const WatchSource &source, NodeContext &context)
@@ -417,7 +428,7 @@
 {
     for (ConfigurationReplicaAction &action : m_configuration.handle(event, context.now)) {
         std::visit(
-            Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Configuration, std::move(call), 0, context); },
+            Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Configuration, std::move(call), {}, context); },
                        [&](const ConfigurationChanged &changed) { configurationChanged(changed, context); },
                        [&](const ConfigurationIgnored &ignored) { context.output.log(describe(ignored)); },
                        [&](const ConfigurationFreshnessChanged &changed) { context.output.log(describe(changed)); },
@@ -442,7 +453,7 @@
 void ForwardingCoordinator::dispatchDirectory(const DirectoryReplicaEvent &event, NodeContext &context)
 {
     for (DirectoryReplicaAction &action : m_directory.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), 0, context); },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Directory, std::move(call), {}, context); },
                               [&](const TargetListed &listed) {
                                   context.output.log(describe(listed));
                                   m_forwarder.targetListed(listed.target, context.targets.router());
@@ -462,7 +473,7 @@
 void ForwardingCoordinator::dispatchRegistry(const HostRegistryEvent &event, NodeContext &context)
 {
     for (HostRegistryAction &action : m_registry.handle(event, context.now)) {
-        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), 0, context); },
+        std::visit(Overloaded{[&](KeyValueCall &call) { issue(RelayedRange::Hosts, std::move(call), {}, context); },
                               [&](RegisteredHostsChanged &registered) {
                                   m_forwarder.setHosts(registered.hosts.size(), context.now);
                                   m_forwarder.setRelayHosts(relayHosts(registered.hosts));
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -83,9 +83,9 @@
     [[nodiscard]] std::vector<RelayHost> relayHosts(const std::vector<ListedHost> &hosts) const;
     /// Updates the candidates of `m_sources`.
     void setWatchSources(NodeContext &context);
-    /// Sends a call for a range to another host of this failure domain, or to the key-value service. `failures`: number
-    /// of hosts that have failed to answer it.
-    void issue(RelayedRange range, KeyValueCall call, std::size_t failures, NodeContext &context);
+    /// Sends a call for a range to another host of this failure domain, or to the key-value service. `terms`: which
+    /// hosts have failed to answer it before.
+    void issue(RelayedRange range, KeyValueCall call, const RelayTerms &terms, NodeContext &context);
     /// Whether the call was sent to the host.
     [[nodiscard]] bool relay(RelayedRange range,
                              const KeyValueCall &call,
