--- a/src/daemon/tests/UncontrolledCallersTest.cpp
+++ b/src/daemon/tests/UncontrolledCallersTest.cpp
@@ -83,6 +83,16 @@
         const auto host = splitHostPort(callerAddressOf(m_address));
         const CallerCrowd playing(
             m_context, tcp::endpoint(boost::asio::ip::make_address(host->host), host->port), callers, request);
+        const std::size_t mostDescriptors = runUntilDone(playing, callers);
+        CHECK(serves());
+        checkBounds(mostDescriptors);
+        return playing.answered();
+    }
+
+private:
+    /// Returns the most descriptors that the daemon had open meanwhile.
+    std::size_t runUntilDone(const CallerCrowd &playing, std::size_t callers)
+    {
         const TimePoint end = readBootClock() + hangLimit;
         std::size_t mostDescriptors = 0;
         while (playing.done() < callers && readBootClock() < end) {
@@ -92,16 +102,17 @@
         CHECK(playing.done() == callers);
         // Connections that stop sending are given a second.
         runFor(1500ms);
-        mostDescriptors = std::max(mostDescriptors, m_daemon->openDescriptors());
-        CHECK(serves());
+        return std::max(mostDescriptors, m_daemon->openDescriptors());
+    }
+
+    void checkBounds(std::size_t mostDescriptors)
+    {
         CHECK(!m_daemon->hasEnded());
         CHECK(m_daemon->peakMemory().value() <= memoryMegabytes << 20U);
         CHECK(mostDescriptors <= descriptors);
         MESSAGE("peak memory: ", m_daemon->peakMemory().value() >> 10U, " KB, descriptors: ", mostDescriptors);
-        return playing.answered();
     }
 
-private:
     /// Whether an ordinary request is answered with success.
     bool serves()
     {
