--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -361,6 +361,33 @@
     targetsFailed(m_targets.hostListRead(event, context.now, context.output), context);
 }
 
+/// Handles a message on one of the channels that only hosts with published routes use.
+static void passToForwarding(ForwardingCoordinator &forwarding,
+                             const HostId &from,
+                             const ChannelMessage &message,
+                             NodeContext &context)
+{
+    switch (message.channel) {
+    case PeerChannel::Configuration:
+        forwarding.configurationReceived(from, message.body, context);
+        break;
+    case PeerChannel::Load:
+        forwarding.loadReceived(from, message.body, context);
+        break;
+    case PeerChannel::Range:
+        forwarding.rangeReceived(from, message.body, context);
+        break;
+    case PeerChannel::RetryLoans:
+        forwarding.retryLoanReceived(from, message.body, context);
+        break;
+    case PeerChannel::TargetObservations:
+        forwarding.targetObservationReceived(from, message.body, context);
+        break;
+    default:
+        break;
+    }
+}
+
 void Node::on(const PeerMessage &event, NodeContext &context)
 {
     const std::optional<ChannelMessage> message = readEnvelope(event.message);
@@ -400,28 +427,12 @@
         }
         break;
     case PeerChannel::Configuration:
-        if (m_forwarding) {
-            m_forwarding->configurationReceived(event.from, message->body, context);
-        }
-        break;
     case PeerChannel::Load:
-        if (m_forwarding) {
-            m_forwarding->loadReceived(event.from, message->body, context);
-        }
-        break;
     case PeerChannel::Range:
-        if (m_forwarding) {
-            m_forwarding->rangeReceived(event.from, message->body, context);
-        }
-        break;
     case PeerChannel::RetryLoans:
-        if (m_forwarding) {
-            m_forwarding->retryLoanReceived(event.from, message->body, context);
-        }
-        break;
     case PeerChannel::TargetObservations:
         if (m_forwarding) {
-            m_forwarding->targetObservationReceived(event.from, message->body, context);
+            passToForwarding(*m_forwarding, event.from, *message, context);
         }
         break;
     }
