PlatformFixture: Take ports that no outgoing connection can take first

The fixture took ports that were free a moment ago from the kernel's range for outgoing connections; a daemon that had started already could take one of them for a connection of its own before the daemon that was meant to listen there. The ports now come from below that range.

--- a/src/daemon/tests/PlatformFixture.cpp
+++ b/src/daemon/tests/PlatformFixture.cpp
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <cstdlib>
 
+#include <unistd.h>
+
 namespace Carawaymill {
 
 using boost::asio::ip::tcp;
@@ -17,10 +19,25 @@
 /// Enough for the retries of one test: with few requests, the ratio alone allows none.
 static constexpr double retryBurst = 40;
 
+/// A port that can be listened on. It is below the range from which the kernel takes the ports of outgoing connections:
+/// a daemon that has started already would take one from there before the daemon that the port is meant for listens.
 static std::uint16_t freePort(boost::asio::io_context &context)
 {
-    const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    static constexpr std::uint16_t first = 12000;
+    static constexpr std::uint16_t count = 16000;
+    static auto offset = static_cast<std::uint16_t>(getpid() % count);
+    for (std::uint16_t tried = 0; tried < count; ++tried) {
+        offset = (offset + 1) % count;
+        const tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), first + offset);
+        tcp::acceptor acceptor(context, endpoint.protocol());
+        boost::system::error_code failure;
+        acceptor.bind(endpoint, failure);
+        if (!failure) {
+            return endpoint.port();
+        }
+    }
+    FAIL("no free port");
+    return 0;
 }
 
 static std::string freePeerAddress(boost::asio::io_context &context)
