StartQueue, FairShares, StartRate: Share capacity by rank and organisation, and tell callers when to come back

An organisation's own priority had no effect, the requests of one organisation delayed those of all others, a host admitted by the starts of its own last 2 s (some five requests on a host of 97), let 8 requests wait whatever the rate was, and told refused callers to come back within 500 ms whatever the backlog.

The queue now orders by rank (the organisation's priority before the route's), streams that resume first, and then by start-time fair queueing between organisations; it admits by the rate of starts while others wait, refuses a request that would start last in favour of one that goes before it, and Retry-After follows the backlog of the rank, spread, within a third of the caller's time. Engines get X-Request-Urgency where requests differ in rank or a stream resumes.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -40,9 +40,42 @@
     if (callerDeadline) {
         action.timeLeft = *callerDeadline - now;
     }
+    if (!targets.path.empty() && (table->hasSeveralRanks() || resumes())) {
+        action.urgency = urgencyOf(rank, resumes());
+    }
     return action;
 }
 
+/// Expected work in mean requests of the service. Bounded, so that token counts that a caller overstates do not put its
+/// organisation far behind.
+static double expectedWork(const EngineProfile *engine, const ForwardRequest &request)
+{
+    static constexpr double smallest = 0.1;
+    static constexpr double largest = 4;
+    const double mean = engine == nullptr ? 0
+                                          : static_cast<double>(engine->meanPromptTokens.value())
+                                                + static_cast<double>(engine->meanCompletionTokens.value());
+    if (mean <= 0) {
+        return 1;
+    }
+    const double tokens =
+        static_cast<double>(request.promptTokens.value()) + static_cast<double>(request.expectedTokens.value());
+    return std::clamp(tokens / mean, smallest, largest);
+}
+
+QueuedRequest ForwardCall::queued(TimePoint now) const
+{
+    return {.id = id,
+            .attempt = request->attempt,
+            .service = service,
+            .rank = rank,
+            .organisation = organisation.value_or(OrganisationId()),
+            .work = expectedWork(engineProfile(table->sharedConfiguration(), service), *request),
+            .resumes = resumes(),
+            .arrivedAt = streaming ? now : waitsSince,
+            .latencyObjective = route->latencyObjective};
+}
+
 QueryProgress ForwardCall::progressQuery(AttemptNumber queried,
                                          const ChosenTargets &targets,
                                          const std::optional<RelayHost> &passedOnBy,
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -4,6 +4,7 @@
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
 #include "forwarding/RouteTable.h"
+#include "forwarding/StartQueue.h"
 #include "quarantine/CrashAttribution.h"
 
 #include <map>
@@ -37,6 +38,8 @@
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
     std::optional<OrganisationId> organisation;
+    /// 0 is the most urgent.
+    std::uint32_t rank = 0;
     std::vector<RequestTrait> traits;
     ServiceId service;
     TimePoint receivedAt;
@@ -92,6 +95,12 @@
     /// The action that sends the current attempt to the targets.
     [[nodiscard]] ForwardToTarget dispatchTo(const ChosenTargets &targets, TimePoint now) const;
 
+    /// The call as it waits for capacity.
+    [[nodiscard]] QueuedRequest queued(TimePoint now) const;
+
+    /// Whether the caller already has the first events of the stream.
+    [[nodiscard]] bool resumes() const { return relay.last().has_value(); }
+
     /// The action that queries the progress of an attempt, the current one or an earlier one.
     [[nodiscard]] QueryProgress progressQuery(AttemptNumber queried,
                                               const ChosenTargets &targets,
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -156,6 +156,8 @@
     bool freshConnection = false;
     /// The host that passes the request on; std::nullopt if it goes directly to the target.
     std::optional<RelayHost> via = std::nullopt;
+    /// How urgently an engine should start the request, from 0 (first) to 9; std::nullopt for its default.
+    std::optional<unsigned> urgency = std::nullopt;
 };
 
 /// Action: close the connection of the attempt, so that the target stops working on it.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -48,6 +48,7 @@
     append(m_links.takeLog(), context.actions);
     append(m_observations.takeLog(), context.actions);
     append(m_observations.takeMessages(), context.actions);
+    append(m_queue.takeLog(), context.actions);
     return std::move(context.actions);
 }
 
@@ -99,6 +100,7 @@
     if (call.route == nullptr) {
         return ForwardFailure::NoRoute;
     }
+    call.rank = rankOf(*call.route, nullptr);
     if (m_table->configuration().organisations && !call.route->isPublic) {
         if (!context.fresh) {
             return ForwardFailure::ConfigurationTooOld;
@@ -108,6 +110,7 @@
             return ForwardFailure::KeyUnknown;
         }
         call.organisation = holder->id;
+        call.rank = rankOf(*call.route, holder);
     }
     return std::nullopt;
 }
@@ -210,20 +213,22 @@
 
 void Forwarder::enqueue(ForwardCall &call, HandlerContext &context)
 {
-    if (!m_queue.accepts(context.now)) {
-        refuse(call, ForwardFailure::Overloaded, context);
-        return;
+    if (const auto refused = m_queue.add(call.queued(context.now), context.now)) {
+        refuseQueued(*refused, context);
     }
-    m_queue.add({.id = call.id,
-                 .priority = call.route->priority,
-                 .arrivedAt = call.streaming ? context.now : call.waitsSince,
-                 .latencyObjective = call.route->latencyObjective});
+}
+
+void Forwarder::refuseQueued(const RefusedRequest &refused, HandlerContext &context)
+{
+    ForwardCall &call = m_calls.at(refused.id);
+    context.actions.emplace_back(ForwardLogLine{describe(refused, call.request->attempt)});
+    refuse(call, ForwardFailure::Overloaded, context);
 }
 
 void Forwarder::serveQueue(HandlerContext &context)
 {
-    for (const RequestId id : m_queue.takeOverdue(context.now)) {
-        refuse(m_calls.at(id), ForwardFailure::Overloaded, context);
+    for (const RefusedRequest &refused : m_queue.takeRefused(context.now)) {
+        refuseQueued(refused, context);
     }
     if (m_links.awaitsProbes(context.now)) {
         return;
@@ -240,7 +245,6 @@
             withoutCapacity.insert(call.service);
             continue;
         }
-        m_queue.remove(id);
         if (chosen) {
             sendToTarget(call, std::move(*chosen), context);
         } else {
@@ -255,7 +259,7 @@
     m_buffers.hold(call.id, call.heldBytes());
     call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
-    m_queue.started(context.now);
+    m_queue.started(call.queued(context.now), context.now);
     context.actions.emplace_back(call.dispatchTo(chosen, context.now));
     call.chosen = std::move(chosen);
 }
@@ -1058,15 +1062,19 @@
         const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
         return std::min(condemned, m_options.condemnedRetryAfter);
     }
+    const std::optional<Duration> timeLeft =
+        call.callerDeadline ? std::optional(*call.callerDeadline - context.now) : std::nullopt;
+    if (reason == ForwardFailure::Overloaded) {
+        const auto backlog = m_queue.backlog(call.service, call.rank, context.now);
+        return Carawaymill::retryAfter(backlogBounds(backlog, m_options.retryAfter, timeLeft), m_random);
+    }
     RetryAfterBounds bounds{.spread = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter
-                                                                         : m_options.retryAfter};
+                                                                         : m_options.retryAfter,
+                            .timeLeft = timeLeft};
     const bool lacksTarget = reason == ForwardFailure::NoTarget || reason == ForwardFailure::TargetsRefused;
     if (const auto restEnd = lacksTarget ? m_targets.firstRestEnd(call.service) : std::nullopt) {
         bounds.shortest = std::max(*restEnd - context.now, Duration::zero());
     }
-    if (call.callerDeadline) {
-        bounds.timeLeft = *call.callerDeadline - context.now;
-    }
     return Carawaymill::retryAfter(bounds, m_random);
 }
 
@@ -1095,7 +1103,7 @@
     endStalled(call, true, context);
     context.actions.emplace_back(ForwardLogLine{std::move(line)});
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
-    m_queue.remove(call.id);
+    m_queue.remove(call.id, context.now);
     m_loans.remove(call.id);
     m_buffers.hold(call.id, 0);
     m_calls.erase(call.id);
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -194,6 +194,8 @@
 
     [[nodiscard]] const TargetRequestLimits &limits() const { return m_limits; }
 
+    [[nodiscard]] const StartQueue &queue() const { return m_queue; }
+
     [[nodiscard]] const ResponseBuffers &buffers() const { return m_buffers; }
 
 private:
@@ -264,6 +266,8 @@
     void sendToTarget(ForwardCall &call, ChosenTargets chosen, HandlerContext &context);
     /// Queues the call until its targets have capacity; refuses it if the queue is too long.
     void enqueue(ForwardCall &call, HandlerContext &context);
+    /// Refuses a call that the queue does not keep.
+    void refuseQueued(const RefusedRequest &refused, HandlerContext &context);
     /// Dispatches queued calls while targets have capacity, and refuses those that have waited too long.
     void serveQueue(HandlerContext &context);
     /// Like dispatch(), within the limits on repeats.
--- a/src/forwarding/RetryAfter.cpp
+++ b/src/forwarding/RetryAfter.cpp
@@ -4,8 +4,21 @@
 
 namespace Carawaymill {
 
-/// `shortest` and `spread` are each at most this fraction of the caller's remaining time.
-static constexpr double retryAfterShare = 0.25;
+/// Callers come back after at most this fraction of their remaining time, whatever they are told.
+static constexpr double retryAfterShare = 1.0 / 3;
+/// A shorter spread would not keep callers that are refused together apart.
+static constexpr Duration minimumSpread = 100ms;
+
+RetryAfterBounds
+backlogBounds(std::optional<Duration> backlog, Duration unknownSpread, std::optional<Duration> timeLeft)
+{
+    RetryAfterBounds bounds{.spread = unknownSpread, .timeLeft = timeLeft};
+    if (backlog) {
+        bounds.shortest = *backlog;
+        bounds.spread = std::max(*backlog, minimumSpread);
+    }
+    return bounds;
+}
 
 Duration retryAfter(const RetryAfterBounds &bounds, Random &random)
 {
@@ -14,8 +27,9 @@
     if (bounds.timeLeft) {
         const auto limit =
             std::chrono::duration_cast<Duration>(std::max(*bounds.timeLeft, Duration::zero()) * retryAfterShare);
-        spread = std::min(spread, limit);
-        shortest = std::min(shortest, limit);
+        // Half of the limit is left to the spread, so that callers with a long backlog do not return together.
+        shortest = std::min(shortest, limit / 2);
+        spread = std::min(spread, limit - shortest);
     }
     const double jitter = 0.5 + random.fraction() / 2;
     return shortest + std::chrono::duration_cast<Duration>(spread * jitter);
--- a/src/forwarding/RouteTable.cpp
+++ b/src/forwarding/RouteTable.cpp
@@ -3,6 +3,7 @@
 #include "support/Hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Carawaymill {
 
@@ -22,6 +23,20 @@
     return route.services.empty() ? ServiceId() : route.services.front().service;
 }
 
+std::uint32_t rankOf(const Route &route, const OrganisationKeys *organisation)
+{
+    return organisation != nullptr ? organisation->priority.value_or(route.priority) : route.priority;
+}
+
+unsigned urgencyOf(std::uint32_t rank, bool resumes)
+{
+    static constexpr unsigned firstRank = 3;
+    static constexpr unsigned secondRank = 5;
+    static constexpr unsigned last = 9;
+    const unsigned urgency = rank == 0 ? firstRank : std::min<std::uint32_t>(rank, last) - 1 + secondRank;
+    return std::min(urgency, last) - (resumes ? 1 : 0);
+}
+
 RouteTable::RouteTable(SharedConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
@@ -38,6 +53,18 @@
             }
         }
     }
+    std::set<std::uint32_t> ranks;
+    for (const Route &route : m_configuration->routes) {
+        ranks.insert(route.priority);
+    }
+    if (m_configuration->organisations) {
+        for (const OrganisationKeys &organisation : *m_configuration->organisations) {
+            if (organisation.priority) {
+                ranks.insert(*organisation.priority);
+            }
+        }
+    }
+    m_hasSeveralRanks = ranks.size() > 1;
 }
 
 const Route *RouteTable::route(std::string_view host, std::string_view path) const
--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -7,58 +7,213 @@
 
 namespace Carawaymill {
 
-bool StartQueue::accepts(TimePoint now)
+const char *queueRefusalName(QueueRefusal refusal)
 {
-    while (!m_starts.empty() && now - m_starts.front() > m_options.rateWindow) {
-        m_starts.pop_front();
+    switch (refusal) {
+    case QueueRefusal::Arrival:
+        return "arrival";
+    case QueueRefusal::Replaced:
+        return "replaced";
+    case QueueRefusal::Overtaken:
+        return "overtaken";
+    case QueueRefusal::Overdue:
+        break;
     }
-    const double rate = static_cast<double>(m_starts.size()) / seconds(m_options.rateWindow);
-    const double longestQueue = rate * seconds(m_options.maximumWait);
-    return m_waiting.size() < m_options.minimumLength || static_cast<double>(m_waiting.size()) < longestQueue;
+    return "overdue";
 }
 
-void StartQueue::add(QueuedRequest request)
+/// For log lines: whole milliseconds, or `unknown`.
+static std::string text(std::optional<Duration> duration)
 {
-    m_waiting.push_back(request);
+    return duration ? std::to_string(wholeMilliseconds(*duration)) : "unknown";
 }
 
-void StartQueue::remove(RequestId id)
+std::string describe(const RefusedRequest &refused, const std::string &attempt)
 {
-    std::erase_if(m_waiting, [&](const QueuedRequest &request) { return request.id == id; });
+    return "Forward: event=queue-refused request=" + attempt + " reason=" + queueRefusalName(refused.reason)
+           + " expected_ms=" + text(refused.expectedWait);
 }
 
-void StartQueue::started(TimePoint now)
+StartQueue::ServiceState &StartQueue::stateOf(const ServiceId &service)
 {
-    m_starts.push_back(now);
+    return m_services.try_emplace(service, ServiceState{.rate = StartRate(m_options.rate), .shares = {}}).first->second;
 }
 
-std::vector<RequestId> StartQueue::order(TimePoint now) const
+bool StartQueue::isLate(const QueuedRequest &request, TimePoint now) const
+{
+    return now - request.arrivedAt
+           > std::chrono::duration_cast<Duration>(request.latencyObjective * m_options.onTimeShare);
+}
+
+std::size_t StartQueue::waiting(const ServiceId &service) const
+{
+    return static_cast<std::size_t>(std::ranges::count(m_waiting, service, &QueuedRequest::service));
+}
+
+std::optional<Duration> StartQueue::waitAt(const ServiceId &service, std::size_t position, TimePoint now) const
 {
-    const auto rank = [&](const QueuedRequest &request) {
-        const auto onTime = std::chrono::duration_cast<Duration>(request.latencyObjective * m_options.onTimeShare);
-        return std::tuple(now - request.arrivedAt > onTime, request.priority, request.arrivedAt);
+    const auto state = m_services.find(service);
+    const auto rate = state == m_services.end() ? std::nullopt : state->second.rate.perSecond(now);
+    if (!rate) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(position + 1) / *rate));
+}
+
+std::vector<QueuedRequest> StartQueue::ordered(TimePoint now) const
+{
+    struct Ranked
+    {
+        QueuedRequest request;
+        bool isLate = false;
+        double startTag = 0;
     };
-    std::vector<QueuedRequest> waiting = m_waiting;
-    std::ranges::sort(waiting, {}, rank);
-    std::vector<RequestId> order;
-    order.reserve(waiting.size());
-    for (const QueuedRequest &request : waiting) {
-        order.push_back(request.id);
+
+    std::vector<Ranked> ranked;
+    ranked.reserve(m_waiting.size());
+    std::map<std::tuple<ServiceId, std::uint32_t, OrganisationId>, double> waitingWork;
+    for (const QueuedRequest &request : m_waiting) {
+        double &work = waitingWork[{request.service, request.rank, request.organisation}];
+        const auto &shares = m_services.at(request.service).shares;
+        const auto found = shares.find(request.rank);
+        ranked.push_back(
+            {.request = request,
+             .isLate = isLate(request, now),
+             .startTag = found == shares.end() ? work : found->second.startTag(request.organisation, work)});
+        work += request.work;
+    }
+    std::ranges::sort(ranked, {}, [](const Ranked &entry) {
+        return std::tuple(
+            entry.isLate, entry.request.rank, !entry.request.resumes, entry.startTag, entry.request.arrivedAt);
+    });
+    std::vector<QueuedRequest> order;
+    order.reserve(ranked.size());
+    for (Ranked &entry : ranked) {
+        order.push_back(std::move(entry.request));
     }
     return order;
 }
 
-std::vector<RequestId> StartQueue::takeOverdue(TimePoint now)
+std::vector<RequestId> StartQueue::order(TimePoint now) const
+{
+    std::vector<RequestId> ids;
+    ids.reserve(m_waiting.size());
+    for (const QueuedRequest &request : ordered(now)) {
+        ids.push_back(request.id);
+    }
+    return ids;
+}
+
+std::optional<RefusedRequest> StartQueue::add(QueuedRequest request, TimePoint now)
 {
-    std::vector<RequestId> overdue;
-    std::erase_if(m_waiting, [&](const QueuedRequest &request) {
-        const bool late = now - request.arrivedAt >= m_options.maximumWait;
-        if (late) {
-            overdue.push_back(request.id);
+    const ServiceId service = request.service;
+    const RequestId id = request.id;
+    (void)stateOf(service);
+    m_waiting.push_back(std::move(request));
+    updateWaiting(service, now);
+    const std::vector<QueuedRequest> order = ordered(now);
+    std::optional<RefusedRequest> refused;
+    std::size_t position = 0;
+    for (const QueuedRequest &entry : order) {
+        if (entry.service != service) {
+            continue;
         }
-        return late;
-    });
-    return overdue;
+        const auto expected = waitAt(service, position, now);
+        const bool isLast = position + 1 == waiting(service);
+        const bool waitsTooLong = !expected || *expected > m_options.maximumWait;
+        if (isLast && position >= m_options.minimumLength && waitsTooLong) {
+            const QueueRefusal reason = entry.id == id ? QueueRefusal::Arrival : QueueRefusal::Replaced;
+            refused = refuse(entry, reason, expected, now);
+        } else if (entry.id == id) {
+            logQueued(entry, expected, now);
+        }
+        ++position;
+        if (refused) {
+            break;
+        }
+    }
+    return refused;
+}
+
+RefusedRequest StartQueue::refuse(const QueuedRequest &request,
+                                  QueueRefusal reason,
+                                  std::optional<Duration> expectedWait,
+                                  TimePoint now)
+{
+    RefusedRequest refused{.id = request.id, .reason = reason, .expectedWait = expectedWait};
+    m_refusals[reason] += 1;
+    remove(request.id, now);
+    return refused;
+}
+
+void StartQueue::remove(RequestId id, TimePoint now)
+{
+    const auto found = std::ranges::find(m_waiting, id, &QueuedRequest::id);
+    if (found != m_waiting.end()) {
+        const ServiceId service = found->service;
+        m_waiting.erase(found);
+        updateWaiting(service, now);
+    }
+}
+
+void StartQueue::updateWaiting(const ServiceId &service, TimePoint now)
+{
+    stateOf(service).rate.setWaiting(waiting(service) > 0, now);
+}
+
+void StartQueue::started(const QueuedRequest &request, TimePoint now)
+{
+    ServiceState &state = stateOf(request.service);
+    state.rate.started(now);
+    state.shares[request.rank].started(request.organisation, request.work);
+    if (std::ranges::find(m_waiting, request.id, &QueuedRequest::id) != m_waiting.end()) {
+        m_starts += 1;
+        remove(request.id, now);
+    }
+}
+
+std::vector<RefusedRequest> StartQueue::takeRefused(TimePoint now)
+{
+    std::vector<RefusedRequest> refused;
+    if (m_waiting.empty()) {
+        return refused;
+    }
+    std::map<ServiceId, std::size_t> positions;
+    bool follows = false;
+    for (const QueuedRequest &request : ordered(now)) {
+        std::size_t &position = positions[request.service];
+        const Duration waited = now - request.arrivedAt;
+        const auto expected = waitAt(request.service, position, now);
+        const bool isOvertaken = isLate(request, now) && follows && position >= m_options.minimumLength;
+        if (waited >= m_options.maximumWait) {
+            refused.push_back(refuse(request, QueueRefusal::Overdue, expected, now));
+        } else if (isOvertaken && expected && waited + *expected > m_options.maximumWait) {
+            refused.push_back(refuse(request, QueueRefusal::Overtaken, expected, now));
+        } else {
+            ++position;
+            follows = follows || !isLate(request, now);
+        }
+    }
+    return refused;
+}
+
+std::optional<Duration> StartQueue::backlog(const ServiceId &service, std::uint32_t rank, TimePoint now) const
+{
+    const auto ahead = std::ranges::count_if(
+        m_waiting, [&](const QueuedRequest &request) { return request.service == service && request.rank <= rank; });
+    return waitAt(service, static_cast<std::size_t>(ahead), now);
+}
+
+void StartQueue::logQueued(const QueuedRequest &request, std::optional<Duration> expectedWait, TimePoint now)
+{
+    if (m_loggedAt && now - *m_loggedAt < m_options.logInterval) {
+        return;
+    }
+    m_loggedAt = now;
+    m_log.push_back("Forward: event=queued request=" + request.attempt + " rank=" + std::to_string(request.rank)
+                    + " organisation=" + (request.organisation.value().empty() ? "none" : request.organisation.value())
+                    + " waiting=" + std::to_string(waiting(request.service)) + " expected_ms=" + text(expectedWait));
 }
 
 } // namespace Carawaymill
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -559,6 +559,11 @@
     gauge("quarantine_condemned_traits", m_forwarder.attribution().condemnedTraits());
     gauge("quarantine_refused_requests_total", m_forwarder.attribution().refusedRequests());
     gauge("limited_targets", m_forwarder.limits().limitedTargets());
+    gauge("queue_length", m_forwarder.queue().size());
+    gauge("queue_starts_total", m_forwarder.queue().starts());
+    for (const auto &[reason, count] : m_forwarder.queue().refusals()) {
+        gauge(std::string("queue_refused_total{reason=\"") + queueRefusalName(reason) + "\"}", count);
+    }
     gauge("target_limit_refusals_total", m_forwarder.limits().refusals());
     gauge("separated", m_forwarder.reach().isSeparated() ? 1 : 0);
     gauge("ready", ready(now) ? 1 : 0);
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -229,6 +229,9 @@
     if (dispatch.resumeAfter) {
         request.headers.emplace_back(resumeHeader, std::to_string(dispatch.resumeAfter->value()));
     }
+    if (dispatch.urgency) {
+        request.headers.emplace_back(urgencyHeader, std::to_string(*dispatch.urgency));
+    }
     if (!dispatch.path.empty()) {
         request.headers.emplace_back(pathHeader, pathValue(dispatch.path));
     }
