TargetPace: Find targets that have slowed down by the streams that they delay, and tell all hosts

Streams were sent to a chain of targets that ran three to five times slower for 8 s, one host after the other: 321 of them began late although other chains had capacity left.

A host now suspects the targets that slow streams have in common and normal ones have not, reads their reports (charged for, so that all hosts together read 30 a second at most), and tells all hosts the pace; the targets' costs are multiplied by it for 2 s, relative to the median of the service. Streams without an event yet leave a target of pace 2 or more within the retry budget. The admission of a call moved out of Forwarder into CallAdmission.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/ForwardCall.h"
 
+#include "support/Seconds.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -128,6 +130,20 @@
     }
 }
 
+void ForwardCall::recordEvent(TimePoint now)
+{
+    sawEvent = true;
+    progressAt = now;
+    progressQueriedAt.reset();
+    movesAwayFrom.reset();
+}
+
+double ForwardCall::shareOfObjective(TimePoint now) const
+{
+    const Duration objective = sawEvent ? route->pauseObjective : route->latencyObjective;
+    return objective > Duration::zero() ? seconds(now - progressAt) / seconds(objective) : 0;
+}
+
 bool ForwardCall::mayRunAgain() const
 {
     return route->repeat == RepeatPolicy::Repeatable && ranAt.size() < std::max(1U, route->maximumTargets);
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -80,6 +80,8 @@
     /// Error response of a target, which is sent to the caller unless another target succeeds.
     std::optional<HttpResponse> targetFailure;
 
+    /// Whether events were passed on to the caller.
+    bool sawEvent = false;
     /// Whether the head of a stream was sent to the caller.
     bool streaming = false;
     EventStreamRelay relay;
@@ -116,6 +118,12 @@
     /// Takes back one run at the target, which has not begun it.
     void discountRun(const TargetId &target);
 
+    /// Records that events were passed on to the caller.
+    void recordEvent(TimePoint now);
+
+    /// How long the call has waited for its next event, as a share of its objective for that.
+    [[nodiscard]] double shareOfObjective(TimePoint now) const;
+
     /// Whether the route allows a run at one more target.
     [[nodiscard]] bool mayRunAgain() const;
 
--- a/src/forwarding/ForwardMessages.h
+++ b/src/forwarding/ForwardMessages.h
@@ -187,6 +187,8 @@
     Links,
     /// Whether the target works, before a stream is sent to it again.
     Liveness,
+    /// How fast the target runs.
+    Pace,
 };
 
 /// Action: find out whether a new connection to the target can be opened and is answered. Answered by one
@@ -211,6 +213,8 @@
     /// Whether the connection was accepted. The kernel of a silent target accepts it too.
     bool connected = reached;
     ProbePurpose purpose = ProbePurpose::Links;
+    /// How much slower than usual the target says that it runs, 1 as usual; std::nullopt without a reply.
+    std::optional<double> pace = std::nullopt;
 };
 
 /// Identifies a request that this host passes on for another host.
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/Forwarder.h"
 
+#include "forwarding/CallAdmission.h"
 #include "forwarding/RetryAfter.h"
 #include "forwarding/TargetStatements.h"
 #include "support/Hash.h"
@@ -33,6 +34,7 @@
                .suspicionPeriod = m_options.suspicionPeriod})
     , m_liveness(m_options.liveness)
     , m_observations({.seed = stableHash("observations", m_options.targets.seed)})
+    , m_pace(m_options.pace)
     , m_buffers(m_options.buffers)
     , m_queue(m_options.queue)
 {
@@ -49,6 +51,8 @@
     append(m_observations.takeLog(), context.actions);
     append(m_observations.takeMessages(), context.actions);
     append(m_queue.takeLog(), context.actions);
+    append(m_pace.takeLog(), context.actions);
+    append(m_pace.takeMessages(), context.actions);
     return std::move(context.actions);
 }
 
@@ -64,6 +68,7 @@
     m_limits.listed(target.id, target.incarnation);
     m_liveness.listed(target.id);
     m_observations.listed(target.id, target.incarnation);
+    m_pace.listed(target);
 }
 
 void Forwarder::targetUnlisted(const TargetId &target, ChainRouter &router)
@@ -71,6 +76,7 @@
     m_targets.unlisted(target, router);
     m_liveness.unlisted(target);
     m_observations.unlisted(target);
+    m_pace.unlisted(target);
 }
 
 ForwardCall *Forwarder::currentAttempt(RequestId id, AttemptNumber attempt)
@@ -87,32 +93,12 @@
     return isPresent ? &found->second : nullptr;
 }
 
-std::optional<ForwardFailure>
-Forwarder::admit(const ForwardRequest &request, ForwardCall &call, const HandlerContext &context) const
+std::optional<ForwardFailure> Forwarder::admit(ForwardCall &call, const HandlerContext &context) const
 {
     if (m_rejectFrom && context.now >= *m_rejectFrom) {
         return ForwardFailure::Draining;
     }
-    if (!m_table) {
-        return ForwardFailure::NoConfiguration;
-    }
-    call.route = m_table->route(request.host, request.path);
-    if (call.route == nullptr) {
-        return ForwardFailure::NoRoute;
-    }
-    call.rank = rankOf(*call.route, nullptr);
-    if (m_table->configuration().organisations && !call.route->isPublic) {
-        if (!context.fresh) {
-            return ForwardFailure::ConfigurationTooOld;
-        }
-        const OrganisationKeys *holder = request.key ? m_table->organisation(*request.key) : nullptr;
-        if (holder == nullptr) {
-            return ForwardFailure::KeyUnknown;
-        }
-        call.organisation = holder->id;
-        call.rank = rankOf(*call.route, holder);
-    }
-    return std::nullopt;
+    return m_table ? admitCall(*m_table, context.fresh, call) : ForwardFailure::NoConfiguration;
 }
 
 void Forwarder::on(const ForwardRequested &event, HandlerContext &context)
@@ -152,7 +138,7 @@
     call.waitsSince = receivedAt;
     call.deadline = receivedAt + request.timeLeft.value_or(30s);
     call.relay = EventStreamRelay(request.resumeAfter);
-    if (const auto failure = admit(request, call, context)) {
+    if (const auto failure = admit(call, context)) {
         refuse(call, *failure, context);
         return;
     }
@@ -573,9 +559,8 @@
 
 void Forwarder::writeEvents(ForwardCall &call, std::string events, HandlerContext &context)
 {
-    call.progressAt = context.now;
-    call.progressQueriedAt.reset();
-    call.movesAwayFrom.reset();
+    m_pace.recordWait(call.chosen->path, call.shareOfObjective(context.now), context.now);
+    call.recordEvent(context.now);
     context.actions.emplace_back(WriteStream{.id = call.id, .chunk = std::move(events)});
 }
 
@@ -661,6 +646,7 @@
         event.connected && m_liveness.hasShownSignSince(event.target, context.now - m_options.progressQueryTimeout);
     const bool mayBlame = !works && !m_links.reach().isDoubtful(context.now);
     m_observations.recordProbe(event, mayBlame, m_targets, context.router, context.now);
+    m_pace.recordReport(event, context.now);
     switch (event.purpose) {
     case ProbePurpose::Links:
         m_links.recordProbe(event, m_targets, context.router, context.now);
@@ -669,6 +655,8 @@
         m_liveness.endQuery(event.target, event.reached, context.now);
         m_signsChanged = true;
         break;
+    case ProbePurpose::Pace:
+        break;
     }
 }
 
@@ -800,6 +788,7 @@
 {
     m_targets.tick(context.router, context.now);
     m_observations.tick(m_targets, context.router, context.now);
+    servePace(context);
     if (const auto probe = m_links.nextProbe(m_targets, context.now)) {
         context.actions.emplace_back(*probe);
     }
@@ -839,6 +828,9 @@
     if (!call.chosen || call.route->responseKind != ResponseKind::EventStream || call.chosen->path.empty()) {
         return;
     }
+    if (const double share = call.shareOfObjective(context.now); share > m_options.pace.slowShare) {
+        m_pace.recordWait(call.chosen->path, share, context.now);
+    }
     const Duration objective = call.streaming ? call.route->pauseObjective : call.route->latencyObjective;
     const Duration stallTimeout =
         std::max(m_options.minimumStallTimeout,
@@ -895,7 +887,8 @@
         const Duration age = event.answered ? Duration::zero() : context.now - *call->progressQueriedAt;
         tell(*atFault, ObservationCause::Silent, age, context);
     }
-    moveStreams(*atFault, context);
+    moveStreams(
+        *atFault, [&](const ForwardCall &other) { return context.now - other.progressAt >= recentProgress; }, context);
 }
 
 void Forwarder::dispatchLimits(const TargetRequestLimitsEvent &event, HandlerContext &context)
@@ -953,20 +946,34 @@
     attribute(TraitsProvenSound{call.traits}, context);
 }
 
-void Forwarder::moveStreams(const TargetId &target, HandlerContext &context)
+void Forwarder::moveStreams(const TargetId &target,
+                            const std::function<bool(const ForwardCall &)> &mustMove,
+                            HandlerContext &context)
 {
-    std::vector<RequestId> stopped;
+    std::vector<RequestId> moved;
     for (const auto &[id, call] : m_calls) {
-        if (call.uses(target) && context.now - call.progressAt >= recentProgress
-            && call.mayMove(m_options.maximumDispatches)) {
-            stopped.push_back(id);
+        if (call.uses(target) && mustMove(call) && call.mayMove(m_options.maximumDispatches)) {
+            moved.push_back(id);
         }
     }
-    for (const RequestId id : stopped) {
+    for (const RequestId id : moved) {
         moveStream(m_calls.at(id), target, context);
     }
 }
 
+void Forwarder::servePace(HandlerContext &context)
+{
+    const bool trustsLinks = !m_links.reach().isDoubtful(context.now);
+    append(m_pace.readsDue(m_targets.targets(), trustsLinks, context.now), context.actions);
+    // A stream that has begun is late already, and elsewhere its whole context would be read again.
+    const auto canBeOnTime = [&](const ForwardCall &call) {
+        return !call.sawEvent && call.shareOfObjective(context.now) < 1;
+    };
+    for (const TargetId &target : m_pace.apply(context.router, context.now)) {
+        moveStreams(target, canBeOnTime, context);
+    }
+}
+
 std::optional<ChosenTargets>
 Forwarder::chooseForMove(ForwardCall &call, const TargetId &stopped, HandlerContext &context)
 {
@@ -1042,7 +1049,7 @@
     }
     for (const auto &[id, stopped] : waiting) {
         ForwardCall &call = m_calls.at(id);
-        if (m_targets.isUnresponsive(stopped) || m_links.reach().isSeparated()) {
+        if (m_targets.isUnresponsive(stopped) || m_pace.isSlow(stopped) || m_links.reach().isSeparated()) {
             moveStream(call, stopped, context);
         } else {
             call.movesAwayFrom.reset();
@@ -1062,15 +1069,11 @@
         const Duration condemned = m_attribution.refusalTime(call.traits, context.now).value_or(Duration::zero());
         return std::min(condemned, m_options.condemnedRetryAfter);
     }
-    const std::optional<Duration> timeLeft =
-        call.callerDeadline ? std::optional(*call.callerDeadline - context.now) : std::nullopt;
-    if (reason == ForwardFailure::Overloaded) {
-        const auto backlog = m_queue.backlog(call.service, call.rank, context.now);
-        return Carawaymill::retryAfter(backlogBounds(backlog, m_options.retryAfter, timeLeft), m_random);
-    }
-    RetryAfterBounds bounds{.spread = reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter
-                                                                         : m_options.retryAfter,
-                            .timeLeft = timeLeft};
+    const bool isOverloaded = reason == ForwardFailure::Overloaded;
+    RetryAfterBounds bounds =
+        backlogBounds(isOverloaded ? m_queue.backlog(call.service, call.rank, context.now) : std::nullopt,
+                      reason == ForwardFailure::Draining ? m_options.retryElsewhereAfter : m_options.retryAfter,
+                      call.callerDeadline ? std::optional(*call.callerDeadline - context.now) : std::nullopt);
     const bool lacksTarget = reason == ForwardFailure::NoTarget || reason == ForwardFailure::TargetsRefused;
     if (const auto restEnd = lacksTarget ? m_targets.firstRestEnd(call.service) : std::nullopt) {
         bounds.shortest = std::max(*restEnd - context.now, Duration::zero());
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -12,9 +12,11 @@
 #include "forwarding/TargetLinks.h"
 #include "forwarding/TargetLiveness.h"
 #include "forwarding/TargetObservations.h"
+#include "forwarding/TargetPace.h"
 #include "forwarding/TargetRequestLimits.h"
 #include "quarantine/CrashAttribution.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +37,7 @@
     TargetRequestLimitsOptions limits;
     TargetReachOptions reach;
     TargetLivenessOptions liveness;
+    TargetPaceOptions pace;
     ResponseBuffersOptions buffers;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
@@ -158,7 +161,11 @@
     /// Records that the complete directory was read: a target that is not listed does not exist.
     void setDirectoryLoaded() { m_directoryLoaded = true; }
 
-    void setHosts(std::size_t hosts, TimePoint now) { m_retries.setHosts(hosts, now); }
+    void setHosts(std::size_t hosts, TimePoint now)
+    {
+        m_retries.setHosts(hosts, now);
+        m_pace.setHosts(hosts);
+    }
 
     /// Replaces the other hosts that can be asked for retry budget.
     void setLenders(std::vector<HostId> others) { m_loans.setHosts(std::move(others)); }
@@ -188,6 +195,8 @@
 
     [[nodiscard]] const TargetObservations &observations() const { return m_observations; }
 
+    [[nodiscard]] const TargetPace &pace() const { return m_pace; }
+
     [[nodiscard]] const StreamMoveCounts &moves() const { return m_moves; }
 
     [[nodiscard]] const CrashAttribution &attribution() const { return m_attribution; }
@@ -235,7 +244,11 @@
 
     void on(const TargetObservationReceived &event, HandlerContext &context)
     {
-        m_observations.receive(event, m_liveness, m_targets, context.router, context.now);
+        if (event.observation.cause == ObservationCause::Slow) {
+            m_pace.receive(event, context.now);
+        } else {
+            m_observations.receive(event, m_liveness, m_targets, context.router, context.now);
+        }
     }
 
     void on(const TargetProbed &event, HandlerContext &context);
@@ -253,9 +266,9 @@
     [[nodiscard]] ForwardCall *currentAttempt(RequestId id, AttemptNumber attempt);
     /// The call if `attempt` is its stalled attempt, otherwise null.
     [[nodiscard]] ForwardCall *stalledAttempt(RequestId id, AttemptNumber attempt);
-    /// Sets the call's route and organisation. Returns the reason if the request is refused, otherwise std::nullopt.
-    [[nodiscard]] std::optional<ForwardFailure>
-    admit(const ForwardRequest &request, ForwardCall &call, const HandlerContext &context) const;
+    /// Sets the call's route, organisation and rank. Returns the reason if the request is refused, otherwise
+    /// std::nullopt.
+    [[nodiscard]] std::optional<ForwardFailure> admit(ForwardCall &call, const HandlerContext &context) const;
     /// Chooses targets and takes room for the call in the request limit of the first one. Takes none if the call has to
     /// wait for capacity.
     [[nodiscard]] std::optional<ChosenTargets>
@@ -318,8 +331,14 @@
     /// Gives up the response that the call holds, as if it had been lost.
     void dropResponse(ForwardCall &call, HandlerContext &context);
     void checkStreamProgress(ForwardCall &call, HandlerContext &context);
-    /// Moves every stalled stream whose path includes the target to other targets that have capacity.
-    void moveStreams(const TargetId &target, HandlerContext &context);
+    /// Moves the streams whose path includes the target, and for which `mustMove` returns true, to other targets that
+    /// have capacity.
+    void moveStreams(const TargetId &target,
+                     const std::function<bool(const ForwardCall &)> &mustMove,
+                     HandlerContext &context);
+    /// Reads the reports of suspected targets, and sends streams that have not begun at targets that have become slow
+    /// to other ones.
+    void servePace(HandlerContext &context);
     /// Resumes a stream at other targets while the stalled attempt stays open. Leaves the stream in place if that is
     /// impossible, since the target may recover, and for as long as the other targets have not shown that they work.
     void moveStream(ForwardCall &call, const TargetId &stopped, HandlerContext &context);
@@ -358,6 +377,7 @@
     TargetLinks m_links;
     TargetLiveness m_liveness;
     TargetObservations m_observations;
+    TargetPace m_pace;
     ResponseBuffers m_buffers;
     StreamMoveCounts m_moves;
     /// Whether a probe has ended since the streams that wait for one were last looked at.
--- a/src/forwarding/TargetObservationMessages.cpp
+++ b/src/forwarding/TargetObservationMessages.cpp
@@ -7,8 +7,11 @@
 
 namespace Carawaymill {
 
-static constexpr std::array causes = {
-    ObservationCause::Silent, ObservationCause::Unreachable, ObservationCause::Gone, ObservationCause::NoRoom};
+static constexpr std::array causes = {ObservationCause::Silent,
+                                      ObservationCause::Unreachable,
+                                      ObservationCause::Gone,
+                                      ObservationCause::NoRoom,
+                                      ObservationCause::Slow};
 /// Larger ages are read as this one, which no receiver believes, so that none overflows.
 static constexpr std::uint64_t longestAgeMs = 60'000;
 
@@ -23,6 +26,8 @@
         return "gone";
     case ObservationCause::NoRoom:
         return "no-room";
+    case ObservationCause::Slow:
+        return "slow";
     }
     return "";
 }
@@ -33,6 +38,9 @@
             observation.target,
             observation.incarnation,
             static_cast<std::uint64_t>(std::max<std::int64_t>(wholeMilliseconds(observation.age), 0))};
+    if (observation.cause == ObservationCause::Slow) {
+        json.push_back(observation.pace);
+    }
 }
 
 void from_json(const nlohmann::json &json, TargetObservation &observation)
@@ -46,6 +54,9 @@
     json.at(1).get_to(observation.target);
     json.at(2).get_to(observation.incarnation);
     observation.age = std::chrono::milliseconds(std::min(json.at(3).get<std::uint64_t>(), longestAgeMs));
+    if (observation.cause == ObservationCause::Slow) {
+        json.at(4).get_to(observation.pace);
+    }
 }
 
 } // namespace Carawaymill
--- a/src/forwarding/TargetObservationMessages.h
+++ b/src/forwarding/TargetObservationMessages.h
@@ -18,13 +18,15 @@
     Gone,
     /// It, or the target before it on the path, stated that it cannot take a request now.
     NoRoom,
+    /// It reported that it runs slower than usual.
+    Slow,
 };
 
 /// The name in messages, logs and metrics, for example `no-room`.
 [[nodiscard]] const char *observationCauseName(ObservationCause cause);
 
-/// A host tells the others what it observed of a target's process. JSON: `[cause, target, process, age in ms]`;
-/// elements after these are ignored.
+/// A host tells the others what it observed of a target's process. JSON: `[cause, target, process, age in ms, pace]`,
+/// without `pace` unless the cause is `slow`; elements after these are ignored.
 struct TargetObservation
 {
     ObservationCause cause = ObservationCause::Silent;
@@ -32,6 +34,8 @@
     IncarnationNumber incarnation;
     /// How long ago the target was in this state for sure. Clocks of two hosts are never compared.
     Duration age{};
+    /// How much slower than usual the target runs; 1 unless the cause is `Slow`.
+    double pace = 1;
 
     friend bool operator==(const TargetObservation &, const TargetObservation &) = default;
 };
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -553,6 +553,8 @@
     gauge("target_observations_heard_total", m_forwarder.observations().counts().heard);
     gauge("target_observations_contradicted_total", m_forwarder.observations().counts().contradicted);
     gauge("targets_avoided", m_forwarder.observations().avoided());
+    gauge("targets_slow", m_forwarder.pace().slowTargets());
+    gauge("target_reports_read_total", m_forwarder.pace().reads());
     gauge("streams_moved_total", m_forwarder.moves().moved);
     gauge("streams_returned_total", m_forwarder.moves().returned);
     gauge("quarantine_crashes_total", m_forwarder.attribution().crashes());
--- a/src/platform/EngineCodec.cpp
+++ b/src/platform/EngineCodec.cpp
@@ -68,6 +68,17 @@
     return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
 }
 
+std::optional<double> readPace(const HttpResult &result)
+{
+    const auto json = readBody(result);
+    if (!json) {
+        return std::nullopt;
+    }
+    const auto pace = json->find("pace");
+    const bool isStated = pace != json->end() && pace->is_number() && pace->get<double>() > 0;
+    return isStated ? pace->get<double>() : 1;
+}
+
 ProgressReported readProgress(const QueryProgress &query, const HttpResult &result)
 {
     // Any response shows that the target works, also one that turns the query down.
--- a/src/platform/TargetClient.cpp
+++ b/src/platform/TargetClient.cpp
@@ -136,14 +136,15 @@
                   reportRequestFor(action.target, action.via, true),
                   {.timeout = action.timeout,
                    .connectTimeout = action.timeout,
-                   .freshConnection = true,
+                   .freshConnection = action.purpose != ProbePurpose::Pace,
                    .bodyLimit = reportBodyLimit},
                   [this, action](const HttpResult &result) {
                       const HttpResult response = responseOfTarget(result, action.via);
                       m_onEvent(TargetProbed{.target = action.target,
                                              .reached = std::holds_alternative<HttpResponse>(response),
                                              .connected = !std::holds_alternative<HttpNotSent>(response),
-                                             .purpose = action.purpose});
+                                             .purpose = action.purpose,
+                                             .pace = readPace(response)});
                   });
 }
 
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -108,6 +108,14 @@
     }
 }
 
+void ChainRouter::setPace(const TargetId &target, double pace)
+{
+    if (RoutingTarget *entry = find(target); entry && entry->pace() != pace) {
+        entry->setPace(pace);
+        markOutdated(entry->held());
+    }
+}
+
 void ChainRouter::applyLoadReport(const TargetId &target, const LoadReport &report, TimePoint now)
 {
     if (RoutingTarget *entry = find(target)) {
@@ -164,7 +172,7 @@
         }
         for (const HeldRange &held : target.held()) {
             if (ModelKey(held.model, held.version, held.adapter) == key) {
-                const double weight = speed * (suspect ? suspectWeightFactor : 1);
+                const double weight = speed / target.pace() * (suspect ? suspectWeightFactor : 1);
                 holdings.push_back({.target = slot, .layers = held.layers, .weight = weight});
             }
         }
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -53,6 +53,9 @@
     /// Does nothing if the target is not known.
     void setAvailability(const TargetId &target, TargetAvailability availability);
 
+    /// Multiplies the target's costs by `pace`: how much slower than usual it runs. Does nothing if it is not known.
+    void setPace(const TargetId &target, double pace);
+
     /// Updates the target's estimated load. The report includes this host's own streams, and is delayed.
     void applyLoadReport(const TargetId &target, const LoadReport &report, TimePoint now);
 
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -41,6 +41,7 @@
     m_availability = TargetAvailability::Available;
     m_otherStreams = 0;
     m_slowdown = 1;
+    m_pace = 1;
 }
 
 void RoutingTarget::applyLoadReport(const LoadReport &report, TimePoint now)
@@ -119,7 +120,7 @@
 StageCost RoutingTarget::cost(const StageWork &work, TimePoint now) const
 {
     StageCost cost = nominalCost(work, now);
-    const double factor = std::max(1.0, slowdown(now) / toleratedSlowdown);
+    const double factor = m_pace * std::max(1.0, slowdown(now) / toleratedSlowdown);
     cost.secondsPerLayer *= factor;
     cost.secondsPerStage *= factor;
     return cost;
--- a/src/routing/RoutingTarget.h
+++ b/src/routing/RoutingTarget.h
@@ -59,6 +59,11 @@
     /// streams and the one from `setOtherHostsLoad`.
     void clear();
 
+    /// How much slower than usual the target runs; 1 is usual.
+    void setPace(double pace) { m_pace = pace; }
+
+    [[nodiscard]] double pace() const { return m_pace; }
+
     void applyLoadReport(const LoadReport &report, TimePoint now);
     /// Sets the load of all other hosts. From then on the number of open layers comes from here instead of load
     /// reports.
@@ -105,6 +110,7 @@
     /// Assumed number of layers of a stream of another host: the average length of the held ranges.
     double m_layersPerStream = 0;
     double m_slowdown = 1;
+    double m_pace = 1;
     TimePoint m_measuredAt{};
 };
 
