PromptBacklog, RoutingTarget: Count unread prompts as load, and bound how long prompts delay short ones

All open streams counted alike, whatever of their prompts was left to read: a long prompt delayed the short ones that followed it to the same target.

Unread prompt tokens are part of a target's load, in its cost and as a fourth number of the load digests. A prompt that a target reads for more than a quarter of its service's shortest objective avoids targets with many open streams and with other prompts to read; where all have some it waits, a quarter of its objective at most. Wrong token counts are bounded. The end of a request is logged with the times until it was sent and until its first event, and its longest gap.

Measured in tests without a network: short prompts pass a long one, a second long one goes elsewhere, a fleet of one target serves both.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -9,6 +9,32 @@
 
 static constexpr unsigned statusOk = 200;
 
+void ForwardCall::receive(RequestId requestId,
+                          const ForwardRequest &received,
+                          std::shared_ptr<const RouteTable> routes,
+                          TimePoint at)
+{
+    id = requestId;
+    request = std::make_shared<const ForwardRequest>(received);
+    table = std::move(routes);
+    receivedAt = at;
+    waitsSince = at;
+    deadline = at + received.timeLeft.value_or(30s);
+    relay = EventStreamRelay(received.resumeAfter);
+}
+
+void ForwardCall::admitted(Duration responseMargin)
+{
+    if (request->timeLeft) {
+        callerDeadline = receivedAt + *request->timeLeft;
+        deadline = *callerDeadline - responseMargin;
+    }
+    deadline = std::min(deadline, receivedAt + route->timeout);
+    traits = traitsOf(
+        organisation.value_or(OrganisationId()), request->http.target, request->http.body, request->sharedParts);
+    service = selectService(*route, request->attempt);
+}
+
 void ForwardCall::beginAttempt(const ChosenTargets &targets, TimePoint now)
 {
     lastAttempt = lastAttempt.next();
@@ -24,6 +50,7 @@
     progressQueriedAt.reset();
     movesAwayFrom.reset();
     sentAt = now;
+    sentAfter = sentAfter.value_or(now - receivedAt);
 }
 
 ForwardToTarget ForwardCall::dispatchTo(const ChosenTargets &targets, TimePoint now) const
@@ -132,6 +159,12 @@
 
 void ForwardCall::recordEvent(TimePoint now)
 {
+    if (firstEventAfter) {
+        longestGap = std::max(longestGap, now - lastEventAt);
+    } else {
+        firstEventAfter = now - receivedAt;
+    }
+    lastEventAt = now;
     sawEvent = true;
     progressAt = now;
     progressQueriedAt.reset();
@@ -162,6 +195,11 @@
     return targets.limited || (targets.congested && !streaming);
 }
 
+bool ForwardCall::awaitsPrompts(const ChosenTargets &targets, const PromptBacklog &prompts, TimePoint now) const
+{
+    return targets.awaitsPrompts && !streaming && prompts.mayWait(waitsSince, route->latencyObjective, now);
+}
+
 bool ForwardCall::uses(const TargetId &target) const
 {
     return chosen && std::ranges::any_of(chosen->path, [&](const PathStage &stage) { return stage.target == target; });
@@ -214,6 +252,13 @@
                        + " route=" + (route != nullptr ? route->name : "none")
                        + " ms=" + std::to_string(milliseconds.count()) + " dispatches=" + std::to_string(dispatches)
                        + " runs=" + std::to_string(runs) + " last-attempt=" + lastAttemptEnd;
+    if (sentAfter) {
+        line += " sent_ms=" + std::to_string(wholeMilliseconds(*sentAfter));
+    }
+    if (firstEventAfter) {
+        line += " first-event_ms=" + std::to_string(wholeMilliseconds(*firstEventAfter))
+                + " longest-gap_ms=" + std::to_string(wholeMilliseconds(longestGap));
+    }
     if (table) {
         line += " configuration=" + std::to_string(table->configuration().version.value());
     }
--- a/src/forwarding/ForwardCall.h
+++ b/src/forwarding/ForwardCall.h
@@ -3,6 +3,7 @@
 #include "forwarding/EventStreamRelay.h"
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
+#include "forwarding/PromptBacklog.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
 #include "quarantine/CrashAttribution.h"
@@ -82,6 +83,12 @@
 
     /// Whether events were passed on to the caller.
     bool sawEvent = false;
+    /// How long after its arrival the call was first sent to targets, and its first event was passed on.
+    std::optional<Duration> sentAfter;
+    std::optional<Duration> firstEventAfter;
+    /// The longest time between two events, over all attempts, and the time of the last event.
+    Duration longestGap{};
+    TimePoint lastEventAt;
     /// Whether the head of a stream was sent to the caller.
     bool streaming = false;
     EventStreamRelay relay;
@@ -91,6 +98,15 @@
     /// The silent target of a stream that is sent to others once these have shown that they work.
     std::optional<TargetId> movesAwayFrom;
 
+    /// Begins the call with a request that was received at `at`.
+    void receive(RequestId requestId,
+                 const ForwardRequest &received,
+                 std::shared_ptr<const RouteTable> routes,
+                 TimePoint at);
+
+    /// Sets what follows from the call's route and organisation. Our deadline is `responseMargin` before the caller's.
+    void admitted(Duration responseMargin);
+
     /// Counts a new attempt at the targets and clears what belongs to the one before.
     void beginAttempt(const ChosenTargets &targets, TimePoint now);
 
@@ -133,6 +149,9 @@
     /// Whether the call has to wait until the targets have room.
     [[nodiscard]] bool mustWaitFor(const ChosenTargets &targets) const;
 
+    /// Whether the call has to wait until the targets have read other prompts.
+    [[nodiscard]] bool awaitsPrompts(const ChosenTargets &targets, const PromptBacklog &prompts, TimePoint now) const;
+
     /// Whether the current attempt's path includes the target.
     [[nodiscard]] bool uses(const TargetId &target) const;
 
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -16,6 +16,9 @@
 static constexpr double domainLinkContention = 40;
 /// Penalty of a chain whose first stage is in another failure domain; covers the cost of its traffic.
 static constexpr double secondsToEnterDomain = 0.01;
+/// A target may read a prompt for this fraction of the shortest latency objective of its service's routes before the
+/// prompt counts as long: a short request behind it still has most of its time.
+static constexpr double longPromptShare = 0.25;
 
 namespace {
 
@@ -87,6 +90,47 @@
     return known != services.end() && known->second.engine ? &*known->second.engine : nullptr;
 }
 
+/// Prompt tokens times layers that an accelerator of this kind reads in a second.
+static double promptLayerTokensPerSecond(const EngineProfile &engine, const AcceleratorKind &kind)
+{
+    return kind.promptFactor > 0 ? engine.promptTokensPerSecond * engine.layers / kind.promptFactor : 0;
+}
+
+/// The prompt tokens that a caller states, within what can be right: a request without them counts as a mean one, and
+/// none has more than fit into half of the memory of the largest kind.
+static TokenCount believedPrompt(const EngineProfile &engine, TokenCount stated)
+{
+    if (stated.value() == 0) {
+        return engine.meanPromptTokens;
+    }
+    std::uint64_t largest = 0;
+    for (const auto &[name, kind] : engine.kinds) {
+        largest = std::max(largest, kind.memory.value());
+    }
+    const std::uint64_t perToken = engine.cacheBytesPerToken.value();
+    // Half of the memory is left to the layers.
+    largest /= 2;
+    return perToken == 0 ? stated
+                         : TokenCount(std::min(stated.value(), std::max<std::uint64_t>(largest / perToken, 1)));
+}
+
+/// For each service, how long a target may read a prompt that is not long.
+static std::map<ServiceId, Duration> longPromptReads(const RoutingConfiguration &configuration)
+{
+    std::map<ServiceId, Duration> reads;
+    for (const Route &route : configuration.routes) {
+        const auto read = std::chrono::duration_cast<Duration>(route.latencyObjective * longPromptShare);
+        if (read <= Duration::zero()) {
+            continue;
+        }
+        for (const ServiceShare &share : route.services) {
+            const auto known = reads.try_emplace(share.service, read).first;
+            known->second = std::min(known->second, read);
+        }
+    }
+    return reads;
+}
+
 ModelId routedModel(const ServiceId &service)
 {
     return ModelId(service.value());
@@ -102,6 +146,7 @@
 {
     const bool sameServices = m_configuration && m_configuration->services == configuration->services;
     m_configuration = configuration;
+    m_longPromptReads = longPromptReads(*configuration);
     if (sameServices) {
         return;
     }
@@ -353,6 +398,7 @@
         {.layerTokensPerSecond = layerTokensPerSecond(*engine, kind->second),
          .costPerOtherStream = costPerOtherStream(*engine, kind->second),
          .cacheLayerTokens = cacheLayerTokens(*engine, kind->second.memory, heldBytes(*engine, target.held)),
+         .promptLayerTokensPerSecond = promptLayerTokensPerSecond(*engine, kind->second),
          .linkBytesPerSecond = engine->linkBytesPerSecond,
          .linkDelay = {},
          .failureDomain = target.failureDomain,
@@ -420,24 +466,28 @@
                                                          ChainRouter &router,
                                                          TimePoint now) const
 {
-    const auto promptBytes = static_cast<double>(request.promptTokens.value() * engine.activationBytes.value());
+    const TokenCount promptTokens = believedPrompt(engine, request.promptTokens);
+    const auto longPromptRead = m_longPromptReads.find(service);
+    const auto promptBytes = static_cast<double>(promptTokens.value() * engine.activationBytes.value());
     const double transfer =
         engine.domainLinkBytesPerSecond > 0 ? promptBytes / engine.domainLinkBytesPerSecond * domainLinkContention : 0;
     const double delays = seconds(engine.domainDelay) * static_cast<double>(request.expectedTokens.value());
-    const auto routed = router.route({.job = JobId(request.attempt),
-                                      .model = routedModel(service),
-                                      .version = engine.version,
-                                      .adapter = {},
-                                      .layers = engine.layers,
-                                      .promptTokens = request.promptTokens,
-                                      .expectedTokens = request.expectedTokens,
-                                      .activationBytes = engine.activationBytes,
-                                      .secondsToEnterDomain = secondsToEnterDomain,
-                                      .secondsBetweenDomains = transfer + delays,
-                                      .prefixes = {},
-                                      .excludedTargets = excluded.everywhere,
-                                      .excludedFirstTargets = excluded.asFirst},
-                                     now);
+    const auto routed = router.route(
+        {.job = JobId(request.attempt),
+         .model = routedModel(service),
+         .version = engine.version,
+         .adapter = {},
+         .layers = engine.layers,
+         .promptTokens = promptTokens,
+         .expectedTokens = request.expectedTokens,
+         .activationBytes = engine.activationBytes,
+         .secondsToEnterDomain = secondsToEnterDomain,
+         .secondsBetweenDomains = transfer + delays,
+         .prefixes = {},
+         .excludedTargets = excluded.everywhere,
+         .excludedFirstTargets = excluded.asFirst,
+         .longPromptRead = longPromptRead == m_longPromptReads.end() ? Duration::zero() : longPromptRead->second},
+        now);
     const auto *chain = std::get_if<RoutedChain>(&routed);
     if (chain == nullptr) {
         return std::nullopt;
@@ -447,9 +497,12 @@
         chosen.path.push_back(
             {.target = stage.target, .address = m_targets.at(stage.target).address, .layers = stage.layers});
     }
-    chosen.tokens = averageCachedTokens(request.promptTokens, request.expectedTokens);
+    chosen.tokens = averageCachedTokens(promptTokens, request.expectedTokens);
+    chosen.unreadPrompt = promptTokens;
     chosen.congested =
         std::ranges::any_of(chain->decision.stages, [](const StageDecision &stage) { return stage.congested; });
+    chosen.awaitsPrompts =
+        std::ranges::any_of(chain->decision.stages, [](const StageDecision &stage) { return stage.awaitsPrompts; });
     chosen.target = chosen.path.front().target;
     chosen.address = chosen.path.front().address;
     return chosen;
@@ -459,12 +512,24 @@
 {
     for (const PathStage &stage : chosen.path) {
         router.stageStarted({.target = stage.target, .layers = stage.layers}, chosen.tokens);
+        router.promptSent({.target = stage.target, .layers = stage.layers}, chosen.unreadPrompt);
     }
     m_loads[chosen.target].inProgress += 1;
 }
 
-void ForwardTargets::recordEnd(const ChosenTargets &chosen, ChainRouter &router)
+void ForwardTargets::recordPromptRead(ChosenTargets &chosen, ChainRouter &router)
+{
+    const TokenCount read = std::exchange(chosen.unreadPrompt, TokenCount());
+    if (read.value() > 0) {
+        for (const PathStage &stage : chosen.path) {
+            router.promptRead({.target = stage.target, .layers = stage.layers}, read);
+        }
+    }
+}
+
+void ForwardTargets::recordEnd(ChosenTargets &chosen, ChainRouter &router)
 {
+    recordPromptRead(chosen, router);
     for (const PathStage &stage : chosen.path) {
         router.stageEnded({.target = stage.target, .layers = stage.layers}, chosen.tokens);
     }
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -46,6 +46,10 @@
     bool congested = false;
     /// The request limit of `target` leaves no room for the request now.
     bool limited = false;
+    /// The prompt is long, and a target has other prompts to read before it.
+    bool awaitsPrompts = false;
+    /// Tokens of the prompt, as long as it counts as unread at the targets; zero once it is read.
+    TokenCount unreadPrompt;
 };
 
 /// Targets that a choice leaves out.
@@ -151,7 +155,9 @@
 
     /// Records that a request was sent to these targets, or that it ended there.
     void recordStart(const ChosenTargets &chosen, ChainRouter &router);
-    void recordEnd(const ChosenTargets &chosen, ChainRouter &router);
+    void recordEnd(ChosenTargets &chosen, ChainRouter &router);
+    /// Records that the targets have read the request's prompt.
+    static void recordPromptRead(ChosenTargets &chosen, ChainRouter &router);
     /// Records a failed request, which lowers the target's rank in the choice for plain services.
     void recordFailure(const TargetId &target, TimePoint now);
 
@@ -213,6 +219,8 @@
     TimePoint m_now{};
     /// The services of all configurations, so that requests of a service that is no longer configured can be completed.
     std::map<ServiceId, ServiceDescription> m_services;
+    /// How long a target may read a prompt that is not long, by service.
+    std::map<ServiceId, Duration> m_longPromptReads;
     std::map<TargetId, Statement> m_statements;
     std::map<TargetId, Load> m_loads;
 };
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -35,6 +35,7 @@
     , m_liveness(m_options.liveness)
     , m_observations({.seed = stableHash("observations", m_options.targets.seed)})
     , m_pace(m_options.pace)
+    , m_prompts(m_options.prompts)
     , m_buffers(m_options.buffers)
     , m_queue(m_options.queue)
 {
@@ -53,6 +54,7 @@
     append(m_queue.takeLog(), context.actions);
     append(m_pace.takeLog(), context.actions);
     append(m_pace.takeMessages(), context.actions);
+    append(m_prompts.takeLog(), context.actions);
     return std::move(context.actions);
 }
 
@@ -129,27 +131,13 @@
 
 void Forwarder::accept(const ForwardRequest &request, RequestId id, TimePoint receivedAt, HandlerContext &context)
 {
-    const auto [entry, isNew] = m_calls.try_emplace(id);
-    ForwardCall &call = entry->second;
-    call.id = id;
-    call.request = std::make_shared<const ForwardRequest>(request);
-    call.table = m_table;
-    call.receivedAt = receivedAt;
-    call.waitsSince = receivedAt;
-    call.deadline = receivedAt + request.timeLeft.value_or(30s);
-    call.relay = EventStreamRelay(request.resumeAfter);
+    ForwardCall &call = m_calls.try_emplace(id).first->second;
+    call.receive(id, request, m_table, receivedAt);
     if (const auto failure = admit(call, context)) {
         refuse(call, *failure, context);
         return;
     }
-    if (request.timeLeft) {
-        call.callerDeadline = receivedAt + *request.timeLeft;
-        call.deadline = *call.callerDeadline - responseMargin;
-    }
-    call.deadline = std::min(call.deadline, receivedAt + call.route->timeout);
-    call.traits = traitsOf(
-        call.organisation.value_or(OrganisationId()), request.http.target, request.http.body, request.sharedParts);
-    call.service = selectService(*call.route, request.attempt);
+    call.admitted(responseMargin);
     m_retries.recordRequest(call.service, context.now);
     dispatch(call, ForwardFailure::NoTarget, context);
 }
@@ -164,7 +152,8 @@
         return m_limits.tryTake(chosen.target, isNew, context.now);
     };
     auto chosen = chooseWithout({.everywhere = excluded, .asFirst = {}});
-    if (!chosen || call.mustWaitFor(*chosen) || takeRoom(*chosen)) {
+    if (!chosen || call.mustWaitFor(*chosen) || call.awaitsPrompts(*chosen, m_prompts, context.now)
+        || takeRoom(*chosen)) {
         return chosen;
     }
     call.wasLimited = true;
@@ -194,6 +183,10 @@
         enqueue(call, context);
         return;
     }
+    if (call.awaitsPrompts(*chosen, m_prompts, context.now)) {
+        m_prompts.add(call.id, context.now);
+        return;
+    }
     sendToTarget(call, std::move(*chosen), context);
 }
 
@@ -245,6 +238,7 @@
     m_buffers.hold(call.id, call.heldBytes());
     call.via = m_links.chooseRelay(context.now);
     m_targets.recordStart(chosen, context.router);
+    m_prompts.sent(call.id, call.request->attempt, chosen.unreadPrompt.value(), context.now);
     m_queue.started(call.queued(context.now), context.now);
     context.actions.emplace_back(call.dispatchTo(chosen, context.now));
     call.chosen = std::move(chosen);
@@ -559,6 +553,7 @@
 
 void Forwarder::writeEvents(ForwardCall &call, std::string events, HandlerContext &context)
 {
+    ForwardTargets::recordPromptRead(*call.chosen, context.router);
     m_pace.recordWait(call.chosen->path, call.shareOfObjective(context.now), context.now);
     call.recordEvent(context.now);
     context.actions.emplace_back(WriteStream{.id = call.id, .chunk = std::move(events)});
@@ -805,6 +800,9 @@
     acceptEarlyRequests(context);
     moveWaitingStreams(context);
     serveLoans(context);
+    for (const RequestId id : m_prompts.waiting()) {
+        dispatch(m_calls.at(id), ForwardFailure::NoTarget, context);
+    }
     serveQueue(context);
     std::vector<RequestId> due;
     for (const auto &[id, call] : m_calls) {
@@ -1108,6 +1106,7 @@
     context.actions.emplace_back(ForwardEnded{.outcome = outcome, .took = context.now - call.receivedAt});
     m_queue.remove(call.id, context.now);
     m_loans.remove(call.id);
+    m_prompts.remove(call.id);
     m_buffers.hold(call.id, 0);
     m_calls.erase(call.id);
 }
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -5,6 +5,7 @@
 #include "forwarding/ForwardCall.h"
 #include "forwarding/ForwardMessages.h"
 #include "forwarding/ForwardTargets.h"
+#include "forwarding/PromptBacklog.h"
 #include "forwarding/ResponseBuffers.h"
 #include "forwarding/RetryLoans.h"
 #include "forwarding/RouteTable.h"
@@ -38,6 +39,7 @@
     TargetReachOptions reach;
     TargetLivenessOptions liveness;
     TargetPaceOptions pace;
+    PromptBacklogOptions prompts;
     ResponseBuffersOptions buffers;
     /// A request may have crashed its target only within this time after its answer began; one that is still written
     /// then is sound.
@@ -195,6 +197,8 @@
 
     [[nodiscard]] const TargetObservations &observations() const { return m_observations; }
 
+    [[nodiscard]] const PromptBacklog &prompts() const { return m_prompts; }
+
     [[nodiscard]] const TargetPace &pace() const { return m_pace; }
 
     [[nodiscard]] const StreamMoveCounts &moves() const { return m_moves; }
@@ -378,6 +382,7 @@
     TargetLiveness m_liveness;
     TargetObservations m_observations;
     TargetPace m_pace;
+    PromptBacklog m_prompts;
     ResponseBuffers m_buffers;
     StreamMoveCounts m_moves;
     /// Whether a probe has ended since the streams that wait for one were last looked at.
--- a/src/forwarding/LoadDigest.h
+++ b/src/forwarding/LoadDigest.h
@@ -7,8 +7,8 @@
 
 namespace Carawaymill {
 
-/// Load that one host's streams put on the targets, as it is sent to other hosts. JSON: `[[target, openLayers, cache],
-/// ...]`.
+/// Load that one host's streams put on the targets, as it is sent to other hosts. JSON: `[[target, openLayers, cache,
+/// unread], ...]`; `unread` is missing in digests of earlier builds.
 using LoadDigest = std::map<TargetId, StreamLoad>;
 
 [[nodiscard]] nlohmann::json toJson(const LoadDigest &digest);
--- a/src/forwarding/LoadExchange.cpp
+++ b/src/forwarding/LoadExchange.cpp
@@ -23,6 +23,7 @@
     for (const auto &[target, load] : digest) {
         sums[target].openLayers += load.openLayers;
         sums[target].cacheLayerTokens += load.cacheLayerTokens;
+        sums[target].unreadLayerTokens += load.unreadLayerTokens;
     }
 }
 
--- a/src/forwarding/tests/ForwarderFixture.cpp
+++ b/src/forwarding/tests/ForwarderFixture.cpp
@@ -5,7 +5,7 @@
 
 namespace Carawaymill {
 
-static EngineProfile profile()
+static EngineProfile profile(std::uint64_t cacheTokens)
 {
     EngineProfile profile;
     profile.version = "1";
@@ -20,12 +20,12 @@
     profile.domainDelay = 420us;
     profile.meanPromptTokens = TokenCount(100);
     profile.meanCompletionTokens = TokenCount(20);
-    // Memory for four layers and the KV cache of 500 tokens.
-    profile.kinds["small"] = {.memory = ByteCount(4000 + 4 * 500)};
+    // Memory for four layers and their KV cache.
+    profile.kinds["small"] = {.memory = ByteCount(4000 + 4 * cacheTokens)};
     return profile;
 }
 
-static SharedConfiguration configuration()
+static SharedConfiguration configuration(std::uint64_t cacheTokens)
 {
     RoutingConfiguration configuration;
     configuration.version = ConfigurationVersion(7);
@@ -54,7 +54,7 @@
     configuration.routes = {read, post, stream, open};
     configuration.services[ServiceId("desk")] = {.healthPath = "/healthz", .connectionLimit = 10, .engine = {}};
     configuration.services[ServiceId("scribe")] = {
-        .healthPath = "/healthz", .connectionLimit = 10, .engine = profile()};
+        .healthPath = "/healthz", .connectionLimit = 10, .engine = profile(cacheTokens)};
     configuration.organisations = {{.id = OrganisationId("club"), .keys = {"key-1"}, .priority = {}}};
     return std::make_shared<const RoutingConfiguration>(std::move(configuration));
 }
@@ -105,9 +105,9 @@
     }
 }
 
-void ForwarderFixture::loadState()
+void ForwarderFixture::loadState(std::uint64_t cacheTokens)
 {
-    forwarder.configurationChanged(configuration(), router);
+    forwarder.configurationChanged(configuration(cacheTokens), router);
     const LayerRange lower{LayerIndex(0), LayerIndex(4)};
     const LayerRange upper{LayerIndex(4), LayerIndex(8)};
     for (const std::string domain : {"a", "b"}) {
--- a/src/forwarding/tests/ForwarderFixture.h
+++ b/src/forwarding/tests/ForwarderFixture.h
@@ -16,7 +16,8 @@
     explicit ForwarderFixture(ForwarderOptions options = {}, bool loaded = true);
 
     /// Loads the configuration and the directory into the forwarder.
-    void loadState();
+    /// `cacheTokens`: KV cache of a target that holds four of the eight layers, in tokens.
+    void loadState(std::uint64_t cacheTokens = 500);
 
     /// Handles an event at the current time.
     std::vector<ForwarderAction> handle(const ForwarderEvent &event);
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -132,6 +132,10 @@
     }
     const OtherHostsLoad others = m_loads.otherHostsLoad(own, peers, context.now);
     m_estimatedHosts = others.estimatedHosts;
+    m_unreadPromptTokens = 0;
+    for (const auto &[target, load] : own) {
+        m_unreadPromptTokens += load.unreadLayerTokens;
+    }
     for (const auto &[target, load] : others.sums) {
         context.targets.router().setOtherHostsLoad(target, load);
     }
@@ -542,6 +546,7 @@
     };
     gauge("requests_in_progress", m_forwarder.inProgress());
     gauge("response_bytes_held", m_forwarder.buffers().held().value());
+    gauge("unread_prompt_tokens", static_cast<std::uint64_t>(m_unreadPromptTokens));
     gauge("load_estimated_hosts", m_estimatedHosts);
     gauge("targets_listed", m_directory.targets().size());
     gauge("retry_budget_hosts", m_forwarder.retries().hosts());
@@ -553,6 +558,7 @@
     gauge("target_observations_heard_total", m_forwarder.observations().counts().heard);
     gauge("target_observations_contradicted_total", m_forwarder.observations().counts().contradicted);
     gauge("targets_avoided", m_forwarder.observations().avoided());
+    gauge("long_prompts_waiting", m_forwarder.prompts().size());
     gauge("targets_slow", m_forwarder.pace().slowTargets());
     gauge("target_reports_read_total", m_forwarder.pace().reads());
     gauge("streams_moved_total", m_forwarder.moves().moved);
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -116,6 +116,8 @@
     LoadExchange m_loads;
     /// Number of hosts whose load is estimated, for the metrics.
     std::size_t m_estimatedHosts = 0;
+    /// Prompt tokens times layers that this host has sent and targets have not read, for the metrics.
+    double m_unreadPromptTokens = 0;
     Forwarder m_forwarder;
     ForwardMetrics m_metrics;
     TimePoint m_nextLoadExchangeAt{};
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -160,6 +160,18 @@
     }
 }
 
+void ChainRouter::promptSent(const ChainStage &stage, TokenCount tokens)
+{
+    m_targets[slotOf(stage.target)].promptSent(stage.layers, tokens);
+}
+
+void ChainRouter::promptRead(const ChainStage &stage, TokenCount tokens)
+{
+    if (RoutingTarget *entry = find(stage.target)) {
+        entry->promptRead(stage.layers, tokens);
+    }
+}
+
 std::vector<Holding> ChainRouter::holdingsOf(const ModelKey &key) const
 {
     std::vector<Holding> holdings;
@@ -225,9 +237,13 @@
 {
     const RoutingTarget &target = m_targets[held.target];
     const TokenCount tokens = request.expectedTokens + request.promptTokens - cachedTokens;
-    StageCost cost = target.cost(
-        {.tokens = tokens, .steps = request.expectedTokens.value() + 1, .activationBytes = request.activationBytes},
-        now);
+    StageCost cost = target.cost(held.layers,
+                                 {.tokens = tokens,
+                                  .steps = request.expectedTokens.value() + 1,
+                                  .activationBytes = request.activationBytes,
+                                  .promptTokens = request.promptTokens,
+                                  .longPromptRead = request.longPromptRead},
+                                 now);
     if (target.availability() == TargetAvailability::Suspect) {
         cost.secondsPerStage += suspectPenaltySeconds;
     }
@@ -344,7 +360,8 @@
             .cachedPrefixTokens = chosen.cachedTokens,
             .congested = m_targets[chosen.target].cacheOccupancy(
                              stage.layers, averageCachedTokens(request.promptTokens, request.expectedTokens))
-                         > maximumCacheOccupancy};
+                         > maximumCacheOccupancy,
+            .awaitsPrompts = chosen.cost.awaitsPrompts};
         for (const Candidate &other : candidates) {
             if (&other != &chosen && other.layers.contains(stage.layers)) {
                 stageDecision.alternatives.push_back(
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -77,6 +77,11 @@
     /// tokens.
     void stageEnded(const ChainStage &stage, TokenCount tokens = {});
 
+    /// Counts a prompt that was sent to the stage's target, until it is read there or not needed any more. Both are
+    /// called with the same tokens.
+    void promptSent(const ChainStage &stage, TokenCount tokens);
+    void promptRead(const ChainStage &stage, TokenCount tokens);
+
     /// Estimated content of the targets' prefix caches. The owner of the router passes cache events to it.
     [[nodiscard]] PrefixIndex &prefixes() { return m_prefixes; }
 
--- a/src/routing/RoutingMessages.h
+++ b/src/routing/RoutingMessages.h
@@ -36,6 +36,8 @@
     double costPerOtherStream = 1;
     /// Size of the KV cache in tokens times layers, beside the held layers; 0 when it is not known.
     double cacheLayerTokens = 0;
+    /// Prompt tokens times layers that the target reads in a second; 0 when it is not known.
+    double promptLayerTokensPerSecond = 0;
     double linkBytesPerSecond = 0;
     /// One-way delay from this host; zero when not measured.
     Duration linkDelay{};
@@ -70,6 +72,8 @@
     double openLayers = 0;
     /// KV cache that the streams use, in tokens times layers.
     double cacheLayerTokens = 0;
+    /// Prompts that the target has not read yet, in tokens times layers.
+    double unreadLayerTokens = 0;
 };
 
 /// Request for a chain, for one attempt of one job.
@@ -96,6 +100,9 @@
     std::set<TargetId> excludedTargets;
     /// Targets that may run any stage but the first.
     std::set<TargetId> excludedFirstTargets;
+    /// A prompt that a target reads for longer is long there: it avoids targets with many open streams, and targets
+    /// with unread prompts that would take longer together with it. No prompt is long when this is zero.
+    Duration longPromptRead{};
     /// The job may crash the targets that run it: choose targets with as few other open streams as possible.
     bool isolated = false;
 };
@@ -130,6 +137,8 @@
     TokenCount cachedPrefixTokens;
     /// The target's KV cache has no capacity for the job beside the streams that are open there.
     bool congested = false;
+    /// The prompt is long, and the target has other prompts to read before it.
+    bool awaitsPrompts = false;
     /// The cheapest other candidates that hold all layers of the stage, cheapest first.
     std::vector<RoutingAlternative> alternatives;
 };
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -17,6 +17,9 @@
 /// look this much slower.
 static constexpr double toleratedSlowdown = 4;
 static constexpr double maximumSlowdown = 1000;
+/// Penalty for a long prompt on a target that has others to read. So high that the target is chosen only for layers
+/// that no target without such prompts holds, and lower than the ones for targets without capacity.
+static constexpr double awaitedPromptsPenaltySeconds = 1e2;
 
 RoutingTarget::RoutingTarget(TargetId id, RoutingTargetOptions options)
     : m_id(std::move(id))
@@ -72,6 +75,16 @@
     m_ownCacheTokens = std::max(0.0, m_ownCacheTokens - static_cast<double>(tokens.value() * layers.size()));
 }
 
+void RoutingTarget::promptSent(LayerRange layers, TokenCount tokens)
+{
+    m_ownUnread += static_cast<double>(tokens.value() * layers.size());
+}
+
+void RoutingTarget::promptRead(LayerRange layers, TokenCount tokens)
+{
+    m_ownUnread = std::max(0.0, m_ownUnread - static_cast<double>(tokens.value() * layers.size()));
+}
+
 double RoutingTarget::cacheOccupancy(LayerRange layers, TokenCount tokens) const
 {
     if (m_speed.cacheLayerTokens <= 0) {
@@ -117,9 +130,30 @@
     return cost;
 }
 
-StageCost RoutingTarget::cost(const StageWork &work, TimePoint now) const
+void RoutingTarget::addPromptCost(LayerRange layers, const StageWork &work, StageCost &cost) const
+{
+    if (m_speed.promptLayerTokensPerSecond <= 0) {
+        return;
+    }
+    const double unread = m_ownUnread + (m_otherLoad ? m_otherLoad->unreadLayerTokens : 0);
+    const double wait = unread / m_speed.promptLayerTokensPerSecond;
+    cost.secondsPerStage += wait;
+    const double read =
+        static_cast<double>(work.promptTokens.value() * layers.size()) / m_speed.promptLayerTokensPerSecond;
+    const double limit = seconds(work.longPromptRead);
+    if (limit <= 0 || read <= limit) {
+        return;
+    }
+    // Each stream that is open there waits while the prompt is read.
+    cost.secondsPerStage += read * cost.openLayers / std::max<double>(1, layers.size());
+    cost.awaitsPrompts = unread > 0 && wait + read > limit;
+    cost.secondsPerStage += cost.awaitsPrompts ? awaitedPromptsPenaltySeconds : 0;
+}
+
+StageCost RoutingTarget::cost(LayerRange layers, const StageWork &work, TimePoint now) const
 {
     StageCost cost = nominalCost(work, now);
+    addPromptCost(layers, work, cost);
     const double factor = m_pace * std::max(1.0, slowdown(now) / toleratedSlowdown);
     cost.secondsPerLayer *= factor;
     cost.secondsPerStage *= factor;
--- a/src/routing/RoutingTarget.h
+++ b/src/routing/RoutingTarget.h
@@ -16,6 +16,8 @@
     double secondsPerStage = 0;
     /// Estimated sum of the layers of other open streams on the target.
     double openLayers = 0;
+    /// The prompt is long, and the target has other prompts to read before it.
+    bool awaitsPrompts = false;
 
     [[nodiscard]] double seconds(LayerRange layers) const { return secondsPerStage + secondsPerLayer * layers.size(); }
 };
@@ -27,6 +29,9 @@
     /// Number of calls to the target. Each one costs a round trip over the link.
     std::uint64_t steps = 1;
     ByteCount activationBytes;
+    TokenCount promptTokens;
+    /// See `RouteRequest::longPromptRead`.
+    Duration longPromptRead{};
 };
 
 struct RoutingTargetOptions
@@ -71,6 +76,9 @@
     /// Counts a stream as load. `tokens` is the number of prompt and answer tokens that it keeps in the KV cache.
     void stageStarted(LayerRange layers, TokenCount tokens);
     void stageEnded(LayerRange layers, TokenCount tokens);
+    /// Counts a prompt of `tokens` that was sent to the target, until it is read there or not needed any more.
+    void promptSent(LayerRange layers, TokenCount tokens);
+    void promptRead(LayerRange layers, TokenCount tokens);
 
     /// Fraction of the KV cache that would be in use with one more stream of `tokens` over `layers`; above 1 the stream
     /// does not fit. 0 when the size of the cache is not known.
@@ -79,7 +87,7 @@
     /// Load of this host's own streams.
     [[nodiscard]] StreamLoad ownLoad() const
     {
-        return {.openLayers = m_ownLayers, .cacheLayerTokens = m_ownCacheTokens};
+        return {.openLayers = m_ownLayers, .cacheLayerTokens = m_ownCacheTokens, .unreadLayerTokens = m_ownUnread};
     }
 
     /// Updates the slowdown from the duration `took` of a step and its expected duration.
@@ -88,10 +96,12 @@
     /// Recent ratio of measured to expected duration; 1 means as fast as expected.
     [[nodiscard]] double slowdown(TimePoint now) const;
 
-    [[nodiscard]] StageCost cost(const StageWork &work, TimePoint now) const;
+    [[nodiscard]] StageCost cost(LayerRange layers, const StageWork &work, TimePoint now) const;
 
 private:
     [[nodiscard]] StageCost nominalCost(const StageWork &work, TimePoint now) const;
+    /// Adds the wait for unread prompts, and what a long prompt takes from the open streams.
+    void addPromptCost(LayerRange layers, const StageWork &work, StageCost &cost) const;
 
     TargetId m_id;
     RoutingTargetOptions m_options;
@@ -102,6 +112,8 @@
     double m_ownLayers = 0;
     double m_ownStreams = 0;
     double m_ownCacheTokens = 0;
+    /// Prompts of these streams that the target has not read yet, in tokens times layers.
+    double m_ownUnread = 0;
     /// Set in deployments where hosts exchange their load.
     std::optional<StreamLoad> m_otherLoad;
     /// Number of streams of other hosts: running average over the load reports.
