--- a/src/forwarding/TargetPace.cpp
+++ b/src/forwarding/TargetPace.cpp
@@ -123,8 +123,8 @@
     }
     State &state = found->second;
     if (!probed.pace) {
-        // What finds silent targets looks into it.
-        state.confirms = false;
+        // A slow target may answer late. One that stays silent is left to what finds silent targets.
+        state.confirms = state.confirms && now < state.paceUntil;
         return;
     }
     const bool wasConfirmed = state.confirms;
