Forwarder: Keep a call in one waiting place only

A long prompt that waited for unread prompts and then lacked capacity stayed in PromptBacklog and was added to StartQueue again in each tick, until a lookup of the refused call threw std::out_of_range. A queued call was sent without room in the request limit while targets had prompts to read, and choose() took room for calls that then waited. enqueue() now removes the call from PromptBacklog, and queued calls wait for unread prompts in the queue.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -158,7 +158,7 @@
     }
     call.wasLimited = true;
     auto other = chooseWithout({.everywhere = excluded, .asFirst = m_limits.withoutRoom(context.now)});
-    if (other && !call.mustWaitFor(*other) && takeRoom(*other)) {
+    if (other && !call.mustWaitFor(*other) && !call.awaitsPrompts(*other, m_prompts, context.now) && takeRoom(*other)) {
         return other;
     }
     chosen->limited = true;
@@ -192,6 +192,7 @@
 
 void Forwarder::enqueue(ForwardCall &call, HandlerContext &context)
 {
+    m_prompts.remove(call.id);
     if (const auto refused = m_queue.add(call.queued(context.now), context.now)) {
         refuseQueued(*refused, context);
     }
@@ -219,15 +220,13 @@
             continue;
         }
         auto chosen = choose(call, call.tried, context);
-        if (chosen && call.mustWaitFor(*chosen)) {
+        if (!chosen) {
+            refuse(call, ForwardFailure::NoTarget, context);
+        } else if (call.mustWaitFor(*chosen)) {
             // The service's calls behind it rarely need less capacity, and each choice of targets is expensive.
             withoutCapacity.insert(call.service);
-            continue;
-        }
-        if (chosen) {
+        } else if (!call.awaitsPrompts(*chosen, m_prompts, context.now)) {
             sendToTarget(call, std::move(*chosen), context);
-        } else {
-            refuse(call, ForwardFailure::NoTarget, context);
         }
     }
 }
--- a/src/forwarding/tests/PromptBacklogTest.cpp
+++ b/src/forwarding/tests/PromptBacklogTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <limits>
 
 using namespace Carawaymill;
@@ -71,6 +72,45 @@
     CHECK(only<ForwardToTarget>(fixture.advance(20ms)).id == RequestId(2));
 }
 
+/// A request that uses most of the KV cache of a target of largeEngines().
+static ForwardRequested cacheFiller(std::uint64_t id)
+{
+    ForwardRequested request = promptRequest(id, shortPrompt);
+    request.request.expectedTokens = TokenCount(650'000);
+    return request;
+}
+
+TEST_CASE("a long prompt that waits for others and then for capacity is sent once")
+{
+    // A request that waited in both places was queued again in each tick, and sent as often.
+    ForwarderFixture fixture = largeEngines({"a1"});
+    fixture.handle(promptRequest(1, longPrompt));
+    CHECK(!has<ForwardToTarget>(fixture.handle(promptRequest(2, longPrompt))));
+    CHECK(fixture.forwarder.prompts().size() == 1);
+    const auto filler = only<ForwardToTarget>(fixture.handle(cacheFiller(3)));
+    CHECK(!has<ForwardToTarget>(fixture.advance(200ms)));
+    CHECK(fixture.forwarder.queue().size() == 1);
+    CHECK(fixture.forwarder.prompts().size() == 0);
+    fixture.handle(ForwarderFixture::failed(filler));
+    const auto actions = fixture.advance(400ms);
+    CHECK(std::ranges::count_if(
+              actions, [](const ForwarderAction &action) { return std::holds_alternative<ForwardToTarget>(action); })
+          == 1);
+    CHECK(only<ForwardToTarget>(actions).id == RequestId(2));
+}
+
+TEST_CASE("a long prompt that waited for capacity also waits for the prompts that targets have to read")
+{
+    ForwarderFixture fixture = largeEngines({"a1"});
+    fixture.handle(promptRequest(1, longPrompt));
+    const auto filler = only<ForwardToTarget>(fixture.handle(cacheFiller(2)));
+    fixture.handle(promptRequest(3, longPrompt));
+    CHECK(fixture.forwarder.queue().size() == 1);
+    fixture.handle(ForwarderFixture::failed(filler));
+    CHECK(!has<ForwardToTarget>(fixture.advance(100ms)));
+    CHECK(only<ForwardToTarget>(fixture.advance(40ms)).id == RequestId(3));
+}
+
 TEST_CASE("a fleet of one target serves long and short prompts, also with token counts that are wrong")
 {
     ForwarderFixture fixture = largeEngines({"a1"});
