RoutingTarget: Let long prompts wait for long unread prompts only

Any unread token of a short prompt made a long one wait, and busy targets always have some. The limit now applies to the unread prompts themselves, which one long prompt exceeds. The new test failed before and passes now.

--- a/src/forwarding/tests/PromptBacklogTest.cpp
+++ b/src/forwarding/tests/PromptBacklogTest.cpp
@@ -111,6 +111,14 @@
     CHECK(only<ForwardToTarget>(fixture.advance(40ms)).id == RequestId(3));
 }
 
+TEST_CASE("a long prompt does not wait for a few short ones")
+{
+    // On busy targets some short prompt is always unread.
+    ForwarderFixture fixture = largeEngines({"a1"});
+    fixture.handle(promptRequest(1, shortPrompt));
+    CHECK(only<ForwardToTarget>(fixture.handle(promptRequest(2, longPrompt))).id == RequestId(2));
+}
+
 TEST_CASE("a fleet of one target serves long and short prompts, also with token counts that are wrong")
 {
     ForwarderFixture fixture = largeEngines({"a1"});
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -146,7 +146,8 @@
     }
     // Each stream that is open there waits while the prompt is read.
     cost.secondsPerStage += read * cost.openLayers / std::max<double>(1, layers.size());
-    cost.awaitsPrompts = unread > 0 && wait + read > limit;
+    // An unread long prompt alone exceeds the limit. A few short ones, which busy targets always have, do not.
+    cost.awaitsPrompts = wait > limit;
     cost.secondsPerStage += cost.awaitsPrompts ? awaitedPromptsPenaltySeconds : 0;
 }
 
