TargetPace: Keep one host that confirms a pace, and read again after 500 ms

Two hosts that read a slow target at the same time each took the other's message as the end of its own task, so that nobody confirmed the pace and it expired. Of them the host with the lower id now goes on. A host's own report of the usual pace blocked its reads of the target for 1.8 s, as only a pace that another host told should; reports are 200 ms old, so that the first one after a slow gap may be from before it. Two new tests failed before and pass now.

--- a/src/forwarding/TargetPace.cpp
+++ b/src/forwarding/TargetPace.cpp
@@ -72,7 +72,7 @@
         return !state.readAt || now - *state.readAt >= m_options.confirmInterval;
     }
     const bool isRead = state.readAt && now - *state.readAt < m_options.readInterval;
-    return !isRead && now >= state.paceUntil && isSuspected(state, now);
+    return !isRead && now >= state.toldUntil && isSuspected(state, now);
 }
 
 std::vector<ProbeTarget>
@@ -143,8 +143,9 @@
         return;
     }
     setPace(told.target, found->second, told.pace, told.age, event.from, now);
-    // One host is enough to confirm it.
-    found->second.confirms = false;
+    found->second.toldUntil = found->second.paceUntil;
+    // One host is enough to confirm it: of several that read it at the same time the one with the lowest id.
+    found->second.confirms = found->second.confirms && m_options.self < event.from;
 }
 
 void TargetPace::setPace(
--- a/src/forwarding/TargetPace.h
+++ b/src/forwarding/TargetPace.h
@@ -14,6 +14,8 @@
 
 struct TargetPaceOptions
 {
+    /// This host's id: decides which of several hosts goes on to confirm a pace.
+    HostId self;
     /// A stream that waits for an event for more than this share of its objective is slow; callers notice it next.
     double slowShare = 0.6;
     /// A stream whose event came within this share of its objective shows that the targets on its path are not slow.
@@ -50,7 +52,7 @@
 {
 public:
     explicit TargetPace(TargetPaceOptions options)
-        : m_options(options)
+        : m_options(std::move(options))
     {
     }
 
@@ -104,6 +106,8 @@
         /// As reported; 1 is usual.
         double pace = 1;
         TimePoint paceUntil{};
+        /// Until when a pace that another host told is valid.
+        TimePoint toldUntil{};
         /// Whether this host told the pace, so that it reads the target again.
         bool confirms = false;
         /// What the router has: the pace relative to the service's other targets.
--- a/src/forwarding/tests/TargetPaceTest.cpp
+++ b/src/forwarding/tests/TargetPaceTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 using namespace Carawaymill;
 
@@ -14,7 +15,7 @@
 struct PaceFixture
 {
     explicit PaceFixture(TargetPaceOptions options = {})
-        : pace(options)
+        : pace(std::move(options))
     {
         for (int i = 0; i < 10; ++i) {
             const DirectoryTarget target = ForwarderFixture::engine("t" + std::to_string(i), layers);
@@ -28,6 +29,7 @@
     static std::vector<PathStage> path(const std::vector<int> &targets)
     {
         std::vector<PathStage> stages;
+        stages.reserve(targets.size());
         for (const int target : targets) {
             stages.push_back({.target = TargetId("t" + std::to_string(target)), .address = {}, .layers = layers});
         }
@@ -118,6 +120,34 @@
     CHECK(other.pace.slowTargets() == 0);
 }
 
+TEST_CASE("a report from before a target slowed down does not delay the next read")
+{
+    // Reports are 200 ms old, so that the first one after a slow gap may say that all is as usual.
+    PaceFixture fixture;
+    fixture.pace.recordWait(PaceFixture::path({1}), 0.7, fixture.now);
+    REQUIRE(fixture.readsDue() == std::set<std::string>{"t1"});
+    fixture.report(1, 1);
+    fixture.now += 500ms;
+    fixture.pace.recordWait(PaceFixture::path({1}), 0.9, fixture.now);
+    CHECK(fixture.readsDue() == std::set<std::string>{"t1"});
+}
+
+TEST_CASE("of two hosts that find a slow target at the same time one goes on to confirm it")
+{
+    // Where each took the other's message for the end of its own task, the pace expired on all hosts after 2 s.
+    PaceFixture first({.self = HostId("a")});
+    PaceFixture second({.self = HostId("b")});
+    first.report(1, 5);
+    second.report(1, 5);
+    second.pace.receive({.from = HostId("a"), .observation = first.pace.takeMessages().front().observation},
+                        second.now);
+    first.pace.receive({.from = HostId("b"), .observation = second.pace.takeMessages().front().observation}, first.now);
+    first.now += 800ms;
+    second.now += 800ms;
+    CHECK(first.readsDue() == std::set<std::string>{"t1"});
+    CHECK(second.readsDue().empty());
+}
+
 TEST_CASE("no target is avoided for its pace when most targets of the service are slow")
 {
     PaceFixture fixture;
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -75,6 +75,7 @@
                    .limits = {.self = options.host,
                               .incarnation = options.incarnation,
                               .firstStartOfDeployment = options.firstStartOfDeployment},
+                   .pace = {.self = options.host},
                    .buffers = options.forwarding->buffers})
 {
 }
