TargetPace: Avoid the slow one of two targets

The upper median of an even number of paces made the slow one of two targets the usual one. The lower median is used now. The new test failed before and passes now.

--- a/src/forwarding/TargetPace.cpp
+++ b/src/forwarding/TargetPace.cpp
@@ -177,7 +177,7 @@
     }
     std::map<ServiceId, double> medians;
     for (auto &[service, values] : paces) {
-        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
         std::ranges::nth_element(values, middle);
         medians[service] = std::max(1.0, *middle);
     }
--- a/src/forwarding/TargetPace.h
+++ b/src/forwarding/TargetPace.h
@@ -119,7 +119,7 @@
     /// Sets the pace that was reported `age` ago.
     void setPace(const TargetId &target, State &state, double pace, Duration age, const HostId &from, TimePoint now);
     void tell(const TargetId &target, const State &state);
-    /// The median pace of each service's targets; those of unknown pace count as usual.
+    /// The median pace of each service's targets, the lower one of two; those of unknown pace count as usual.
     [[nodiscard]] std::map<ServiceId, double> medians() const;
 
     TargetPaceOptions m_options;
--- a/src/forwarding/tests/TargetPaceTest.cpp
+++ b/src/forwarding/tests/TargetPaceTest.cpp
@@ -148,6 +148,16 @@
     CHECK(second.readsDue().empty());
 }
 
+TEST_CASE("the slow one of two targets is avoided")
+{
+    PaceFixture fixture;
+    for (int target = 2; target < 10; ++target) {
+        fixture.pace.unlisted(TargetId("t" + std::to_string(target)));
+    }
+    fixture.report(1, 4);
+    CHECK(fixture.pace.apply(fixture.router, fixture.now) == std::vector{TargetId("t1")});
+}
+
 TEST_CASE("no target is avoided for its pace when most targets of the service are slow")
 {
     PaceFixture fixture;
