TargetPace: Ignore the wait of a stream that has just returned

A stream that returned to an earlier attempt restarts its time, and its next event at that moment counted as normal: it cleared the suspicion of the slow targets. A wait of zero is ignored now. The new test failed before and passes now.

--- a/src/forwarding/TargetPace.cpp
+++ b/src/forwarding/TargetPace.cpp
@@ -39,7 +39,8 @@
 void TargetPace::recordWait(const std::vector<PathStage> &path, double shareOfObjective, TimePoint now)
 {
     const bool isSlow = shareOfObjective > m_options.slowShare;
-    if (!isSlow && shareOfObjective >= m_options.normalShare) {
+    // No wait at all says nothing: the stream has just returned to an earlier attempt.
+    if (!isSlow && (shareOfObjective >= m_options.normalShare || shareOfObjective <= 0)) {
         return;
     }
     for (const PathStage &stage : path) {
--- a/src/forwarding/tests/TargetPaceTest.cpp
+++ b/src/forwarding/tests/TargetPaceTest.cpp
@@ -132,6 +132,14 @@
     CHECK(fixture.readsDue() == std::set<std::string>{"t1"});
 }
 
+TEST_CASE("a stream that returns to an earlier attempt does not clear the targets of that")
+{
+    PaceFixture fixture;
+    fixture.pace.recordWait(PaceFixture::path({1}), 0.7, fixture.now);
+    fixture.pace.recordWait(PaceFixture::path({1}), 0, fixture.now);
+    CHECK(fixture.readsDue() == std::set<std::string>{"t1"});
+}
+
 TEST_CASE("of two hosts that find a slow target at the same time one goes on to confirm it")
 {
     // Where each took the other's message for the end of its own task, the pace expired on all hosts after 2 s.
