Forwarder: Measure the rest of the objective from the arrival of the call

Streams left a slow target while their attempt, not the call, was within the latency objective, so that streams which had waited in the queue were moved when they were late already. No test covers the difference yet.

--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -964,7 +964,7 @@
     append(m_pace.readsDue(m_targets.targets(), trustsLinks, context.now), context.actions);
     // A stream that has begun is late already, and elsewhere its whole context would be read again.
     const auto canBeOnTime = [&](const ForwardCall &call) {
-        return !call.sawEvent && call.shareOfObjective(context.now) < 1;
+        return !call.sawEvent && context.now - call.receivedAt < call.route->latencyObjective;
     };
     for (const TargetId &target : m_pace.apply(context.router, context.now)) {
         moveStreams(target, canBeOnTime, context);
