--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -3,6 +3,7 @@
 #include "support/Seconds.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace Carawaymill {
@@ -180,19 +181,23 @@
         return refused;
     }
     std::map<ServiceId, std::size_t> positions;
-    bool follows = false;
+    // Services with requests that can still be on time, which start before the late ones.
+    std::set<ServiceId> overtaking;
     for (const QueuedRequest &request : ordered(now)) {
         std::size_t &position = positions[request.service];
         const Duration waited = now - request.arrivedAt;
         const auto expected = waitAt(request.service, position, now);
-        const bool isOvertaken = isLate(request, now) && follows && position >= m_options.minimumLength;
+        const bool isOvertaken =
+            isLate(request, now) && overtaking.contains(request.service) && position >= m_options.minimumLength;
         if (waited >= m_options.maximumWait) {
             refused.push_back(refuse(request, QueueRefusal::Overdue, expected, now));
         } else if (isOvertaken && expected && waited + *expected > m_options.maximumWait) {
             refused.push_back(refuse(request, QueueRefusal::Overtaken, expected, now));
         } else {
             ++position;
-            follows = follows || !isLate(request, now);
+            if (!isLate(request, now)) {
+                overtaking.insert(request.service);
+            }
         }
     }
     return refused;
--- a/src/forwarding/tests/AdmissionTest.cpp
+++ b/src/forwarding/tests/AdmissionTest.cpp
@@ -144,6 +144,31 @@
     CHECK(queue.order(now) == std::vector{RequestId(4), RequestId(3), RequestId(1), RequestId(2)});
 }
 
+TEST_CASE("late requests are refused early for requests of their own service that overtake them, not of another one")
+{
+    for (const std::string service : {"scribe", "desk"}) {
+        CAPTURE(service);
+        StartQueue queue({});
+        TimePoint now{1h};
+        std::uint64_t id = 0;
+        // Ten starts a second, so that three requests may wait.
+        REQUIRE(!queue.add(queued(++id, "club", 1, now), now));
+        for (int start = 0; start < 20; ++start, now += 100ms) {
+            REQUIRE(!queue.add(queued(++id, "club", 1, now), now));
+            queue.started(queued(id, "club", 1, now), now);
+        }
+        queue.remove(RequestId(1), now);
+        for (int late = 0; late < 3; ++late) {
+            REQUIRE(!queue.add(queued(++id, "club", 1, now, 100ms), now));
+        }
+        now += 1s;
+        QueuedRequest overtaking = queued(++id, "club", 1, now);
+        overtaking.service = ServiceId(service);
+        REQUIRE(!queue.add(overtaking, now));
+        CHECK(queue.takeRefused(now).empty() == (service == "desk"));
+    }
+}
+
 TEST_CASE("callers refused together come back apart, after the backlog, within a third of their time")
 {
     Random random(1);
