--- a/src/forwarding/RetryAfter.cpp
+++ b/src/forwarding/RetryAfter.cpp
@@ -8,13 +8,15 @@
 static constexpr double retryAfterShare = 1.0 / 3;
 /// A shorter spread would not keep callers that are refused together apart.
 static constexpr Duration minimumSpread = 100ms;
+/// With at least half of the spread this makes 100 ms.
+static constexpr Duration minimumBacklog = 50ms;
 
 RetryAfterBounds
 backlogBounds(std::optional<Duration> backlog, Duration unknownSpread, std::optional<Duration> timeLeft)
 {
     RetryAfterBounds bounds{.spread = unknownSpread, .timeLeft = timeLeft};
     if (backlog) {
-        bounds.shortest = *backlog;
+        bounds.shortest = std::max(*backlog, minimumBacklog);
         bounds.spread = std::max(*backlog, minimumSpread);
     }
     return bounds;
--- a/src/forwarding/tests/AdmissionTest.cpp
+++ b/src/forwarding/tests/AdmissionTest.cpp
@@ -179,6 +179,7 @@
         CHECK(after <= 4s);
         times.insert(after);
         CHECK(retryAfter(backlogBounds(60s, 500ms, 600ms), random) <= 200ms);
+        CHECK(retryAfter(backlogBounds(10ms, 500ms, 20s), random) >= 100ms);
     }
     CHECK(times.size() == 50);
 }
