ForwardCall: Treat a request without token counts as a mean one

Its work was a tenth of a mean request, so that an organisation that states no counts got up to ten times the share of others. The new test failed before and passes now.

--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -75,8 +75,8 @@
     return action;
 }
 
-/// Expected work in mean requests of the service. Bounded, so that token counts that a caller overstates do not put its
-/// organisation far behind.
+/// Expected work in mean requests of the service; a request without token counts counts as a mean one. Bounded, so that
+/// token counts that a caller overstates do not put its organisation far behind.
 static double expectedWork(const EngineProfile *engine, const ForwardRequest &request)
 {
     static constexpr double smallest = 0.1;
@@ -84,11 +84,11 @@
     const double mean = engine == nullptr ? 0
                                           : static_cast<double>(engine->meanPromptTokens.value())
                                                 + static_cast<double>(engine->meanCompletionTokens.value());
-    if (mean <= 0) {
-        return 1;
-    }
     const double tokens =
         static_cast<double>(request.promptTokens.value()) + static_cast<double>(request.expectedTokens.value());
+    if (mean <= 0 || tokens <= 0) {
+        return 1;
+    }
     return std::clamp(tokens / mean, smallest, largest);
 }
 
--- a/src/forwarding/tests/AdmissionTest.cpp
+++ b/src/forwarding/tests/AdmissionTest.cpp
@@ -169,6 +169,30 @@
     }
 }
 
+TEST_CASE("a request without token counts has the work of a mean one")
+{
+    // Otherwise organisations that state no counts would get ten times the share of others.
+    RoutingConfiguration configuration;
+    EngineProfile engine;
+    engine.meanPromptTokens = TokenCount(100);
+    engine.meanCompletionTokens = TokenCount(20);
+    configuration.services[ServiceId("scribe")].engine = engine;
+    const Route route;
+    const auto workOf = [&](std::uint64_t promptTokens) {
+        ForwardCall call;
+        call.table = std::make_shared<const RouteTable>(std::make_shared<const RoutingConfiguration>(configuration));
+        call.service = ServiceId("scribe");
+        call.route = &route;
+        ForwardRequest request;
+        request.promptTokens = TokenCount(promptTokens);
+        call.request = std::make_shared<const ForwardRequest>(request);
+        return call.queued(TimePoint{1h}).work;
+    };
+    CHECK(workOf(0) == 1);
+    CHECK(workOf(60) == 0.5);
+    CHECK(workOf(1'000'000) == 4);
+}
+
 TEST_CASE("callers refused together come back apart, after the backlog, within a third of their time")
 {
     Random random(1);
