--- a/src/forwarding/ForwardCall.cpp
+++ b/src/forwarding/ForwardCall.cpp
@@ -101,6 +101,7 @@
             .organisation = organisation.value_or(OrganisationId()),
             .work = expectedWork(engineProfile(table->sharedConfiguration(), service), *request),
             .resumes = resumes(),
+            .mayBeReplaced = runs == 0 && !streaming,
             .arrivedAt = streaming ? now : waitsSince,
             .latencyObjective = route->latencyObjective};
 }
@@ -173,7 +174,9 @@
 
 double ForwardCall::shareOfObjective(TimePoint now) const
 {
-    const Duration objective = sawEvent ? route->pauseObjective : route->latencyObjective;
+    // After a further dispatch the targets read the whole context first, as before the first event.
+    const bool isWriting = sawEvent && progressAt != sentAt;
+    const Duration objective = isWriting ? route->pauseObjective : route->latencyObjective;
     return objective > Duration::zero() ? seconds(now - progressAt) / seconds(objective) : 0;
 }
 
--- a/src/forwarding/Forwarder.cpp
+++ b/src/forwarding/Forwarder.cpp
@@ -640,7 +640,9 @@
         event.connected && m_liveness.hasShownSignSince(event.target, context.now - m_options.progressQueryTimeout);
     const bool mayBlame = !works && !m_links.reach().isDoubtful(context.now);
     m_observations.recordProbe(event, mayBlame, m_targets, context.router, context.now);
-    m_pace.recordReport(event, context.now);
+    if (!m_links.reach().isDoubtful(context.now)) {
+        m_pace.recordReport(event, context.now);
+    }
     switch (event.purpose) {
     case ProbePurpose::Links:
         m_links.recordProbe(event, m_targets, context.router, context.now);
@@ -964,7 +966,7 @@
     append(m_pace.readsDue(m_targets.targets(), trustsLinks, context.now), context.actions);
     // A stream that has begun is late already, and elsewhere its whole context would be read again.
     const auto canBeOnTime = [&](const ForwardCall &call) {
-        return !call.sawEvent && context.now - call.receivedAt < call.route->latencyObjective;
+        return !call.sawEvent && !call.resumes() && context.now - call.receivedAt < call.route->latencyObjective;
     };
     for (const TargetId &target : m_pace.apply(context.router, context.now)) {
         moveStreams(target, canBeOnTime, context);
--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -113,28 +113,20 @@
     (void)stateOf(service);
     m_waiting.push_back(std::move(request));
     updateWaiting(service, now);
-    const std::vector<QueuedRequest> order = ordered(now);
-    std::optional<RefusedRequest> refused;
-    std::size_t position = 0;
-    for (const QueuedRequest &entry : order) {
-        if (entry.service != service) {
-            continue;
-        }
-        const auto expected = waitAt(service, position, now);
-        const bool isLast = position + 1 == waiting(service);
-        const bool waitsTooLong = !expected || *expected > m_options.maximumWait;
-        if (isLast && position >= m_options.minimumLength && waitsTooLong) {
-            const QueueRefusal reason = entry.id == id ? QueueRefusal::Arrival : QueueRefusal::Replaced;
-            refused = refuse(entry, reason, expected, now);
-        } else if (entry.id == id) {
-            logQueued(entry, expected, now);
-        }
-        ++position;
-        if (refused) {
-            break;
-        }
+    std::vector<QueuedRequest> order = ordered(now);
+    std::erase_if(order, [&](const QueuedRequest &entry) { return entry.service != service; });
+    const auto position = static_cast<std::size_t>(std::ranges::find(order, id, &QueuedRequest::id) - order.begin());
+    const auto last = std::ranges::find_if(order.rbegin(), order.rend(), [&](const QueuedRequest &entry) {
+        return entry.id == id || entry.mayBeReplaced;
+    });
+    const auto longest = waitAt(service, order.size() - 1, now);
+    const bool waitsTooLong = !longest || *longest > m_options.maximumWait;
+    if (order.size() > m_options.minimumLength && waitsTooLong) {
+        const QueueRefusal reason = last->id == id ? QueueRefusal::Arrival : QueueRefusal::Replaced;
+        return refuse(*last, reason, longest, now);
     }
-    return refused;
+    logQueued(order.at(position), waitAt(service, position, now), now);
+    return std::nullopt;
 }
 
 RefusedRequest StartQueue::refuse(const QueuedRequest &request,
--- a/src/forwarding/StartQueue.h
+++ b/src/forwarding/StartQueue.h
@@ -44,6 +44,9 @@
     double work = 1;
     /// The caller already has the first events of the stream.
     bool resumes = false;
+    /// Whether it can be refused in favour of another one: not if it may have run, or the caller has a response
+    /// already.
+    bool mayBeReplaced = true;
     TimePoint arrivedAt;
     Duration latencyObjective{};
 };
--- a/src/forwarding/TargetPace.cpp
+++ b/src/forwarding/TargetPace.cpp
@@ -85,7 +85,7 @@
     m_readTokens = std::min(readBurst, m_readTokens + rate * std::max(0.0, seconds(now - m_readTokensAt)));
     m_readTokensAt = now;
     std::vector<ProbeTarget> probes;
-    if (!trustsLinks || m_readTokens < 1) {
+    if (!trustsLinks) {
         return probes;
     }
     std::vector<std::pair<TargetId, State *>> due;
@@ -99,13 +99,11 @@
     });
     for (const auto &[target, state] : due) {
         const auto found = listed.find(target);
-        if (m_readTokens < 1) {
-            break;
-        }
-        if (found == listed.end()) {
+        // About one host confirms a pace, and a confirmation that is late lets all hosts send streams there again.
+        if (found == listed.end() || (!state->confirms && m_readTokens < 1)) {
             continue;
         }
-        m_readTokens -= 1;
+        m_readTokens -= state->confirms ? 0 : 1;
         ++m_reads;
         state->readAt = now;
         probes.push_back({.target = target,
@@ -129,9 +127,14 @@
         return;
     }
     const bool wasConfirmed = state.confirms;
+    const double before = now < state.paceUntil ? state.pace : 1;
     setPace(probed.target, state, *probed.pace, reportLag, HostId(), now);
     state.confirms = state.pace >= m_options.slowPace || (wasConfirmed && state.pace >= m_options.usualPace);
-    if (state.confirms || wasConfirmed) {
+    // Probes of other purposes bring the pace as well: many hosts would tell the same at the same time.
+    const bool isTold = state.toldAt && now - *state.toldAt < m_options.readInterval;
+    const bool hasChanged = (before >= m_options.usualPace) != (state.pace >= m_options.usualPace);
+    if ((state.confirms || wasConfirmed) && (!isTold || hasChanged)) {
+        state.toldAt = now;
         tell(probed.target, state);
     }
 }
@@ -145,6 +148,7 @@
     }
     setPace(told.target, found->second, told.pace, told.age, event.from, now);
     found->second.toldUntil = found->second.paceUntil;
+    found->second.toldAt = now;
     // One host is enough to confirm it: of several that read it at the same time the one with the lowest id.
     found->second.confirms = found->second.confirms && m_options.self < event.from;
 }
@@ -189,7 +193,7 @@
 {
     std::size_t paced = 0;
     for (auto &[target, state] : m_targets) {
-        if (now >= state.paceUntil && !state.confirms) {
+        if (now >= state.paceUntil) {
             state.pace = 1;
         }
         paced += state.pace >= m_options.usualPace ? 1 : 0;
--- a/src/forwarding/TargetPace.h
+++ b/src/forwarding/TargetPace.h
@@ -103,6 +103,8 @@
         std::optional<TimePoint> normalAt;
         std::uint32_t slowStreams = 0;
         std::optional<TimePoint> readAt;
+        /// When the pace was last told, by this host or another one.
+        std::optional<TimePoint> toldAt;
         /// As reported; 1 is usual.
         double pace = 1;
         TimePoint paceUntil{};
