Forwarding: Ask the next host when the collector stops confirming a range

Cause: a collector that is cut off from the service notices it only when its watch times out (1.85 s after it was sent), and until then answers with the age of its last confirmation. Its followers ran out of time to ask another host and all asked the service.

Change: a host whose call for a range has failed refuses requests for it at once until a call succeeds. A follower whose view is nearly too old asks the next ranked host first, with a response due before the view is too old; the service is asked after that as before. That next host asks the service for an immediate answer. Maximum ages are unchanged.

--- a/src/forwarding/RelayedWatchClient.cpp
+++ b/src/forwarding/RelayedWatchClient.cpp
@@ -21,7 +21,12 @@
     }
     const Duration longest = range == RelayedRange::Configuration ? m_options.configurationWait : m_options.defaultWait;
     // If the host stops responding, the request times out before the confirmation is too old.
-    const Duration remaining = confirmedAt->second + m_options.maximumAges.of(range) - m_options.responseTimeout - now;
+    const Duration untilTooOld = confirmedAt->second + m_options.maximumAges.of(range) - now;
+    Duration responseTimeout = m_options.responseTimeout;
+    if (terms.failures > 0 && untilTooOld < responseTimeout + m_options.minimumWait) {
+        responseTimeout = m_options.lastResponseTimeout;
+    }
+    const Duration remaining = untilTooOld - responseTimeout;
     Duration wait = std::min({watch->wait, longest, remaining});
     if (terms.hasSuccessor) {
         wait = std::min(wait, std::max(remaining - m_options.successorReserve, m_options.waitBeforeSuccessor));
@@ -37,7 +42,7 @@
                                      .failures = terms.failures,
                                      .firstSentAt = terms.firstSentAt.value_or(now),
                                      .sentAt = now,
-                                     .deadline = now + wait + m_options.responseTimeout});
+                                     .deadline = now + wait + responseTimeout});
     return SendRangeWatchMessage{
         .to = host,
         .message =
@@ -50,6 +55,12 @@
     known->second = std::max(known->second, at);
 }
 
+bool RelayedWatchClient::isConfirmed(RelayedRange range, TimePoint now) const
+{
+    const auto confirmedAt = m_confirmedAt.find(range);
+    return confirmedAt != m_confirmedAt.end() && now - confirmedAt->second <= m_options.maximumAges.of(range);
+}
+
 void RelayedWatchClient::dropPending(RelayedRange range)
 {
     std::erase_if(m_pending, [&](const auto &entry) { return entry.second.range == range; });
--- a/src/forwarding/RelayedWatchClient.h
+++ b/src/forwarding/RelayedWatchClient.h
@@ -21,6 +21,8 @@
     Duration minimumWait = 50ms;
     /// Response timeout in addition to the wait: some round trips between hosts of one failure domain.
     Duration responseTimeout = 200ms;
+    /// The same if another host has failed to answer the watch and the view is too old for a longer one.
+    Duration lastResponseTimeout = 100ms;
     /// Time that a request leaves for a further host if the asked one stays silent: its response timeout, and a wait
     /// for its own call to the service.
     Duration successorReserve = 500ms;
@@ -40,6 +42,8 @@
     bool hasSuccessor = false;
     /// When the watch was first sent to a host; std::nullopt if it is sent now.
     std::optional<TimePoint> firstSentAt = std::nullopt;
+    /// Host whose last response has left the view nearly too old. It is not asked for this watch.
+    std::optional<HostId> excluded = std::nullopt;
 };
 
 /// Reply to a watch of this host that another host has answered.
@@ -88,6 +92,9 @@
     [[nodiscard]] std::optional<SendRangeWatchMessage> relay(
         RelayedRange range, const KeyValueCall &call, const HostId &host, TimePoint now, const RelayTerms &terms = {});
 
+    /// Whether the last confirmation of the range, if there is one, is recent enough to rely on another host.
+    [[nodiscard]] bool isConfirmed(RelayedRange range, TimePoint now) const;
+
     /// Forgets the pending requests for the range, since its replica has made a new call.
     void dropPending(RelayedRange range);
 
--- a/src/forwarding/RelayedWatchServer.cpp
+++ b/src/forwarding/RelayedWatchServer.cpp
@@ -8,6 +8,7 @@
 RelayedWatchServer::recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now)
 {
     m_inProgress.erase(call.range);
+    m_failing.erase(call.range);
     if (const auto *read = std::get_if<RangeRead>(&result)) {
         m_ranges[call.range] = {
             .begin = read->storeRevision, .revision = read->storeRevision, .confirmedAt = call.sentAt, .changes = {}};
@@ -15,6 +16,8 @@
         applyUnlessOlder(call, *changed, now);
     } else if (std::holds_alternative<WatchCompacted>(result)) {
         m_ranges.erase(call.range);
+    } else {
+        m_failing.insert(call.range);
     }
     return respondDue(now);
 }
@@ -29,6 +32,7 @@
 RelayedWatchServer::recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now)
 {
     m_inProgress.erase(call.range);
+    m_failing.erase(call.range);
     applyUnlessOlder(call, changed, now);
     return respondDue(now);
 }
@@ -74,6 +78,7 @@
     if (change.restored) {
         m_ranges.clear();
         m_inProgress.clear();
+        m_failing.clear();
     }
     return respondDue(now);
 }
@@ -108,7 +113,9 @@
     const RangeWatchRequest &request = pending.request;
     const auto found = m_ranges.find(request.range);
     const bool isKnown = found != m_ranges.end();
-    if (request.era != m_era || (isKnown && request.after < found->second.begin)) {
+    // While this host's calls fail, another host may still reach the service, and has to be asked before the view of
+    // the requesting host is too old.
+    if (m_failing.contains(request.range) || request.era != m_era || (isKnown && request.after < found->second.begin)) {
         return RangeWatchUnavailable{.number = request.number};
     }
     if (!isKnown || now - found->second.confirmedAt > m_options.maximumAges.of(request.range)) {
--- a/src/forwarding/RelayedWatchServer.h
+++ b/src/forwarding/RelayedWatchServer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -56,7 +57,8 @@
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     recordRelayedReply(const RangeCall &call, const RangeChanged &changed, TimePoint now);
 
-    /// Records the service's reply to this host's own call; returns responses to waiting requests.
+    /// Records the service's reply to this host's own call; returns responses to waiting requests. After a reply that
+    /// is a failure, requests for the range are refused at once until a call succeeds.
     [[nodiscard]] std::vector<SendRangeWatchMessage>
     recordServiceReply(const RangeCall &call, const KeyValueResult &result, TimePoint now);
 
@@ -108,6 +110,8 @@
     std::map<RelayedRange, CachedRange> m_ranges;
     /// The ranges for which a call of this host is in progress: the host that was asked, std::nullopt for the service.
     std::map<RelayedRange, std::optional<HostId>> m_inProgress;
+    /// The ranges for which the last call to the service failed.
+    std::set<RelayedRange> m_failing;
     std::vector<PendingRequest> m_pending;
     std::optional<StoreEra> m_era;
 };
--- a/src/forwarding/WatchSources.cpp
+++ b/src/forwarding/WatchSources.cpp
@@ -42,14 +42,17 @@
     return collector() != before;
 }
 
-WatchSource WatchSources::choose(RelayedRange range, std::size_t failures, TimePoint now) const
+WatchSource WatchSources::choose(RelayedRange range,
+                                 std::size_t failures,
+                                 TimePoint now,
+                                 const std::optional<HostId> &excluded) const
 {
     WatchSource source;
     for (const HostId &host : m_ranked) {
         if (host == m_options.self) {
             break;
         }
-        if (isSkipped(host, range, now)) {
+        if (host == excluded || isSkipped(host, range, now)) {
             source.reason = WatchSourceReason::Skipped;
         } else if (failures >= m_options.maximumFailures) {
             source.reason = WatchSourceReason::Failed;
--- a/src/forwarding/WatchSources.h
+++ b/src/forwarding/WatchSources.h
@@ -62,8 +62,11 @@
     /// The first candidate; empty before any host is known.
     [[nodiscard]] HostId collector() const { return m_ranked.empty() ? HostId() : m_ranked.front(); }
 
-    /// `failures`: number of candidates that have failed to answer this watch.
-    [[nodiscard]] WatchSource choose(RelayedRange range, std::size_t failures, TimePoint now) const;
+    /// `failures`: number of candidates that have failed to answer this watch. `excluded` is not asked.
+    [[nodiscard]] WatchSource choose(RelayedRange range,
+                                     std::size_t failures,
+                                     TimePoint now,
+                                     const std::optional<HostId> &excluded = std::nullopt) const;
 
     /// Skips a host that cannot serve the range.
     void skip(const HostId &host, RelayedRange range, TimePoint now);
--- a/src/forwarding/tests/RelayedWatchTest.cpp
+++ b/src/forwarding/tests/RelayedWatchTest.cpp
@@ -306,3 +306,38 @@
     CHECK(onlyResponse(relayed).deletedKeys == std::vector<std::string>{"a"});
     CHECK(onlyResponse(relayed).age == 500ms);
 }
+
+/// Guards against the hosts of a domain waiting, until their views are too old, for a host that is cut off from the
+/// service and still holds a recent view.
+TEST_CASE("a host whose call failed refuses requests at once until a call succeeds")
+{
+    RelayedWatchServer server = serverWithHistory();
+    const auto isUnavailable = [](const std::vector<SendRangeWatchMessage> &messages) {
+        return messages.size() == 1 && std::holds_alternative<RangeWatchUnavailable>(messages.front().message);
+    };
+    CHECK(server.handleRequest(follower, watchRequest(12), start + 100ms).empty());
+    CHECK(isUnavailable(server.recordServiceReply(call(12, start + 100ms), ServiceUnavailable{}, start + 200ms)));
+    server.setCallInProgress(range, std::nullopt);
+    CHECK(isUnavailable(server.handleRequest(follower, watchRequest(10), start + 300ms)));
+    (void)server.recordServiceReply(call(12, start + 300ms),
+                                    RangeChanged{.written = {}, .deletedKeys = {}, .storeRevision = Revision(13)},
+                                    start + 400ms);
+    CHECK(server.handleRequest(follower, watchRequest(13), start + 400ms).empty());
+}
+
+/// Guards against all hosts of a domain turning to the service when their collector has stopped confirming a range: the
+/// next host is asked, and its response is due before the view is too old.
+TEST_CASE("a further host is asked for a view that is too old for a longer watch and responds before it is too old")
+{
+    RelayedWatchClient client({.maximumAges = {.directory = 1500ms}});
+    const KeyValueCall watch{.id = CallId(4), .request = WatchRange{.prefix = "p/", .after = Revision(3), .wait = 1s}};
+    CHECK(!client.isConfirmed(range, start));
+    client.recordConfirmed(range, start);
+    CHECK(!client.relay(range, watch, collector, start + 1260ms));
+    CHECK(client.isConfirmed(range, start + 1260ms));
+    REQUIRE(client.relay(range, watch, HostId("next"), start + 1260ms, {.failures = 1}));
+    CHECK(client.takeTimedOut(start + 1480ms).empty());
+    CHECK(client.takeTimedOut(start + 1500ms).size() == 1);
+    CHECK(!client.relay(range, watch, HostId("next"), start + 1360ms, {.failures = 1}));
+    CHECK(!client.isConfirmed(range, start + 1510ms));
+}
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -240,7 +240,7 @@
         issueToKeyValueService(range, std::move(call), context);
         return;
     }
-    WatchSource source = m_sources.choose(range, failures, context.now);
+    WatchSource source = m_sources.choose(range, failures, context.now, terms.excluded);
     if (source.host) {
         const RelayTerms withSuccessor{
             .failures = failures, .hasSuccessor = failures == 0, .firstSentAt = terms.firstSentAt};
@@ -248,13 +248,22 @@
             recordSource(range, source, context);
             return;
         }
+        if (failures == 0 && m_watchClient.isConfirmed(range, context.now)) {
+            // The host answers, but has not confirmed the range for so long that it may be cut off from the service. It
+            // is asked again by the next watch, since it may also have been late by little.
+            issue(
+                range, std::move(call), {.failures = 1, .firstSentAt = context.now, .excluded = source.host}, context);
+            return;
+        }
         source = {.host = std::nullopt, .reason = WatchSourceReason::Age};
     }
     recordSource(range, source, context);
     if (failures > 0) {
-        // Other hosts of the domain may wait for this call after the failure of the host that was asked.
+        // Other hosts of the domain may wait for this call after the failure of the host that was asked, some of them
+        // with views that are nearly too old.
         auto &watch = std::get<WatchRange>(call.request);
-        watch.wait = std::min(watch.wait, waitAfterFailure);
+        watch.wait =
+            m_watchClient.isConfirmed(range, context.now) ? Duration::zero() : std::min(watch.wait, waitAfterFailure);
     }
     issueToKeyValueService(range, std::move(call), context);
 }
