Forwarding: Share one backoff between the ranges of a host

Cause: while the service fails the calls of a host, each of its three ranges retried separately, after at most 0.8 s.

Change: ServiceBackoff limits the reads and watches of all three ranges together, 100 ms to 2 s with jitter. A call that is not sent counts as failed, so that its range asks other hosts. Calls that register the host are not delayed.

--- a/src/forwarding/ConfigurationReplica.h
+++ b/src/forwarding/ConfigurationReplica.h
@@ -83,6 +83,9 @@
 
     [[nodiscard]] std::vector<ConfigurationReplicaAction> handle(const ConfigurationReplicaEvent &event, TimePoint now);
 
+    /// Makes a call that a failure has delayed due at the next tick: the service has answered another call.
+    void endDelay(TimePoint now) { m_watch.endDelay(now); }
+
     /// Null before the first successful read.
     [[nodiscard]] const SharedConfiguration &configuration() const { return m_configuration; }
 
--- a/src/forwarding/DirectoryReplica.h
+++ b/src/forwarding/DirectoryReplica.h
@@ -77,6 +77,9 @@
 
     [[nodiscard]] std::vector<DirectoryReplicaAction> handle(const DirectoryReplicaEvent &event, TimePoint now);
 
+    /// Makes a call that a failure has delayed due at the next tick: the service has answered another call.
+    void endDelay(TimePoint now) { m_watch.endDelay(now); }
+
     [[nodiscard]] const std::map<TargetId, DirectoryTarget> &targets() const { return m_targets; }
 
     /// Whether the complete directory has been read at least once.
--- a/src/forwarding/HostRegistry.h
+++ b/src/forwarding/HostRegistry.h
@@ -45,6 +45,9 @@
 
     [[nodiscard]] std::vector<HostRegistryAction> handle(const HostRegistryEvent &event, TimePoint now);
 
+    /// Makes a call that a failure has delayed due at the next tick: the service has answered another call.
+    void endDelay(TimePoint now) { m_watch.endDelay(now); }
+
     /// Whether the host was registered when the registry was last read.
     [[nodiscard]] bool contains(const HostId &host) const { return m_hosts.contains(host); }
 
--- a/src/forwarding/RangeWatch.cpp
+++ b/src/forwarding/RangeWatch.cpp
@@ -73,6 +73,14 @@
     m_nextAt = now;
 }
 
+void RangeWatch::endDelay(TimePoint now)
+{
+    if (m_failures > 0) {
+        m_nextAt = std::min(m_nextAt, now);
+        m_backoff.reset();
+    }
+}
+
 void RangeWatch::recordFailure(TimePoint now)
 {
     m_inFlight.reset();
--- a/src/forwarding/RangeWatch.h
+++ b/src/forwarding/RangeWatch.h
@@ -52,6 +52,9 @@
     /// Forgets the revision and the call in flight: the next call, which is due now, reads the range.
     void restart(TimePoint now);
 
+    /// Makes a call that a failure has delayed due now: the service is available again.
+    void endDelay(TimePoint now);
+
     /// The replicated records were current at the service at this time or later. Counted from the start of the call, so
     /// that a delayed reply never counts as more recent than it is. std::nullopt before the first successful read.
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const { return m_confirmedAt; }
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -5,6 +5,7 @@
 #include "node/NodeOutput.h"
 #include "node/TargetTable.h"
 #include "support/Hash.h"
+#include "support/Seconds.h"
 
 #include <algorithm>
 
@@ -66,6 +67,7 @@
     , m_watchClient({.maximumAges = agesOf(options)})
     , m_watchServer({.maximumAges = agesOf(options)})
     , m_sources({.self = options.host, .failureDomain = options.failureDomain})
+    , m_serviceBackoff({.seed = stableHash("service", options.seed)})
     , m_loads({.self = options.host, .failureDomain = options.failureDomain})
     , m_forwarder({.targets = {.ownFailureDomain = options.failureDomain,
                                .ownRegion = options.region,
@@ -301,20 +303,43 @@
 
 void ForwardingCoordinator::issueToKeyValueService(RelayedRange range, KeyValueCall call, NodeContext &context)
 {
-    m_metrics.serviceCall(rangeName(range), call.request);
     const auto *watch = std::get_if<WatchRange>(&call.request);
     if (watch != nullptr || std::holds_alternative<ReadRange>(call.request)) {
+        if (!m_serviceBackoff.mayCall(context.now)) {
+            const KeyValueReply reply{.id = call.id, .result = ServiceUnavailable{}};
+            send(m_watchServer.recordServiceReply({.range = range}, reply.result, context.now), context);
+            watchAnswered(range, reply, context);
+            return;
+        }
+        m_serviceBackoff.recordCall(context.now);
         m_latestCalls[range] = {.range = range,
                                 .id = call.id,
                                 .after = watch != nullptr ? std::optional(watch->after) : std::nullopt,
                                 .sentAt = context.now};
         m_watchServer.setCallInProgress(range, std::nullopt);
     }
+    m_metrics.serviceCall(rangeName(range), call.request);
     context.keyValue.issue(callerOf(range), 0, std::move(call), context.output);
 }
 
+void ForwardingCoordinator::updateBackoff(const KeyValueReply &reply, NodeContext &context)
+{
+    if (std::holds_alternative<ServiceUnavailable>(reply.result)
+        || std::holds_alternative<OutcomeUnknown>(reply.result)) {
+        if (m_serviceBackoff.recordFailure(context.now)) {
+            context.output.log("Relay: event=service-failing");
+        }
+    } else if (const auto failing = m_serviceBackoff.recordSuccess(context.now)) {
+        context.output.log("Relay: event=service-available failing_ms=" + std::to_string(wholeMilliseconds(*failing)));
+        m_configuration.endDelay(context.now);
+        m_directory.endDelay(context.now);
+        m_registry.endDelay(context.now);
+    }
+}
+
 void ForwardingCoordinator::recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
 {
+    updateBackoff(reply, context);
     if (const auto sent = m_latestCalls.find(range); sent != m_latestCalls.end() && sent->second.id == reply.id) {
         if (std::holds_alternative<RangeRead>(reply.result) || std::holds_alternative<RangeChanged>(reply.result)) {
             m_watchClient.recordConfirmed(range, sent->second.sentAt);
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -8,6 +8,7 @@
 #include "forwarding/LoadExchange.h"
 #include "forwarding/RelayedWatchClient.h"
 #include "forwarding/RelayedWatchServer.h"
+#include "forwarding/ServiceBackoff.h"
 #include "forwarding/WatchSources.h"
 #include "node/NodeContext.h"
 #include "node/NodeMessages.h"
@@ -98,6 +99,8 @@
     void issueToKeyValueService(RelayedRange range, KeyValueCall call, NodeContext &context);
     /// Records a reply of the key-value service for the hosts that relay their watches through this one.
     void recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
+    /// Begins or ends the backoff of this host's calls to the service.
+    void updateBackoff(const KeyValueReply &reply, NodeContext &context);
     void watchAnswered(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
     static void send(const std::vector<SendRangeWatchMessage> &messages, NodeContext &context);
     /// Sends the load of this host's streams to other hosts, and applies the loads that they reported.
@@ -113,6 +116,7 @@
     /// The latest call for each range that was sent to the key-value service.
     std::map<RelayedRange, RangeCall> m_latestCalls;
     WatchSources m_sources;
+    ServiceBackoff m_serviceBackoff;
     LoadExchange m_loads;
     /// Number of hosts whose load is estimated, for the metrics.
     std::size_t m_estimatedHosts = 0;
--- a/src/node/tests/StoreCutTest.cpp
+++ b/src/node/tests/StoreCutTest.cpp
@@ -60,3 +60,23 @@
         CHECK(fleet.lists(1, 2));
     }
 }
+
+/// Guards against a host that is cut off calling the store for each of its three ranges separately: it made 40 calls in
+/// 20 s.
+TEST_CASE("a host that is cut off calls the store at the rate of one backoff and soon notices its return")
+{
+    StoreAndHosts fleet({});
+    fleet.write("op/config", "1");
+    fleet.advance(4s);
+    fleet.setCut(0, true);
+    fleet.advance(5s);
+    const std::size_t before = fleet.watches(0);
+    fleet.advance(20s);
+    // Delays of 1 s to 2 s.
+    CHECK(fleet.watches(0) - before >= 10);
+    CHECK(fleet.watches(0) - before <= 20);
+    fleet.write("op/config", "2");
+    fleet.setCut(0, false);
+    fleet.advance(connectivityPeriod);
+    CHECK(fleet.shows(0, "configuration_version 2"));
+}
