Http: Share the percent encoding

Cause: The protocol of the metadata store has the only encoder, and the explain-route command needs the same one and its inverse.

--- a/src/platform/MetadataStoreProtocol.cpp
+++ b/src/platform/MetadataStoreProtocol.cpp
@@ -1,6 +1,7 @@
 #include "platform/MetadataStoreProtocol.h"
 
 #include "http/JsonRequest.h"
+#include "http/PercentEncoding.h"
 #include "keyvalue/KeyValueCodec.h"
 #include "support/Base64.h"
 #include "support/Codec.h"
@@ -18,21 +19,6 @@
 static constexpr unsigned statusTooManyRequests = 429;
 static constexpr unsigned statusUnavailable = 503;
 
-static std::string percentEncoded(const std::string &text)
-{
-    static constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char character : text) {
-        const auto byte = static_cast<unsigned char>(character);
-        if (std::isalnum(byte) != 0 || std::string_view("-._~/").find(character) != std::string_view::npos) {
-            encoded += character;
-        } else {
-            encoded += {'%', digits[byte >> 4U], digits[byte & 0xFU]};
-        }
-    }
-    return encoded;
-}
-
 static std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
