ToolCommands: Explain where a host would route a request now

Cause: Operators cannot see why a request goes where it goes: the log names the targets only after the request was sent, and not those that were excluded.

Change: `carawaymillctl explain-route` asks one host. RouteExplanation decides, without input or output, by the code that requests use, on copies of what a choice changes (random numbers, holder index, queue, counters of request limits). RouteQuestions is the HTTP query and its JSON. Typed failures: no configuration, no route, no organisation of that name, no chain with the first layer without a holder. ForwardTargets::chainRequest is split out of chooseChain; StartQueue::placeOf and ChainRouter::copyWithoutPrefixes are new.

The query is on the metrics listener: hosts with published routes have no operators' listener (not only port 0) and no operators' token. It asks for no token, like the metrics. Keys are never shown. Values that are not UTF-8 are refused, since repeating them in JSON would throw in the daemon.

Not tried against a daemon: organisations with keys, several ranks, request limits, and the outcomes queued and held.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "keyvalue/KeyValueCodec.h"
 #include "keyvalue/KeyValueHttpClient.h"
 #include "node/Node.h"
+#include "node/RouteQuestions.h"
 #include "peering/PeerLink.h"
 #include "pipeline/EngineHttpClient.h"
 #include "platform/CallerCodec.h"
@@ -247,8 +248,12 @@
     }
 
     // Takes its arguments like the other request takers.
-    void answerMetrics(HttpRequest /*request*/, Responder responder) // NOLINT(performance-unnecessary-value-param)
+    void answerMetrics(HttpRequest request, Responder responder) // NOLINT(performance-unnecessary-value-param)
     {
+        if (isRouteQuestion(request)) {
+            responder->send(m_node->explainRoute(request.target, readBootClock()));
+            return;
+        }
         responder->send({.status = 200,
                          .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                          .body = m_node->metrics(readBootClock()) + connectionMetrics()});
--- a/src/forwarding/ForwardTargets.cpp
+++ b/src/forwarding/ForwardTargets.cpp
@@ -306,6 +306,12 @@
     return stated != m_statements.end() && stated->second.restsUntil;
 }
 
+std::optional<UnresponsiveCause> ForwardTargets::unresponsiveCause(const TargetId &target) const
+{
+    const auto found = m_unresponsive.find(target);
+    return found == m_unresponsive.end() ? std::nullopt : std::optional(found->second.cause);
+}
+
 ForwardTargets::Statement &ForwardTargets::statementOf(const DirectoryTarget &target, TimePoint now)
 {
     Statement &statement = m_statements[target.id];
@@ -420,8 +426,8 @@
                                                     ChainRouter &router,
                                                     TimePoint now)
 {
-    if (const EngineProfile *engine = profileOf(m_services, service)) {
-        return chooseChain(service, *engine, request, excluded, router, now);
+    if (const auto chain = chainRequest(service, request, excluded)) {
+        return chooseChain(*chain, router, now);
     }
     return choosePlain(service, excluded, now);
 }
@@ -459,35 +465,42 @@
     return ChosenTargets{.target = best->id, .address = best->address, .path = {}};
 }
 
-std::optional<ChosenTargets> ForwardTargets::chooseChain(const ServiceId &service,
-                                                         const EngineProfile &engine,
+std::optional<RouteRequest> ForwardTargets::chainRequest(const ServiceId &service,
                                                          const ForwardRequest &request,
-                                                         const ExcludedTargets &excluded,
-                                                         ChainRouter &router,
-                                                         TimePoint now) const
+                                                         const ExcludedTargets &excluded) const
 {
-    const TokenCount promptTokens = believedPrompt(engine, request.promptTokens);
+    const EngineProfile *engine = profileOf(m_services, service);
+    if (engine == nullptr) {
+        return std::nullopt;
+    }
+    const TokenCount promptTokens = believedPrompt(*engine, request.promptTokens);
     const auto longPromptRead = m_longPromptReads.find(service);
-    const auto promptBytes = static_cast<double>(promptTokens.value() * engine.activationBytes.value());
-    const double transfer =
-        engine.domainLinkBytesPerSecond > 0 ? promptBytes / engine.domainLinkBytesPerSecond * domainLinkContention : 0;
-    const double delays = seconds(engine.domainDelay) * static_cast<double>(request.expectedTokens.value());
-    const auto routed = router.route(
-        {.job = JobId(request.attempt),
-         .model = routedModel(service),
-         .version = engine.version,
-         .adapter = {},
-         .layers = engine.layers,
-         .promptTokens = promptTokens,
-         .expectedTokens = request.expectedTokens,
-         .activationBytes = engine.activationBytes,
-         .secondsToEnterDomain = secondsToEnterDomain,
-         .secondsBetweenDomains = transfer + delays,
-         .prefixes = {},
-         .excludedTargets = excluded.everywhere,
-         .excludedFirstTargets = excluded.asFirst,
-         .longPromptRead = longPromptRead == m_longPromptReads.end() ? Duration::zero() : longPromptRead->second},
-        now);
+    const auto promptBytes = static_cast<double>(promptTokens.value() * engine->activationBytes.value());
+    const double transfer = engine->domainLinkBytesPerSecond > 0
+                                ? promptBytes / engine->domainLinkBytesPerSecond * domainLinkContention
+                                : 0;
+    const double delays = seconds(engine->domainDelay) * static_cast<double>(request.expectedTokens.value());
+    return RouteRequest{.job = JobId(request.attempt),
+                        .model = routedModel(service),
+                        .version = engine->version,
+                        .adapter = {},
+                        .layers = engine->layers,
+                        .promptTokens = promptTokens,
+                        .expectedTokens = request.expectedTokens,
+                        .activationBytes = engine->activationBytes,
+                        .secondsToEnterDomain = secondsToEnterDomain,
+                        .secondsBetweenDomains = transfer + delays,
+                        .prefixes = {},
+                        .excludedTargets = excluded.everywhere,
+                        .excludedFirstTargets = excluded.asFirst,
+                        .longPromptRead =
+                            longPromptRead == m_longPromptReads.end() ? Duration::zero() : longPromptRead->second};
+}
+
+std::optional<ChosenTargets>
+ForwardTargets::chooseChain(const RouteRequest &request, ChainRouter &router, TimePoint now) const
+{
+    const auto routed = router.route(request, now);
     const auto *chain = std::get_if<RoutedChain>(&routed);
     if (chain == nullptr) {
         return std::nullopt;
@@ -497,8 +510,8 @@
         chosen.path.push_back(
             {.target = stage.target, .address = m_targets.at(stage.target).address, .layers = stage.layers});
     }
-    chosen.tokens = averageCachedTokens(promptTokens, request.expectedTokens);
-    chosen.unreadPrompt = promptTokens;
+    chosen.tokens = averageCachedTokens(request.promptTokens, request.expectedTokens);
+    chosen.unreadPrompt = request.promptTokens;
     chosen.congested =
         std::ranges::any_of(chain->decision.stages, [](const StageDecision &stage) { return stage.congested; });
     chosen.awaitsPrompts =
--- a/src/forwarding/ForwardTargets.h
+++ b/src/forwarding/ForwardTargets.h
@@ -143,6 +143,12 @@
     /// Whether the target's record or one of its responses states that it leaves.
     [[nodiscard]] bool isLeaving(const TargetId &target) const;
 
+    /// Whether the target has asked this host for a pause that is not over.
+    [[nodiscard]] bool isResting(const TargetId &target) const;
+
+    /// std::nullopt unless the target counts as unresponsive.
+    [[nodiscard]] std::optional<UnresponsiveCause> unresponsiveCause(const TargetId &target) const;
+
     /// The listed target with this address; std::nullopt if there is none.
     [[nodiscard]] std::optional<TargetId> targetAt(const std::string &address) const;
 
@@ -153,6 +159,10 @@
                                                       ChainRouter &router,
                                                       TimePoint now);
 
+    /// The router's request for a chain of the service's engines; std::nullopt for a service without engines.
+    [[nodiscard]] std::optional<RouteRequest>
+    chainRequest(const ServiceId &service, const ForwardRequest &request, const ExcludedTargets &excluded) const;
+
     /// Records that a request was sent to these targets, or that it ended there.
     void recordStart(const ChosenTargets &chosen, ChainRouter &router);
     void recordEnd(ChosenTargets &chosen, ChainRouter &router);
@@ -192,19 +202,14 @@
     void suspect(const TargetId &target, Duration period, ChainRouter &router, TimePoint now);
     /// The current statement of the listed target.
     [[nodiscard]] Statement &statementOf(const DirectoryTarget &target, TimePoint now);
-    [[nodiscard]] bool isResting(const TargetId &target) const;
     /// Ends rests and forgets statements of targets that are long gone.
     void expireStatements(ChainRouter &router, TimePoint now);
     void updateRouter(const DirectoryTarget &target, ChainRouter &router) const;
     void updateAvailability(const TargetId &target, ChainRouter &router) const;
     [[nodiscard]] std::optional<ChosenTargets>
     choosePlain(const ServiceId &service, const ExcludedTargets &excluded, TimePoint now);
-    [[nodiscard]] std::optional<ChosenTargets> chooseChain(const ServiceId &service,
-                                                           const EngineProfile &engine,
-                                                           const ForwardRequest &request,
-                                                           const ExcludedTargets &excluded,
-                                                           ChainRouter &router,
-                                                           TimePoint now) const;
+    [[nodiscard]] std::optional<ChosenTargets>
+    chooseChain(const RouteRequest &request, ChainRouter &router, TimePoint now) const;
     [[nodiscard]] double recentFailures(const Load &load, TimePoint now) const;
 
     ForwardTargetsOptions m_options;
--- a/src/forwarding/Forwarder.h
+++ b/src/forwarding/Forwarder.h
@@ -8,6 +8,7 @@
 #include "forwarding/PromptBacklog.h"
 #include "forwarding/ResponseBuffers.h"
 #include "forwarding/RetryLoans.h"
+#include "forwarding/RouteExplanation.h"
 #include "forwarding/RouteTable.h"
 #include "forwarding/StartQueue.h"
 #include "forwarding/TargetLinks.h"
@@ -187,6 +188,30 @@
     /// Rejects new requests from `time` on, since the host shuts down.
     void rejectNewRequestsFrom(TimePoint time) { m_rejectFrom = time; }
 
+    /// Where a request would be routed now, and why. Changes nothing.
+    [[nodiscard]] RouteExplanationResult
+    explainRoute(const RouteQuestion &question, bool fresh, const ChainRouter &router, TimePoint now) const
+    {
+        std::optional<ForwardFailure> refusal;
+        if (m_rejectFrom && now >= *m_rejectFrom) {
+            refusal = ForwardFailure::Draining;
+        } else if (!m_links.hasWay(now)) {
+            refusal = ForwardFailure::NoTarget;
+        }
+        // The limits are counted anew as time passes, which a query must not do to those in use.
+        TargetRequestLimits limits = m_limits;
+        return Carawaymill::explainRoute(question,
+                                         {.table = m_table,
+                                          .targets = m_targets,
+                                          .router = router,
+                                          .queue = m_queue,
+                                          .prompts = m_prompts,
+                                          .withoutRoom = limits.withoutRoom(now),
+                                          .refusal = refusal,
+                                          .fresh = fresh},
+                                         now);
+    }
+
     [[nodiscard]] std::size_t inProgress() const { return m_calls.size() + m_earlyRequests.size(); }
 
     [[nodiscard]] const ForwardTargets &targets() const { return m_targets; }
--- a/src/forwarding/PromptBacklog.cpp
+++ b/src/forwarding/PromptBacklog.cpp
@@ -8,7 +8,7 @@
 
 bool PromptBacklog::mayWait(TimePoint since, Duration latencyObjective, TimePoint now) const
 {
-    return now - since < std::chrono::duration_cast<Duration>(latencyObjective * m_options.waitShare);
+    return now - since < longestWait(latencyObjective);
 }
 
 void PromptBacklog::sent(RequestId id, const std::string &attempt, std::uint64_t promptTokens, TimePoint now)
--- a/src/forwarding/PromptBacklog.h
+++ b/src/forwarding/PromptBacklog.h
@@ -34,6 +34,12 @@
     /// Whether a request that has waited since `since` may wait still.
     [[nodiscard]] bool mayWait(TimePoint since, Duration latencyObjective, TimePoint now) const;
 
+    /// How long a request with this objective may wait.
+    [[nodiscard]] Duration longestWait(Duration latencyObjective) const
+    {
+        return std::chrono::duration_cast<Duration>(latencyObjective * m_options.waitShare);
+    }
+
     /// Adds a request that waits. Does nothing if it waits already.
     void add(RequestId id, TimePoint now) { m_waiting.try_emplace(id, now); }
 
--- a/src/forwarding/StartQueue.cpp
+++ b/src/forwarding/StartQueue.cpp
@@ -202,6 +202,24 @@
     return waitAt(service, static_cast<std::size_t>(ahead), now);
 }
 
+QueuePlace StartQueue::placeOf(const QueuedRequest &request, TimePoint now) const
+{
+    StartQueue copy = *this;
+    const auto refused = copy.add(request, now);
+    if (refused && refused->id == request.id) {
+        return {.ahead = waiting(request.service), .expectedWait = refused->expectedWait, .isRefused = true};
+    }
+    QueuePlace place;
+    for (const QueuedRequest &entry : copy.ordered(now)) {
+        if (entry.id == request.id) {
+            break;
+        }
+        place.ahead += entry.service == request.service ? 1 : 0;
+    }
+    place.expectedWait = copy.waitAt(request.service, place.ahead, now);
+    return place;
+}
+
 void StartQueue::logQueued(const QueuedRequest &request, std::optional<Duration> expectedWait, TimePoint now)
 {
     if (m_loggedAt && now - *m_loggedAt < m_options.logInterval) {
--- a/src/forwarding/StartQueue.h
+++ b/src/forwarding/StartQueue.h
@@ -75,6 +75,17 @@
     std::optional<Duration> expectedWait;
 };
 
+/// What would happen to a request that joined the queue.
+struct QueuePlace
+{
+    /// Waiting requests of its service that would start before it.
+    std::size_t ahead = 0;
+    /// std::nullopt if the rate of starts is not known.
+    std::optional<Duration> expectedWait;
+    /// The queue would refuse the request itself.
+    bool isRefused = false;
+};
+
 /// The log line for a refusal. `attempt`: the attempt id that the caller chose.
 [[nodiscard]] std::string describe(const RefusedRequest &refused, const std::string &attempt);
 
@@ -107,6 +118,9 @@
     /// the rate of starts is not known.
     [[nodiscard]] std::optional<Duration> backlog(const ServiceId &service, std::uint32_t rank, TimePoint now) const;
 
+    /// The place that the request would get. Its id is that of no waiting request.
+    [[nodiscard]] QueuePlace placeOf(const QueuedRequest &request, TimePoint now) const;
+
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
     /// Log lines since the last call.
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -63,6 +63,13 @@
     /// Counters and latencies in the Prometheus text exposition format.
     [[nodiscard]] std::string metrics(TimePoint now) const;
 
+    /// Where a request would be routed now, and why. `router`: the one that is used for requests.
+    [[nodiscard]] RouteExplanationResult
+    explainRoute(const RouteQuestion &question, const ChainRouter &router, TimePoint now) const
+    {
+        return m_forwarder.explainRoute(question, m_configuration.fresh(now), router, now);
+    }
+
     /// Returns true once after each change of the placement's demands.
     [[nodiscard]] bool takePlacementChange() { return std::exchange(m_placementChanged, false); }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "node/CataloguePlacement.h"
+#include "node/RouteQuestions.h"
 #include "support/Hash.h"
 
 namespace Carawaymill {
@@ -160,6 +161,14 @@
     return m_forwarding ? m_forwarding->metrics(now) : std::string();
 }
 
+HttpResponse Node::explainRoute(const std::string &target, TimePoint now) const
+{
+    return respondToRouteQuestion(target, m_options.host, [&](const RouteQuestion &question) {
+        return m_forwarding ? m_forwarding->explainRoute(question, m_targets.router(), now)
+                            : RouteExplanationResult(RouteTableMissing{});
+    });
+}
+
 std::size_t Node::placementRegionsHeld(TimePoint now) const
 {
     return m_placement.scopesHeld(m_scopes.leases(), now);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -57,6 +57,9 @@
     /// published routes.
     [[nodiscard]] std::string metrics(TimePoint now) const;
 
+    /// Responds to the query of `explain-route` with this target (path and query); changes nothing.
+    [[nodiscard]] HttpResponse explainRoute(const std::string &target, TimePoint now) const;
+
     [[nodiscard]] const LedgerCoordinator &ledger() const { return m_ledger; }
 
 private:
--- a/src/node/TargetTable.h
+++ b/src/node/TargetTable.h
@@ -44,6 +44,8 @@
 
     [[nodiscard]] ChainRouter &router() { return m_router; }
 
+    [[nodiscard]] const ChainRouter &router() const { return m_router; }
+
     [[nodiscard]] TargetAvailability availability(const TargetId &target) const
     {
         return m_monitor.availability(target);
--- a/src/routing/ChainRouter.cpp
+++ b/src/routing/ChainRouter.cpp
@@ -44,6 +44,16 @@
 {
 }
 
+ChainRouter ChainRouter::copyWithoutPrefixes() const
+{
+    ChainRouter copy(m_options);
+    copy.m_random = m_random;
+    copy.m_targets = m_targets;
+    copy.m_slots = m_slots;
+    copy.m_models = m_models;
+    return copy;
+}
+
 std::uint32_t ChainRouter::slotOf(const TargetId &target)
 {
     const auto [found, added] = m_slots.try_emplace(target, static_cast<std::uint32_t>(m_targets.size()));
@@ -59,6 +69,12 @@
     return found == m_slots.end() ? nullptr : &m_targets[found->second];
 }
 
+const RoutingTarget *ChainRouter::target(const TargetId &target) const
+{
+    const auto found = m_slots.find(target);
+    return found == m_slots.end() ? nullptr : &m_targets[found->second];
+}
+
 void ChainRouter::markOutdated(const std::vector<HeldRange> &held)
 {
     for (const HeldRange &range : held) {
--- a/src/routing/ChainRouter.h
+++ b/src/routing/ChainRouter.h
@@ -44,6 +44,10 @@
 public:
     explicit ChainRouter(ChainRouterOptions options);
 
+    /// A router that chooses the same chains next for requests without prefixes, and shares no state with this one. It
+    /// knows no prefixes, whose table may be large.
+    [[nodiscard]] ChainRouter copyWithoutPrefixes() const;
+
     /// Adds a target, or replaces its speed and the layers that it holds.
     void updateTarget(const TargetId &target, TargetSpeed speed, std::vector<HeldRange> held);
 
@@ -82,6 +86,9 @@
     void promptSent(const ChainStage &stage, TokenCount tokens);
     void promptRead(const ChainStage &stage, TokenCount tokens);
 
+    /// Null if the target was never added.
+    [[nodiscard]] const RoutingTarget *target(const TargetId &target) const;
+
     /// Estimated content of the targets' prefix caches. The owner of the router passes cache events to it.
     [[nodiscard]] PrefixIndex &prefixes() { return m_prefixes; }
 
--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -135,7 +135,7 @@
     if (m_speed.promptLayerTokensPerSecond <= 0) {
         return;
     }
-    const double unread = m_ownUnread + (m_otherLoad ? m_otherLoad->unreadLayerTokens : 0);
+    const double unread = unreadLayerTokens();
     const double wait = unread / m_speed.promptLayerTokensPerSecond;
     cost.secondsPerStage += wait;
     const double read =
--- a/src/routing/RoutingTarget.h
+++ b/src/routing/RoutingTarget.h
@@ -84,6 +84,12 @@
     /// does not fit. 0 when the size of the cache is not known.
     [[nodiscard]] double cacheOccupancy(LayerRange layers, TokenCount tokens) const;
 
+    /// Prompt tokens times layers that were sent to the target and are not read there, from all hosts.
+    [[nodiscard]] double unreadLayerTokens() const
+    {
+        return m_ownUnread + (m_otherLoad ? m_otherLoad->unreadLayerTokens : 0);
+    }
+
     /// Load of this host's own streams.
     [[nodiscard]] StreamLoad ownLoad() const
     {
--- a/src/tool/CarawaymillctlMain.cpp
+++ b/src/tool/CarawaymillctlMain.cpp
@@ -43,7 +43,9 @@
     boost::asio::io_context context;
     HttpClient client(context);
     HttpResult received = HttpNotSent{};
-    request.headers.emplace_back("Authorization", "Bearer " + token);
+    if (!token.empty()) {
+        request.headers.emplace_back("Authorization", "Bearer " + token);
+    }
     const HttpSendOptions sendOptions{.timeout = answerTimeout, .freshConnection = true};
     client.send(options.host, request, sendOptions, [&](HttpResult result) {
         received = std::move(result);
@@ -55,7 +57,8 @@
 
 static int runTool(const ToolOptions &options)
 {
-    const std::optional<std::string> tokenText = readFile(options.tokenFile);
+    const std::optional<std::string> tokenText =
+        options.tokenFile.empty() ? std::optional(std::string()) : readFile(options.tokenFile);
     if (!tokenText) {
         std::cerr << "carawaymillctl: cannot read " << options.tokenFile << "\n";
         return static_cast<int>(ToolExit::WrongUsage);
--- a/src/tool/ToolCommands.cpp
+++ b/src/tool/ToolCommands.cpp
@@ -1,5 +1,8 @@
 #include "tool/ToolCommands.h"
 
+#include "http/PercentEncoding.h"
+#include "tool/RouteExplanationText.h"
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -60,6 +63,7 @@
         {"status", {0, 0, [this] { return printAnswer("GET", "status"); }}},
         {"in-force", {1, 1, [this] { return inForce(); }}},
         {"explain", {1, 1, [&] { return printAnswer("GET", "decisions/" + argument()); }}},
+        {"explain-route", {0, 0, [this] { return explainRoute(); }}},
         {"drain", {1, 1, [&] { return printAnswer("POST", "drain/" + argument()); }}},
         {"usage", {1, 1, [&] { return printAnswer("GET", "usage/" + argument()); }}},
         {"suspects", {0, 2, [this] { return suspects(); }}},
@@ -239,6 +243,29 @@
     return printAnswer("DELETE", "suspects/" + m_options.arguments.at(1));
 }
 
+ToolExit ToolCommands::explainRoute()
+{
+    if (m_options.hostName.empty() || m_options.path.empty()) {
+        return wrongUsage("explain-route needs --host-name and --path");
+    }
+    std::string query = "hostName=" + percentEncoded(m_options.hostName) + "&path=" + percentEncoded(m_options.path);
+    const auto add = [&query](const char *name, const std::string &value) {
+        if (!value.empty()) {
+            query.append("&").append(name).append("=").append(percentEncoded(value));
+        }
+    };
+    add("keyHolder", m_options.keyHolder);
+    add("promptTokens", m_options.promptTokens);
+    add("expectedTokens", m_options.expectedTokens);
+    const Answer answer = request("GET", "explain-route?" + query);
+    if (answer.exit != ToolExit::Done) {
+        m_surroundings.errors << excludedText(answer.body);
+        return fail(answer);
+    }
+    print(answer.body, routeExplanationText(answer.body));
+    return ToolExit::Done;
+}
+
 ToolExit ToolCommands::printAnswer(const std::string &method, const std::string &path)
 {
     const Answer answer = request(method, path);
--- a/src/tool/ToolCommands.h
+++ b/src/tool/ToolCommands.h
@@ -79,6 +79,7 @@
     ToolExit watch();
     ToolExit inForce();
     ToolExit suspects();
+    ToolExit explainRoute();
     ToolExit printAnswer(const std::string &method, const std::string &path);
     ToolExit applyRecord(const nlohmann::json &wanted);
     ToolExit tellConflict(const Answer &answer);
--- a/src/tool/ToolOptions.cpp
+++ b/src/tool/ToolOptions.cpp
@@ -25,6 +25,10 @@
            "  status                   hosts, targets and placement\n"
            "  in-force REVISION        on how many hosts a revision is in force\n"
            "  explain JOB              the decisions made for one job\n"
+           "  explain-route --host-name NAME --path PATH [--key-holder ORGANISATION] [--prompt-tokens N]\n"
+           "      [--expected-tokens N]\n"
+           "                           where the host would route a request now, and why; sends no request.\n"
+           "                           --host is the metrics listener, which needs no token\n"
            "  drain HOST               take a host out of service once its requests are finished\n"
            "  usage ORGANISATION       what an organisation has consumed\n"
            "  suspects [lift ID]       requests held back because they crash targets\n"
@@ -38,21 +42,72 @@
            "  10 not done: the host or the key-value service cannot do it now\n";
 }
 
-Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(const std::vector<std::string> &commandLine)
+namespace {
+
+/// Values of the options as popt stores them; null or 0 if they are not given.
+struct GivenOptions
 {
     char *host = nullptr;
     char *tokenFile = nullptr;
     char *editId = nullptr;
+    char *hostName = nullptr;
+    char *path = nullptr;
+    char *keyHolder = nullptr;
+    char *promptTokens = nullptr;
+    char *expectedTokens = nullptr;
     int json = 0;
-    const std::array<poptOption, 7> options{{
-        {"host", 0, POPT_ARG_STRING, static_cast<void *>(&host), 0, "administration listener", "ADDRESS:PORT"},
-        {"token-file", 0, POPT_ARG_STRING, static_cast<void *>(&tokenFile), 0, "file with the token", "FILE"},
-        {"edit-id", 0, POPT_ARG_STRING, static_cast<void *>(&editId), 0, "id of a repeated edit", "ID"},
-        {"json", 0, POPT_ARG_NONE, static_cast<void *>(&json), 0, "print JSON", nullptr},
+};
+
+} // namespace
+
+static std::array<poptOption, 12> optionTable(GivenOptions &given)
+{
+    return {{
+        {"host", 0, POPT_ARG_STRING, static_cast<void *>(&given.host), 0, "administration listener", "ADDRESS:PORT"},
+        {"token-file", 0, POPT_ARG_STRING, static_cast<void *>(&given.tokenFile), 0, "file with the token", "FILE"},
+        {"edit-id", 0, POPT_ARG_STRING, static_cast<void *>(&given.editId), 0, "id of a repeated edit", "ID"},
+        {"host-name", 0, POPT_ARG_STRING, static_cast<void *>(&given.hostName), 0, "host name of a request", "NAME"},
+        {"path", 0, POPT_ARG_STRING, static_cast<void *>(&given.path), 0, "path of a request", "PATH"},
+        {"key-holder",
+         0,
+         POPT_ARG_STRING,
+         static_cast<void *>(&given.keyHolder),
+         0,
+         "whose key it has",
+         "ORGANISATION"},
+        {"prompt-tokens", 0, POPT_ARG_STRING, static_cast<void *>(&given.promptTokens), 0, "its prompt", "N"},
+        {"expected-tokens", 0, POPT_ARG_STRING, static_cast<void *>(&given.expectedTokens), 0, "its answer", "N"},
+        {"json", 0, POPT_ARG_NONE, static_cast<void *>(&given.json), 0, "print JSON", nullptr},
         {"version", 'V', POPT_ARG_NONE, nullptr, versionOption, "print the version", nullptr},
         {"help", 'h', POPT_ARG_NONE, nullptr, helpOption, "print this help", nullptr},
         {nullptr, 0, 0, nullptr, 0, nullptr, nullptr},
     }};
+}
+
+/// Frees the texts.
+static ToolOptions takeOptions(GivenOptions &given)
+{
+    const auto taken = [](char *&text) {
+        const std::unique_ptr<char, decltype(&std::free)> owner(text, &std::free);
+        return text == nullptr ? std::string() : std::string(text);
+    };
+    return {.host = taken(given.host),
+            .tokenFile = taken(given.tokenFile),
+            .editId = taken(given.editId),
+            .json = given.json != 0,
+            .hostName = taken(given.hostName),
+            .path = taken(given.path),
+            .keyHolder = taken(given.keyHolder),
+            .promptTokens = taken(given.promptTokens),
+            .expectedTokens = taken(given.expectedTokens),
+            .command = {},
+            .arguments = {}};
+}
+
+Result<ToolOptions, WrongUsage, TextAsked> parseToolOptions(const std::vector<std::string> &commandLine)
+{
+    GivenOptions given;
+    const std::array<poptOption, 12> options = optionTable(given);
     std::vector<const char *> words;
     words.reserve(commandLine.size());
     for (const std::string &word : commandLine) {
@@ -61,17 +116,12 @@
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext("carawaymillctl", static_cast<int>(words.size()), words.data(), options.data(), 0),
         &poptFreeContext);
-    const auto taken = [](char *&text) {
-        const std::unique_ptr<char, decltype(&std::free)> owner(text, &std::free);
-        return text == nullptr ? std::string() : std::string(text);
-    };
-
     int found = poptGetNextOpt(context.get());
     const int first = found;
     while (found > 0) {
         found = poptGetNextOpt(context.get());
     }
-    ToolOptions parsed{.host = taken(host), .tokenFile = taken(tokenFile), .editId = taken(editId), .json = json != 0};
+    ToolOptions parsed = takeOptions(given);
     if (first == helpOption) {
         return TextAsked{.text = toolHelp()};
     }
@@ -89,8 +139,9 @@
     }
     parsed.command = parsed.arguments.front();
     parsed.arguments.erase(parsed.arguments.begin());
-    if (parsed.host.empty() || parsed.tokenFile.empty()) {
-        return WrongUsage{.message = "--host and --token-file are needed"};
+    const bool needsToken = parsed.command != "explain-route";
+    if (parsed.host.empty() || (needsToken && parsed.tokenFile.empty())) {
+        return WrongUsage{.message = needsToken ? "--host and --token-file are needed" : "--host is needed"};
     }
     return parsed;
 }
--- a/src/tool/ToolOptions.h
+++ b/src/tool/ToolOptions.h
@@ -17,6 +17,12 @@
     std::string editId;
     /// Print the hosts' JSON instead of text.
     bool json = false;
+    /// The request that `explain-route` asks about; empty texts were not given.
+    std::string hostName;
+    std::string path;
+    std::string keyHolder;
+    std::string promptTokens;
+    std::string expectedTokens;
     std::string command;
     std::vector<std::string> arguments;
 };
--- a/src/tool/tests/ToolCommandsTest.cpp
+++ b/src/tool/tests/ToolCommandsTest.cpp
@@ -120,3 +120,42 @@
     CHECK(run.run("show", {"model"}) == ToolExit::WrongUsage);
     CHECK(run.run("status", {}) == ToolExit::NotReached);
 }
+
+TEST_CASE("explain-route asks with encoded parameters and prints the path as a table")
+{
+    // Guards against a path that ends the query early, and against an answer without figures that stops the tool.
+    std::vector<HttpRequest> sent;
+    std::ostringstream output;
+    std::ostringstream errors;
+    ToolOptions options{
+        .hostName = "api.example", .path = "/v1/a b&c", .keyHolder = "club", .command = "explain-route"};
+    const auto run = [&](const HttpResponse &answer) {
+        return ToolCommands(options,
+                            {.send =
+                                 [&](const HttpRequest &request) {
+                                     sent.push_back(request);
+                                     return HttpResult(answer);
+                                 },
+                             .sleep = {},
+                             .makeEditId = {},
+                             .readFile = {},
+                             .output = output,
+                             .errors = errors})
+            .run();
+    };
+    CHECK(run(ok(R"({"outcome":"queued","waitsFor":"cache-capacity","waitingAhead":2,"expectedWaitMilliseconds":null,
+                     "path":[{"target":"e1","layers":[0,4],"costMilliseconds":12.5}],
+                     "excluded":[{"target":"e2","reason":"silent"}]})"))
+          == ToolExit::Done);
+    CHECK(sent.back().target
+          == "/administration/v1/explain-route?hostName=api.example&path=/v1/a%20b%26c&keyHolder=club");
+    CHECK(output.str().find("queued, waits for cache-capacity: 2 requests ahead, expected - ms") != std::string::npos);
+    CHECK(output.str().find("  e1      -        [0,4]   12.5") != std::string::npos);
+    CHECK(output.str().find("  e2  silent") != std::string::npos);
+    const HttpResponse noChain{.status = 503,
+                               .body = R"({"detail":"layer 3","excluded":[{"target":"e2","reason":"leaving"}]})"};
+    CHECK(run(noChain) == ToolExit::Unavailable);
+    CHECK(errors.str().find("leaving") != std::string::npos);
+    options.path.clear();
+    CHECK(run(noChain) == ToolExit::WrongUsage);
+}
