ForwardingCoordinator, Daemon: Mend what the review of the service calls and of explain-route found

One lease renewal that failed began the backoff of all ranges, so that a host that had to ask the service for its domain sent one range and refused the questions of its followers on the others, which then all asked the service. Registrations do not begin it any more, and a range whose view still counts is not held back. Its maximum is 1.5 s: with a range's own delay of 0.8 s 2 s was over what targets that left in the meantime allow. explain-route answers one question in 200 ms, since each copies what is known of the targets; it reports a refusal and a path under request limits in the forwarder's order.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -251,7 +251,7 @@
     void answerMetrics(HttpRequest request, Responder responder) // NOLINT(performance-unnecessary-value-param)
     {
         if (isRouteQuestion(request)) {
-            responder->send(m_node->explainRoute(request.target, readBootClock()));
+            responder->send(answerRouteQuestion(request));
             return;
         }
         responder->send({.status = 200,
@@ -259,6 +259,19 @@
                          .body = m_node->metrics(readBootClock()) + connectionMetrics()});
     }
 
+    /// Questions are limited: each one copies what is known of the targets, which would delay callers' requests.
+    [[nodiscard]] HttpResponse answerRouteQuestion(const HttpRequest &request)
+    {
+        static constexpr unsigned statusTooManyRequests = 429;
+        static constexpr Duration interval = 200ms;
+        const TimePoint now = readBootClock();
+        if (now < m_nextRouteQuestionAt) {
+            return {.status = statusTooManyRequests, .headers = {{"Retry-After", "1"}}, .body = {}};
+        }
+        m_nextRouteQuestionAt = now + interval;
+        return m_node->explainRoute(request.target, now);
+    }
+
     [[nodiscard]] std::string connectionMetrics() const
     {
         const CallerConnectionCounts &counts = m_connections->counts;
@@ -514,6 +527,7 @@
     boost::asio::io_context &m_context;
     DaemonSettings m_settings;
     std::unique_ptr<Node> m_node;
+    TimePoint m_nextRouteQuestionAt{};
     HttpClient m_client;
     EngineHttpClient m_engines;
     KeyValueHttpClient m_keyValue;
--- a/src/forwarding/RouteExplanation.cpp
+++ b/src/forwarding/RouteExplanation.cpp
@@ -123,7 +123,8 @@
         .service = service,
         .promptTokens = chainRequest ? chainRequest->promptTokens : call.request->promptTokens,
         .expectedTokens = call.request->expectedTokens,
-        .refusal = m_state.refusal ? m_state.refusal : notAdmitted,
+        // The order of the forwarder: a drain, the admission by key, and then whether this host reaches any target.
+        .refusal = m_state.refusal == ForwardFailure::Draining || !notAdmitted ? m_state.refusal : notAdmitted,
         .expectedWait = {},
         .path = std::move(choice->path),
         .excluded = {},
@@ -141,7 +142,7 @@
         return choice;
     }
     auto other = chooseWithout(call, {.everywhere = {}, .asFirst = m_state.withoutRoom});
-    if (other && !call.mustWaitFor(other->chosen)) {
+    if (other && !call.mustWaitFor(other->chosen) && !call.awaitsPrompts(other->chosen, m_state.prompts, m_now)) {
         return other;
     }
     choice->chosen.limited = true;
--- a/src/forwarding/ServiceBackoff.h
+++ b/src/forwarding/ServiceBackoff.h
@@ -12,9 +12,9 @@
 struct ServiceBackoffOptions
 {
     std::uint64_t seed = 0;
-    /// A host that is alone and cut off notices the return of the service within the maximum. Targets that left in the
-    /// meantime must be unlisted within 3 s of it.
-    BackoffOptions delays = {.initial = 100ms, .maximum = 2s};
+    /// A host that is alone and cut off notices the return of the service within the maximum and the longest delay of a
+    /// range, 0.8 s. Targets that left in the meantime must be unlisted within 3 s of it.
+    BackoffOptions delays = {.initial = 100ms, .maximum = 1500ms};
 };
 
 /// Limits the reads and watches of one host while the key-value service fails its calls. All ranges share it: if each
--- a/src/node/ForwardingCoordinator.cpp
+++ b/src/node/ForwardingCoordinator.cpp
@@ -305,7 +305,8 @@
 {
     const auto *watch = std::get_if<WatchRange>(&call.request);
     if (watch != nullptr || std::holds_alternative<ReadRange>(call.request)) {
-        if (!m_serviceBackoff.mayCall(context.now)) {
+        // A view that still counts is kept confirmed: after a single failure the service may well respond.
+        if (!m_serviceBackoff.mayCall(context.now) && !m_watchClient.isConfirmed(range, context.now)) {
             const KeyValueReply reply{.id = call.id, .result = ServiceUnavailable{}};
             send(m_watchServer.recordServiceReply({.range = range}, reply.result, context.now), context);
             watchAnswered(range, reply, context);
@@ -322,11 +323,12 @@
     context.keyValue.issue(callerOf(range), 0, std::move(call), context.output);
 }
 
-void ForwardingCoordinator::updateBackoff(const KeyValueReply &reply, NodeContext &context)
+void ForwardingCoordinator::updateBackoff(const KeyValueReply &reply, bool isRangeCall, NodeContext &context)
 {
     if (std::holds_alternative<ServiceUnavailable>(reply.result)
         || std::holds_alternative<OutcomeUnknown>(reply.result)) {
-        if (m_serviceBackoff.recordFailure(context.now)) {
+        // A registration that fails is repeated at its own rate and says little about the ranges.
+        if (isRangeCall && m_serviceBackoff.recordFailure(context.now)) {
             context.output.log("Relay: event=service-failing");
         }
     } else if (const auto failing = m_serviceBackoff.recordSuccess(context.now)) {
@@ -339,8 +341,10 @@
 
 void ForwardingCoordinator::recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context)
 {
-    updateBackoff(reply, context);
-    if (const auto sent = m_latestCalls.find(range); sent != m_latestCalls.end() && sent->second.id == reply.id) {
+    const auto sent = m_latestCalls.find(range);
+    const bool isLatestCall = sent != m_latestCalls.end() && sent->second.id == reply.id;
+    updateBackoff(reply, isLatestCall, context);
+    if (isLatestCall) {
         if (std::holds_alternative<RangeRead>(reply.result) || std::holds_alternative<RangeChanged>(reply.result)) {
             m_watchClient.recordConfirmed(range, sent->second.sentAt);
         }
--- a/src/node/ForwardingCoordinator.h
+++ b/src/node/ForwardingCoordinator.h
@@ -107,7 +107,7 @@
     /// Records a reply of the key-value service for the hosts that relay their watches through this one.
     void recordReply(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
     /// Begins or ends the backoff of this host's calls to the service.
-    void updateBackoff(const KeyValueReply &reply, NodeContext &context);
+    void updateBackoff(const KeyValueReply &reply, bool isRangeCall, NodeContext &context);
     void watchAnswered(RelayedRange range, const KeyValueReply &reply, NodeContext &context);
     static void send(const std::vector<SendRangeWatchMessage> &messages, NodeContext &context);
     /// Sends the load of this host's streams to other hosts, and applies the loads that they reported.
