RoutingTarget: Count unread prompts only where they hold up a short one

Digests of other hosts' unread prompts are 0.2 to 1 s old, while usual prompts are read within milliseconds, so that hosts followed each other's old loads.

--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -137,11 +137,17 @@
     }
     const double unread = unreadLayerTokens();
     const double wait = unread / m_speed.promptLayerTokensPerSecond;
-    cost.secondsPerStage += wait;
+    const double limit = seconds(work.longPromptRead);
+    if (limit <= 0) {
+        return;
+    }
+    // Usual prompts are read long before a digest arrives: counting them, hosts followed each other's old loads.
+    if (wait > limit) {
+        cost.secondsPerStage += wait;
+    }
     const double read =
         static_cast<double>(work.promptTokens.value() * layers.size()) / m_speed.promptLayerTokensPerSecond;
-    const double limit = seconds(work.longPromptRead);
-    if (limit <= 0 || read <= limit) {
+    if (read <= limit) {
         return;
     }
     // Each stream that is open there waits while the prompt is read.
