RoutingTarget: Count only this host's unread prompts for short ones

For a short prompt the host's own unread prompts count, which it knows exactly; a long one still asks for those of all hosts.

--- a/src/routing/RoutingTarget.cpp
+++ b/src/routing/RoutingTarget.cpp
@@ -135,15 +135,14 @@
     if (m_speed.promptLayerTokensPerSecond <= 0) {
         return;
     }
-    const double unread = unreadLayerTokens();
-    const double wait = unread / m_speed.promptLayerTokensPerSecond;
     const double limit = seconds(work.longPromptRead);
     if (limit <= 0) {
         return;
     }
-    // Usual prompts are read long before a digest arrives: counting them, hosts followed each other's old loads.
-    if (wait > limit) {
-        cost.secondsPerStage += wait;
+    // Usual prompts are read long before a digest arrives: counting those of other hosts, hosts would follow each
+    // other's old loads.
+    if (const double ownWait = m_ownUnread / m_speed.promptLayerTokensPerSecond; ownWait > limit) {
+        cost.secondsPerStage += ownWait;
     }
     const double read =
         static_cast<double>(work.promptTokens.value() * layers.size()) / m_speed.promptLayerTokensPerSecond;
@@ -153,7 +152,7 @@
     // Each stream that is open there waits while the prompt is read.
     cost.secondsPerStage += read * cost.openLayers / std::max<double>(1, layers.size());
     // An unread long prompt alone exceeds the limit. A few short ones, which busy targets always have, do not.
-    cost.awaitsPrompts = wait > limit;
+    cost.awaitsPrompts = unreadLayerTokens() / m_speed.promptLayerTokensPerSecond > limit;
     cost.secondsPerStage += cost.awaitsPrompts ? awaitedPromptsPenaltySeconds : 0;
 }
 
