--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// A machine is added while the platform's store, back from a copy some seconds old, has not yet got the newest manifest
-// again. A key that this manifest has taken away seconds before must not work at any machine.
+// One machine is partitioned from all workers. Its requests go through another machine, which has limits of its own for
+// them: requests inside the manifest's limits are answered 413 or 431.
 #include "standins.h"
 
 #include <csignal>
@@ -7,27 +7,17 @@
 
 using namespace review;
 
-/// Of the pages: `RevokeMs` of the small deployments.
-static constexpr std::int64_t revokeMs = 5000;
-/// The copy was taken this long before the manifest was acknowledged.
-static constexpr std::int64_t copyLeadMs = 300;
-/// When the store goes away, after the ack, and for how long: "away for a moment".
-static constexpr std::int64_t awayAfterMs = 5300;
-static constexpr std::int64_t awayForMs = 500;
-/// How long after the store's return the operator and the workers write again.
-static constexpr std::int64_t rewriteAfterMs = 2000;
-/// How long after the store's return the machine is started.
-static constexpr std::int64_t addedAfterMs = 100;
-/// Pause of a consumer between an answer and its next request.
-static constexpr std::int64_t pauseMs = 20;
+/// Of the pages: `ConnectivityMs` of the small deployments, and the manifest's limits of `fleetbench wire`.
+static constexpr std::int64_t connectivityMs = 3000;
+static constexpr std::size_t maxHeaderBytes = 16384;
+static constexpr std::size_t maxBodyBytes = 4194304;
+/// The cut lasts for this long.
+static constexpr std::int64_t cutMs = 12000;
+static constexpr std::int64_t pauseMs = 60;
 
-static std::string manifest(int version, bool withRevokedKey, const std::string &key, const std::string &revokedKey)
+static std::string manifest(const std::string &key)
 {
-    Json keys = Json::array({key});
-    if (withRevokedKey) {
-        keys.push_back(revokedKey);
-    }
-    return Json{{"Version", version},
+    return Json{{"Version", 3},
                 {"Routes",
                  {{{"Name", "post-tow-charge"},
                    {"Hostname", "logbook.example"},
@@ -41,21 +31,23 @@
                    {"Public", false}}}},
                 {"Services", {{{"Name", "logbook"}, {"HealthPath", "/healthz"}, {"MaxConns", 96}}}},
                 {"Limits",
-                 {{"MaxHeaderBytes", 16384},
-                  {"MaxBodyBytes", 4194304},
+                 {{"MaxHeaderBytes", maxHeaderBytes},
+                  {"MaxBodyBytes", maxBodyBytes},
                   {"HeaderTimeoutMs", 3000},
                   {"IdleTimeoutMs", 15000}}},
-                {"Tenants", {{{"Name", "club"}, {"ApiKeys", keys}, {"Priority", 1}}}}}
+                {"Tenants", {{{"Name", "club"}, {"ApiKeys", {key}}, {"Priority", 1}}}}}
         .dump();
 }
 
 struct Sent
 {
     std::string attempt;
-    bool revoked;
-    std::string host;
+    bool large;
+    std::size_t host;
     std::int64_t at;
     int status;
+    std::int64_t endedAt;
+    std::string seal;
 };
 
 int main(int argc, char **argv)
@@ -69,18 +61,30 @@
     record.line(trouble ? "with the disruption" : "without the disruption");
     const TemporaryFolder folder;
     Store store;
-    const std::string storeAddress = store.listen();
     const std::string key = randomId();
-    const std::string revokedKey = randomId();
-    store.put("op/config", manifest(3, true, key, revokedKey));
+    store.put("op/config", manifest(key));
     std::vector<std::unique_ptr<Worker>> workers;
     for (const char *zone : {"seq-a", "seq-b", "seq-c"}) {
         workers.push_back(std::make_unique<Worker>(
             store, WorkerOptions{.id = "i-" + randomId().substr(0, 8), .service = "logbook", .zone = zone}));
     }
+    // The first host reaches each worker over a link of its own.
+    std::map<std::string, std::unique_ptr<Proxy>> links;
+    for (const auto &worker : workers) {
+        links.emplace(worker->address(), std::make_unique<Proxy>("127.0.0.1", worker->address()));
+    }
+    const std::string ownView = store.listen([&](const std::string &name, const std::string &value) {
+        if (!name.starts_with("servers/")) {
+            return value;
+        }
+        Json json = Json::parse(value);
+        json["Address"] = links.at(json.at("Address").get<std::string>())->address();
+        return json.dump();
+    });
+    const std::string commonView = store.listen();
     std::vector<std::unique_ptr<Host>> hosts;
     for (HostOptions &options : smallDeployment()) {
-        options.store = storeAddress;
+        options.store = hosts.empty() ? ownView : commonView;
         hosts.push_back(std::make_unique<Host>(folder.path(), options));
         hosts.back()->start();
     }
@@ -93,28 +97,32 @@
             sleepMs(50);
         }
     }
-    record.line("all hosts are ready");
+    record.line("all hosts are ready; " + hosts[0]->options().ip + " is the one that is cut off");
     sleepMs(2000);
 
     std::mutex mutex;
     std::vector<Sent> sent;
     std::atomic<bool> done = false;
     std::vector<std::thread> consumers;
-    const auto startConsumers = [&](const Host &host) {
-        for (const bool revoked : {false, true}) {
-            consumers.emplace_back([&, revoked, host = &host] {
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        for (const bool large : {false, true}) {
+            consumers.emplace_back([&, host, large] {
                 while (!done) {
-                    Sent one{.attempt = randomId(), .revoked = revoked, .host = host->options().ip, .at = nowMs(), .status = 0};
-                    const Answer answer = call(host->frontend(),
+                    Sent one{.attempt = randomId(), .large = large, .host = host, .at = nowMs(), .status = 0, .endedAt = 0, .seal = {}};
+                    // A large one is within three eighths of the limit.
+                    const std::size_t bytes = large ? maxBodyBytes / 8 * 3 : 200;
+                    const Answer answer = call(hosts[host]->frontend(),
                                                {.method = "POST",
                                                 .target = "/charge/" + one.attempt,
                                                 .headers = {{"Host", "logbook.example"},
                                                             {"X-Attempt-Id", one.attempt},
                                                             {"X-Deadline-Ms", "1500"},
-                                                            {"Authorization", "Bearer " + (revoked ? revokedKey : key)}},
-                                                .body = "a tow"},
+                                                            {"Authorization", "Bearer " + key}},
+                                                .body = std::string(bytes, 'x')},
                                                1500);
                     one.status = answer.status;
+                    one.endedAt = answer.endedAt;
+                    one.seal = answer.response.header("X-Server-Seal");
                     {
                         const std::lock_guard lock(mutex);
                         sent.push_back(one);
@@ -123,42 +131,22 @@
                 }
             });
         }
-    };
-    for (const auto &host : hosts) {
-        startConsumers(*host);
     }
-    sleepMs(1000);
-    store.keepCopy();
-    record.line("the store's copy is of now");
-    sleepMs(copyLeadMs);
-    const std::int64_t ackAt = store.put("op/config", manifest(4, false, key, revokedKey));
-    record.line("manifest 4, without the key, is acknowledged");
-    sleepUntilMs(ackAt + awayAfterMs);
-    if (trouble) {
-        store.setAway(true);
-        record.line("the store is away");
-    }
-    sleepMs(awayForMs);
+    sleepMs(3000);
+    const std::int64_t cutAt = nowMs();
     if (trouble) {
-        store.returnFromCopy();
-        record.line("the store is back from its copy");
+        for (const auto &[address, link] : links) {
+            link->setState(LinkState::Cut);
+        }
+        record.line("cut off from all workers");
     }
-    const std::int64_t returnedAt = nowMs();
-    sleepMs(addedAfterMs);
-    // Planned work: a machine is added, at an address of its own.
-    HostOptions options = hosts[2]->options();
-    options.ip = options.ip.substr(0, options.ip.rfind('.') + 1) + "5";
-    hosts.push_back(std::make_unique<Host>(folder.path(), options));
-    hosts.back()->start();
-    record.line(options.ip + " is added and started");
-    startConsumers(*hosts.back());
-    sleepUntilMs(returnedAt + rewriteAfterMs);
+    sleepMs(cutMs);
+    const std::int64_t healedAt = nowMs();
     if (trouble) {
-        store.put("op/config", manifest(4, false, key, revokedKey));
-        for (const auto &worker : workers) {
-            worker->registerSelf();
+        for (const auto &[address, link] : links) {
+            link->setState(LinkState::Open);
         }
-        record.line("the operator and the workers have written again");
+        record.line("healed");
     }
     sleepMs(3000);
     done = true;
@@ -172,42 +160,56 @@
             runs.emplace(run.attempt, run);
         }
     }
-    std::size_t ordinary = 0;
-    std::size_t ordinaryServed = 0;
-    std::size_t before = 0;
-    std::size_t late = 0;
-    std::size_t lateRun = 0;
+    // DENIED counts all requests of the day; RECOVER those that were sent during the cut, from `ConnectivityMs` on.
+    std::size_t denied = 0;
+    std::map<int, std::size_t> statuses;
+    std::size_t cutFirst = 0;
+    std::size_t cutServed = 0;
+    std::size_t otherFirst = 0;
+    std::size_t otherServed = 0;
+    std::size_t smallAtCut = 0;
+    std::size_t smallServed = 0;
     for (const Sent &one : sent) {
-        const auto run = runs.find(one.attempt);
-        if (!one.revoked) {
-            ++ordinary;
-            ordinaryServed += one.status == 200 ? 1 : 0;
-        } else if (one.at < ackAt) {
-            before += run != runs.end() ? 1 : 0;
-        } else if (one.at > ackAt + revokeMs) {
-            ++late;
-            if (run != runs.end()) {
-                ++lateRun;
-                record.line("RUN with the revoked key: request " + one.attempt + " sent to " + one.host + " "
-                            + std::to_string(one.at - ackAt) + " ms after the ack, run by " + run->second.worker
-                            + " at " + std::to_string(run->second.at - ackAt) + " ms, answered "
-                            + std::to_string(one.status));
+        record.line(describeRequest(
+            one.attempt, hosts[one.host]->options().ip, one.at, one.status, one.endedAt, runs));
+        const bool isDenied = one.status >= 300 && one.status < 500 && one.status != 408 && one.status != 421
+                              && one.status != 429 && one.seal.empty();
+        denied += isDenied ? 1 : 0;
+        if (isDenied && denied <= 20) {
+            record.line("DENIED: request " + one.attempt + ", body of "
+                        + std::to_string(one.large ? maxBodyBytes / 8 * 3 : 200) + " bytes, sent to "
+                        + hosts[one.host]->options().ip + " " + std::to_string(one.at - cutAt)
+                        + " ms after the cut began, answered " + std::to_string(one.status));
+        }
+        if (one.at >= cutAt + connectivityMs && one.at < healedAt) {
+            const bool served = one.status == 200 && !one.seal.empty();
+            (one.host == 0 ? cutFirst : otherFirst) += 1;
+            (one.host == 0 ? cutServed : otherServed) += served ? 1 : 0;
+            smallAtCut += one.host == 0 && !one.large ? 1 : 0;
+            smallServed += one.host == 0 && !one.large && served ? 1 : 0;
+            if (one.host == 0) {
+                ++statuses[one.status];
             }
         }
     }
-    record.line("requests with the valid key: " + std::to_string(ordinary) + ", answered 200: "
-                + std::to_string(ordinaryServed));
-    record.line("requests with the revoked key: run before the ack " + std::to_string(before) + ", sent later than "
-                + std::to_string(revokeMs) + " ms after it " + std::to_string(late) + ", of these run "
-                + std::to_string(lateRun));
-    if (hosts.back()->hasEnded() || !hosts.back()->isReady()) {
-        record.line("the added host does not serve");
-        return 2;
+    for (const auto &[status, count] : statuses) {
+        record.line("at the machine that is cut off, status " + std::to_string(status) + ": " + std::to_string(count));
     }
-    if (before == 0 || late == 0 || ordinaryServed * 2 < ordinary) {
+    record.line("served at it " + std::to_string(cutServed) + " of " + std::to_string(cutFirst) + " (small bodies "
+                + std::to_string(smallServed) + " of " + std::to_string(smallAtCut) + "), at the others "
+                + std::to_string(otherServed) + " of " + std::to_string(otherFirst));
+    const std::size_t allowed = 5 + sent.size() / 500;
+    record.line("denied though inside the limits: " + std::to_string(denied) + " of " + std::to_string(sent.size())
+                + ", the rule allows " + std::to_string(allowed));
+    if (otherServed * 2 < otherFirst || smallServed * 2 < smallAtCut || cutFirst < 20) {
         record.line("too few requests were served to judge");
         return 2;
     }
-    record.line(lateRun > 0 ? "the rule was broken" : "the rule held");
-    return lateRun > 0 ? 1 : 0;
+    const bool isDeniedBroken = denied > allowed;
+    // Rates: at the cut machine less than two thirds of the others', and more than 10 + 1 in 50 first tries failed there.
+    const bool isRecoverBroken = cutServed * otherFirst * 3 < otherServed * cutFirst * 2
+                                 && cutFirst - cutServed > 10 + (cutFirst + otherFirst) / 50;
+    record.line(std::string("DENIED ") + (isDeniedBroken ? "was broken" : "held") + ", RECOVER "
+                + (isRecoverBroken ? "was broken" : "held"));
+    return isDeniedBroken || isRecoverBroken ? 1 : 0;
 }
